--- /dev/null
+++ b/jacinthctl/main.go
@@ -0,0 +1,4 @@
+// Command jacinthctl is one of the programs of jacinthstage.
+package main
+
+func main() {}
