standin: platform, runner and registry stand-ins

The rest of the system needs something to talk to: the object API, host list and weight store, an engine with adapter slots and continuous batching, and a plain service that counts each call by its key. Faults are switched on by admin calls only.

--- /dev/null
+++ b/standin/internal/platform/platform.go
@@ -0,0 +1,149 @@
+// Package platform is the stand-in for the platform: the object API, the list
+// of hosts and targets and the weight store behind one HTTP handler, with
+// limits on calls and faults that an admin call switches on.
+package platform
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"jacinthstage/standin/internal/fault"
+	"jacinthstage/standin/internal/object"
+	"jacinthstage/standin/internal/presence"
+	"jacinthstage/standin/internal/serve"
+	"jacinthstage/standin/internal/weight"
+)
+
+// A Platform is the stand-in. Set its fields before the first call.
+type Platform struct {
+	Writes float64 // writes a second; 0 is no limit
+	Reads  float64 // reads a second, a watch counting as one; 0 is no limit
+
+	Weights weight.Store
+	Hosts   presence.List
+
+	gate    fault.Gate
+	objects object.Store
+	mu      sync.Mutex
+	counts  Counts
+}
+
+// Counts are the calls that the platform saw.
+type Counts struct {
+	Reads    int `json:"reads"`
+	Writes   int `json:"writes"`
+	Watches  int `json:"watches"`
+	Loads    int `json:"loads"`
+	Refused  int `json:"refused"`  // calls over a rate
+	Inflight int `json:"inflight"` // highest number of weight loads at once
+}
+
+// Handler returns the HTTP API.
+func (p *Platform) Handler() http.Handler {
+	reads, writes := p.limit(p.Reads, &p.counts.Reads), p.limit(p.Writes, &p.counts.Writes)
+	r := chi.NewRouter()
+	r.Group(func(r chi.Router) {
+		r.Use(p.gate.Wrap)
+		r.With(reads).Get("/v1/object/*", p.get)
+		r.With(writes).Put("/v1/object/*", p.put)
+		r.With(writes).Delete("/v1/object/*", p.delete)
+		r.With(reads).Get("/v1/list", p.list)
+		r.With(reads).Get("/v1/watch", p.watch)
+		r.With(reads).Get("/v1/hosts", p.hosts)
+	})
+	r.Post("/v1/weights/{adapter}", p.weights)
+	r.Put("/admin/fault", p.gate.Admin)
+	r.Put("/admin/host/{name}", p.host)
+	r.Post("/admin/compact", p.compact)
+	r.Get("/admin/counts", p.show)
+	return r
+}
+
+// Counts returns the calls seen so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts, loads := p.counts, p.Weights.Counts()
+	counts.Loads, counts.Inflight = loads.Loads, loads.Inflight
+	counts.Refused += loads.Refused
+	return counts
+}
+
+// limit returns a middleware that counts calls and refuses those over the rate.
+func (p *Platform) limit(perSecond float64, count *int) func(http.Handler) http.Handler {
+	limiter := rate.NewLimiter(rate.Inf, 0)
+	if perSecond > 0 {
+		limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond))))
+	}
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !p.admit(limiter, count) {
+				tooMany(w)
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+func (p *Platform) admit(limiter *rate.Limiter, count *int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !limiter.Allow() {
+		p.counts.Refused++
+		return false
+	}
+	*count++
+	return true
+}
+
+func tooMany(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "over the rate", http.StatusTooManyRequests)
+}
+
+func (p *Platform) hosts(w http.ResponseWriter, r *http.Request) {
+	fault.Of(r.Context()).Mute(r.Context())
+	serve.JSON(w, http.StatusOK, struct {
+		Hosts []presence.Entry `json:"hosts"`
+	}{p.Hosts.Show(time.Now())})
+}
+
+func (p *Platform) weights(w http.ResponseWriter, r *http.Request) {
+	err := p.Weights.Fetch(r.Context())
+	switch {
+	case errors.Is(err, weight.ErrLimited):
+		tooMany(w)
+	case err != nil:
+		fault.Abort()
+	default:
+		serve.JSON(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (p *Platform) host(w http.ResponseWriter, r *http.Request) {
+	var entry presence.Entry
+	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	entry.Name = chi.URLParam(r, "name")
+	p.Hosts.Put(time.Now(), entry)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) compact(w http.ResponseWriter, _ *http.Request) {
+	p.objects.Compact()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) show(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, p.Counts())
+}
--- /dev/null
+++ b/standin/internal/registry/registry.go
@@ -0,0 +1,112 @@
+// Package registry is the stand-in for a plain service, whose charges, permits
+// and certificates may be issued only once. It counts how often each ran.
+package registry
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+
+	"jacinthstage/standin/internal/fault"
+	"jacinthstage/standin/internal/serve"
+)
+
+// maxBody is the largest body read of a call, in bytes.
+const maxBody = 1 << 20
+
+// A Registry counts calls. The zero value is ready.
+type Registry struct {
+	Name string // stands in its answers
+
+	gate  fault.Gate
+	mu    sync.Mutex
+	calls map[string]int
+	reads int
+}
+
+// Counts are how often each call ran, by idempotency key, and the reads.
+type Counts struct {
+	Calls map[string]int `json:"calls"`
+	Reads int            `json:"reads"`
+}
+
+// An Issue is the answer of a call that ran.
+type Issue struct {
+	Registry string `json:"registry"`
+	Key      string `json:"key"`
+	Times    int    `json:"times"` // how often the key has run here
+	Size     int    `json:"size"`  // length of the call's body in bytes
+}
+
+// Handler returns the HTTP API.
+func (g *Registry) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Group(func(r chi.Router) {
+		r.Use(g.gate.Wrap)
+		for _, path := range []string{"/charge", "/permit", "/certificate"} {
+			r.Post(path, g.issue)
+		}
+		r.Get("/status/{duct}", g.status)
+	})
+	r.Put("/admin/fault", g.gate.Admin)
+	r.Get("/admin/counts", g.show)
+	return r
+}
+
+// Counts returns what ran so far.
+func (g *Registry) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	calls := maps.Clone(g.calls)
+	if calls == nil {
+		calls = map[string]int{}
+	}
+	return Counts{Calls: calls, Reads: g.reads}
+}
+
+func (g *Registry) issue(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		http.Error(w, "Idempotency-Key is missing", http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	times := g.run(key)
+	fault.Of(r.Context()).Mute(r.Context())
+	if g.gate.Lose() {
+		fault.Abort()
+	}
+	serve.JSON(w, http.StatusCreated, Issue{Registry: g.Name, Key: key, Times: times, Size: len(body)})
+}
+
+func (g *Registry) run(key string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.calls == nil {
+		g.calls = map[string]int{}
+	}
+	g.calls[key]++
+	return g.calls[key]
+}
+
+func (g *Registry) status(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	g.reads++
+	g.mu.Unlock()
+	fault.Of(r.Context()).Mute(r.Context())
+	serve.JSON(w, http.StatusOK, struct {
+		Duct  string `json:"duct"`
+		State string `json:"state"`
+	}{chi.URLParam(r, "duct"), "free"})
+}
+
+func (g *Registry) show(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, g.Counts())
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,26 @@
-// Command standin is one of the programs of jacinthstage.
+// Command standin holds the stand-ins that take the place of the platform, the
+// engines and the plain services in tests and in the demo, and the load tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&platformCommand{}, "stand-ins")
+	subcommands.Register(&runnerCommand{}, "stand-ins")
+	subcommands.Register(&registryCommand{}, "stand-ins")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
