--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -48,10 +48,11 @@
 
 // A Gate applies a Set to calls. The zero value applies none.
 type Gate struct {
-	mu    sync.Mutex
-	set   Set
-	epoch *epoch
-	ended chan struct{}
+	mu     sync.Mutex
+	set    Set
+	epoch  *epoch
+	ended  chan struct{}
+	caught int
 }
 
 // Put replaces the faults.
@@ -89,6 +90,13 @@
 	return g.set
 }
 
+// Silenced returns the number of calls that have gone silent.
+func (g *Gate) Silenced() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.caught
+}
+
 // Lose reports whether the answer to the write that just took effect is lost,
 // and counts it.
 func (g *Gate) Lose() bool {
@@ -137,6 +145,9 @@
 func (c *Call) Mute(ctx context.Context) {
 	c.gate.mu.Lock()
 	muted := c.epoch.muted
+	if muted {
+		c.gate.caught++
+	}
 	c.gate.mu.Unlock()
 	if !muted {
 		return
--- a/standin/internal/platform/platform.go
+++ b/standin/internal/platform/platform.go
@@ -76,6 +76,9 @@
 	return counts
 }
 
+// Silenced returns the number of calls that have gone silent.
+func (p *Platform) Silenced() int { return p.gate.Silenced() }
+
 // limit returns a middleware that counts calls and refuses those over the rate.
 func (p *Platform) limit(perSecond float64, count *int) func(http.Handler) http.Handler {
 	limiter := rate.NewLimiter(rate.Inf, 0)
--- /dev/null
+++ b/standin/internal/presence/presence_test.go
@@ -0,0 +1,22 @@
+package presence_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/standin/internal/presence"
+)
+
+func TestChangesShowAfterTheLag(t *testing.T) {
+	l := &presence.List{Lag: time.Second}
+	start := time.Unix(0, 0)
+	live := presence.Entry{Name: "a", State: "live", Kind: "host"}
+	leaving := presence.Entry{Name: "a", State: "leaving", Kind: "host"}
+	l.Put(start, live)
+	l.Put(start.Add(time.Second), leaving)
+	require.Empty(t, l.Show(start))
+	require.Equal(t, []presence.Entry{live}, l.Show(start.Add(time.Second)))
+	require.Equal(t, []presence.Entry{leaving}, l.Show(start.Add(2*time.Second)))
+}
