--- a/standin/internal/platform/platform_test.go
+++ b/standin/internal/platform/platform_test.go
@@ -45,7 +45,9 @@
 }
 
 func (b bench) call(method, path, condition, body string) (int, string, string) {
-	answer, err := b.send(b.Context(), method, path, condition, body)
+	ctx, cancel := context.WithTimeout(b.Context(), 10*time.Second)
+	defer cancel()
+	answer, err := b.send(ctx, method, path, condition, body)
 	require.NoError(b, err)
 	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
@@ -162,7 +164,7 @@
 		_, err := b.send(ctx, "GET", "/v1/list", "", "")
 		caught <- err
 	}()
-	require.Eventually(t, func() bool { return b.platform.Silenced() == 1 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return b.platform.Silenced() == 1 }, 10*time.Second, time.Millisecond)
 	b.call("PUT", "/admin/fault", "", `{}`)
 	status, _, _ := b.call("GET", "/v1/list", "", "")
 	require.Equal(t, 200, status)
