runner: the owner's decisions for one runner, first version

Cause: control needs the events and actions to be wired against. Change: slot (stateless table), queue (bounded, fair shares) and runner (pins, orders with fencing numbers, takeover, doubt, permits) as pure aggregates.

--- /dev/null
+++ b/stage/queue/group.go
@@ -0,0 +1,57 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jacinthstage/stage/adapter"
+)
+
+// A Group is the items that wait for one adapter.
+type Group struct {
+	Ref      adapter.Ref
+	Waiting  int
+	Priority int       // the highest
+	Deadline time.Time // the nearest
+	Oldest   time.Time // the earliest arrival
+	// Level is the least service, in tokens by weight, that a caller of the
+	// group has had.
+	Level float64
+}
+
+// Groups returns a Group for each adapter with items, by adapter.
+func (q *Queue) Groups() []Group {
+	groups := make([]Group, 0, len(q.refs))
+	for ref, items := range q.refs {
+		groups = append(groups, q.group(ref, items))
+	}
+	slices.SortFunc(groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Ref.Name, b.Ref.Name), cmp.Compare(a.Ref.Version, b.Ref.Version))
+	})
+	return groups
+}
+
+// Group returns the Group of ref, whose Waiting is 0 where no item waits for it.
+func (q *Queue) Group(ref adapter.Ref) Group { return q.group(ref, q.refs[ref]) }
+
+func (q *Queue) group(ref adapter.Ref, items []*Item) Group {
+	g := Group{Ref: ref, Waiting: len(items)}
+	for i, item := range items {
+		level := q.callers[item.Caller].level
+		if i == 0 {
+			g.Priority, g.Deadline, g.Oldest, g.Level = item.Priority, item.Deadline, item.Arrived, level
+			continue
+		}
+		g.Priority = max(g.Priority, item.Priority)
+		g.Level = min(g.Level, level)
+		if item.Deadline.Before(g.Deadline) {
+			g.Deadline = item.Deadline
+		}
+	}
+	return g
+}
+
+func sortItems(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/stage/runner/action.go
@@ -0,0 +1,88 @@
+package runner
+
+import (
+	"time"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/verdict"
+)
+
+// An Action is what a Runner asks its host to do. The kinds are the types below.
+type Action interface{ action() }
+
+// Admit lets a waiting request be sent. Its adapter is pinned until Ended.
+type Admit struct {
+	ID string
+	// Before is when the leave lapses: a request not sent by then ends as NotRun.
+	Before time.Time
+	// Stall is how long the request waited for its adapter to become resident.
+	Stall time.Duration
+	// Resident says that the adapter was resident when the request arrived.
+	Resident bool
+}
+
+// Refuse ends a waiting request, which did not run.
+type Refuse struct {
+	ID  string
+	Err *verdict.Error
+}
+
+// Order is to be sent to the engine; Answered tells what became of it.
+type Order struct {
+	Number uint64 // epoch in the high 32 bits, order counter in the low ones
+	Kind   Kind
+	Ref    adapter.Ref // none for Fence
+	// Deadline is when the order must be answered; later it counts as Unanswered.
+	Deadline time.Time
+}
+
+// A Kind is what an order does.
+type Kind uint8
+
+// The kinds of orders.
+const (
+	Fence  Kind = iota // only raises the engine's number
+	Load               // makes an adapter resident in a free slot
+	Unload             // frees an adapter's slot
+)
+
+// String returns the kind's name on the wire.
+func (k Kind) String() string { return [...]string{"fence", "load", "unload"}[k] }
+
+// Ask wants the weight store's permit to load Ref. A second Ask for the same
+// Ref replaces the first. A runner has one Ask open at a time.
+type Ask struct {
+	Ref      adapter.Ref
+	Waiting  int       // requests that the load would serve
+	Deadline time.Time // the nearest deadline among them
+}
+
+// Yield ends an Ask or gives a permit back.
+type Yield struct {
+	Ref adapter.Ref
+	// Used says that a load was started under the permit, and has ended.
+	Used bool
+}
+
+// Cancel is to be sent to the engine; a confirmed one comes back as Ended with Cancelled.
+type Cancel struct{ ID string }
+
+// AskReport wants a fresh Reported.
+type AskReport struct{}
+
+// Empty says that no request is waiting or admitted after Releasing or Leaving.
+type Empty struct{}
+
+// Superseded says that the engine accepted another owner's higher number: this
+// host no longer owns the runner.
+type Superseded struct{ Number uint64 }
+
+func (Admit) action()      {}
+func (Refuse) action()     {}
+func (Order) action()      {}
+func (Ask) action()        {}
+func (Yield) action()      {}
+func (Cancel) action()     {}
+func (AskReport) action()  {}
+func (Empty) action()      {}
+func (Superseded) action() {}
--- /dev/null
+++ b/stage/runner/admit.go
@@ -0,0 +1,157 @@
+package runner
+
+import (
+	"time"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/queue"
+	"jacinthstage/stage/slot"
+	"jacinthstage/stage/verdict"
+)
+
+// arrive takes a request into the queue, or refuses it where it can't be
+// served in time.
+func (r *Runner) arrive(now time.Time, e Arrived) {
+	if !r.owned || r.stopping != "" {
+		r.refuse(e.ID, verdict.Refuse(verdict.Unavailable, "runner %s takes no new requests", r.Name))
+		return
+	}
+	if r.jobs[e.ID] != nil || r.queue.Has(e.ID) {
+		return
+	}
+	r.demand.hit(now, e.Ref)
+	if err := r.hopeless(now, e); err != nil {
+		r.refuse(e.ID, err)
+		return
+	}
+	out, full := r.queue.Push(queue.Item{
+		ID:       e.ID,
+		Ref:      e.Ref,
+		Caller:   e.Caller,
+		Weight:   e.Weight,
+		Priority: e.Priority,
+		Deadline: e.Deadline,
+		Tokens:   e.Tokens,
+		Arrived:  now,
+		Resident: r.table.State(e.Ref) == slot.Resident,
+	})
+	if full {
+		err := verdict.Refuse(verdict.Limited, "runner %s: the queue is full", r.Name)
+		err.Again = now.Add(r.pace.places(r.queue.Len()))
+		r.refuse(out.ID, err)
+	}
+}
+
+// hopeless returns the refusal of a request that can't be complete before its
+// deadline, as far as the measured rates tell, nil for any other.
+func (r *Runner) hopeless(now time.Time, e Arrived) *verdict.Error {
+	if !now.Before(e.Deadline) {
+		return verdict.Refuse(verdict.Expired, "the deadline has passed")
+	}
+	if f := r.failures[e.Ref]; f.final() && now.Before(f.again) {
+		return f.refusal(e.Ref)
+	}
+	late := now.Add(r.expect(e.Ref, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
+	if late <= 0 {
+		return nil
+	}
+	err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
+	err.Again = now.Add(late)
+	return err
+}
+
+// expect returns how long a new request for ref waits until it is admitted.
+func (r *Runner) expect(ref adapter.Ref, priority int) time.Duration {
+	ahead, loads := 0, 0
+	for _, g := range r.queue.Groups() {
+		if g.Priority < priority {
+			continue
+		}
+		if r.table.State(g.Ref) != slot.Empty {
+			ahead += g.Waiting
+		} else if g.Ref != ref {
+			loads++
+		}
+	}
+	wait := time.Duration(0)
+	if len(r.jobs) >= r.Batch {
+		wait = r.pace.places(ahead + 1)
+	}
+	switch r.table.State(ref) {
+	case slot.Resident:
+		return wait
+	case slot.Loading:
+		return max(wait, r.pace.loadTime())
+	default:
+		return max(wait, r.pace.loads(loads+1))
+	}
+}
+
+// leave takes a waiting request out whose caller has gone.
+func (r *Runner) leave(e Gone) {
+	if _, ok := r.queue.Remove(e.ID); ok {
+		r.refuse(e.ID, verdict.Refuse(verdict.Expired, "the caller has gone"))
+	}
+}
+
+// expire refuses the waiting requests that would end after their deadline even
+// if they were admitted now.
+func (r *Runner) expire(now time.Time) {
+	for _, item := range r.queue.All() {
+		latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+		if now.Before(latest) {
+			r.at(latest)
+			continue
+		}
+		r.queue.Remove(item.ID)
+		err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
+		err.Again = now.Add(r.expect(item.Ref, item.Priority))
+		r.refuse(item.ID, err)
+	}
+}
+
+// admit sends waiting requests to adapters that are resident, while the engine
+// has places.
+func (r *Runner) admit(now time.Time) {
+	if !r.known || r.stopping != "" {
+		return
+	}
+	before := r.bound(now)
+	if !now.Before(before) {
+		return
+	}
+	open := r.open()
+	for len(r.jobs) < r.Batch {
+		item, ok := r.queue.Next(open)
+		if !ok {
+			return
+		}
+		r.queue.Serve(item.ID)
+		r.start(now, before, item)
+	}
+}
+
+// open returns the resident adapters that admit requests.
+func (r *Runner) open() []adapter.Ref {
+	refs := r.table.In(slot.Resident)
+	if len(r.closing) == 0 {
+		return refs
+	}
+	open := refs[:0]
+	for _, ref := range refs {
+		if !r.closing[ref] {
+			open = append(open, ref)
+		}
+	}
+	return open
+}
+
+func (r *Runner) start(now, before time.Time, item queue.Item) {
+	must(r.table.Pin(item.Ref, item.ID))
+	r.jobs[item.ID] = &job{id: item.ID, ref: item.Ref, tokens: item.Tokens, admitted: now}
+	a := Admit{ID: item.ID, Before: before, Resident: item.Resident}
+	if !item.Resident {
+		a.Stall = now.Sub(item.Arrived)
+	}
+	r.do(a)
+}
--- /dev/null
+++ b/stage/runner/policy.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"time"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/queue"
+	"jacinthstage/stage/slot"
+)
+
+type group = queue.Group
+
+// A Policy is how a runner chooses loads and evictions: Aged or Recent.
+type Policy interface{ policy() }
+
+// Aged loads for the most waiting requests first, then the nearest deadline,
+// and evicts the adapter with the lowest request rate, which ages.
+type Aged struct {
+	// Weight is between 0 and 1: 0 keeps load stalls short, 1 fills batches.
+	Weight float64
+}
+
+// Recent loads in the order of arrival and evicts the least recently used.
+type Recent struct{}
+
+func (Aged) policy()   {}
+func (Recent) policy() {}
+
+// longWait is the wait after which a load goes before those for more requests,
+// and closes a slot for itself.
+const longWait = 2 * time.Second
+
+// choose returns the group whose adapter is worth loading first.
+func (r *Runner) choose(now time.Time) (group, bool) {
+	var best group
+	found := false
+	for _, g := range r.queue.Groups() {
+		if r.table.State(g.Ref) != slot.Empty {
+			continue
+		}
+		if until := r.blocked(g.Ref); now.Before(until) {
+			r.at(until)
+			continue
+		}
+		if !found || r.prefers(now, g, best) {
+			best, found = g, true
+		}
+	}
+	return best, found
+}
+
+func (r *Runner) prefers(now time.Time, a, b group) bool {
+	switch r.Policy.(type) {
+	case Recent:
+		return a.Oldest.Before(b.Oldest)
+	case Aged, nil:
+		return worthMore(now, a, b)
+	default:
+		panic("runner: unknown policy")
+	}
+}
+
+func worthMore(now time.Time, a, b group) bool {
+	la, lb := now.Sub(a.Oldest) > longWait, now.Sub(b.Oldest) > longWait
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority > b.Priority
+	case la != lb:
+		return la
+	case a.Level != b.Level:
+		return a.Level < b.Level
+	case a.Waiting != b.Waiting:
+		return a.Waiting > b.Waiting
+	default:
+		return a.Deadline.Before(b.Deadline)
+	}
+}
+
+// victim returns the adapter to evict for a load.
+func (r *Runner) victim(now time.Time) (adapter.Ref, bool) {
+	var best adapter.Ref
+	found := false
+	for _, ref := range r.evictable() {
+		if !found || r.less(now, ref, best) {
+			best, found = ref, true
+		}
+	}
+	return best, found
+}
+
+// less reports whether a is worth less in its slot than b.
+func (r *Runner) less(now time.Time, a, b adapter.Ref) bool {
+	wa, wb := r.queue.Group(a).Waiting, r.queue.Group(b).Waiting
+	switch r.Policy.(type) {
+	case Recent:
+		return r.demand.last(a).Before(r.demand.last(b))
+	case Aged, nil:
+		if (wa > 0) != (wb > 0) {
+			return wb > 0
+		}
+		return r.demand.rate(now, a) < r.demand.rate(now, b)
+	default:
+		panic("runner: unknown policy")
+	}
+}
+
+// drain closes a slot for g, where it has waited long and none is closing.
+func (r *Runner) drain(now time.Time, g group) {
+	if len(r.closing) > 0 {
+		return
+	}
+	if start := g.Oldest.Add(longWait); now.Before(start) {
+		r.at(start)
+		return
+	}
+	var worst adapter.Ref
+	found := false
+	for _, ref := range r.table.In(slot.Resident) {
+		if !found || r.less(now, ref, worst) {
+			worst, found = ref, true
+		}
+	}
+	if found {
+		r.closing[worst] = true
+	}
+}
