--- a/jacinthd/store/store.go
+++ b/jacinthd/store/store.go
@@ -25,6 +25,8 @@
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrUnknown says that no answer came; a write may have taken effect.
 	ErrUnknown = errors.New("store: answer lost")
+	// ErrOversize says that a value is over MaxValue; the write did not take effect.
+	ErrOversize = errors.New("store: value over the limit")
 	// ErrCompacted says that a watch asked for a revision too old to serve: list again.
 	ErrCompacted = errors.New("store: revision too old")
 )
--- a/stage/adapter/adapter.go
+++ b/stage/adapter/adapter.go
@@ -61,3 +61,21 @@
 	}
 	return false
 }
+
+// Check returns what is wrong with the entry by itself, nil if nothing.
+func (a Adapter) Check() error {
+	if len(a.Versions) == 0 {
+		return errors.New("no versions")
+	}
+	seen := make(map[string]bool, len(a.Versions))
+	for _, v := range a.Versions {
+		if _, err := Parse(a.Name + "@" + v); err != nil {
+			return errors.Errorf("%q is not name@version", a.Name+"@"+v)
+		}
+		if seen[v] {
+			return errors.Errorf("version %s given twice", v)
+		}
+		seen[v] = true
+	}
+	return nil
+}
--- a/stage/patch/config.go
+++ b/stage/patch/config.go
@@ -7,6 +7,10 @@
 package patch
 
 import (
+	"crypto/subtle"
+	"slices"
+	"strings"
+
 	"jacinthstage/stage/adapter"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/rule"
@@ -23,4 +27,85 @@
 	Rules    map[string]rule.Rule
 	Services map[string]service.Service
 	Targets  map[string]target.Target
+
+	tokens map[caller.Hash]string // caller by token
+	grants map[grant][]string     // rules by what they grant, sorted
+}
+
+// A grant is a pair that rules allow. Of adapter and service one is set.
+type grant struct{ caller, adapter, service string }
+
+func grantOf(r rule.Rule) grant {
+	return grant{caller: r.Caller, adapter: r.Adapter, service: r.Service}
+}
+
+// Caller returns the caller that a bearer token names. Its work does not
+// depend on how much of a token is right.
+func (c *Config) Caller(token string) (caller.Caller, bool) {
+	hash := caller.Digest(token)
+	name, found := c.tokens[hash]
+	entry := c.Callers[name]
+	same := 0
+	for _, text := range entry.Tokens {
+		kept, err := caller.ParseHash(text)
+		if err == nil {
+			same |= subtle.ConstantTimeCompare(kept[:], hash[:])
+		}
+	}
+	if !found || same != 1 {
+		return caller.Caller{}, false
+	}
+	return entry, true
+}
+
+// Allows reports whether a rule lets the caller use the adapter and version,
+// which the configuration must have.
+func (c *Config) Allows(name string, ref adapter.Ref) bool {
+	entry, ok := c.Adapters[ref.Name]
+	if !ok || !entry.Has(ref.Version) {
+		return false
+	}
+	for _, who := range [...]string{name, rule.All} {
+		for _, what := range [...]string{ref.Name, rule.All} {
+			if c.granted(grant{caller: who, adapter: what}, ref.Version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Config) granted(g grant, version string) bool {
+	return slices.ContainsFunc(c.grants[g], func(name string) bool { return c.Rules[name].Allows(version) })
+}
+
+// AllowsService reports whether a rule lets the caller use the plain service,
+// which the configuration must have.
+func (c *Config) AllowsService(name, plain string) bool {
+	if c.Services[plain].Plain == nil {
+		return false
+	}
+	for _, who := range [...]string{name, rule.All} {
+		for _, what := range [...]string{plain, rule.All} {
+			if len(c.grants[grant{caller: who, service: what}]) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Models returns what the caller may use, sorted by name; versions are in the
+// order of the adapter's entry.
+func (c *Config) Models(name string) []adapter.Ref {
+	var refs []adapter.Ref
+	for _, entry := range c.Adapters {
+		for _, version := range entry.Versions {
+			if ref := (adapter.Ref{Name: entry.Name, Version: version}); c.Allows(name, ref) {
+				refs = append(refs, ref)
+			}
+		}
+	}
+	slices.SortStableFunc(refs, func(a, b adapter.Ref) int { return strings.Compare(a.Name, b.Name) })
+	return refs
 }
--- a/stage/service/service.go
+++ b/stage/service/service.go
@@ -2,6 +2,14 @@
 // targets that are alike, either model engines or plain services.
 package service
 
+import (
+	"path"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
 // A Service is a group of like targets. Exactly one of Engine and Plain is set;
 // Kind returns it.
 type Service struct {
@@ -48,3 +56,58 @@
 		return nil
 	}
 }
+
+var (
+	nameForm   = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,127}$`)
+	methodForm = regexp.MustCompile(`^[A-Z]{1,16}$`)
+)
+
+// Check returns what is wrong with the entry by itself, nil if nothing.
+func (s Service) Check() error {
+	switch {
+	case !nameForm.MatchString(s.Name):
+		return errors.Errorf("malformed name %.200q", s.Name)
+	case s.Engine != nil && s.Plain != nil:
+		return errors.New("two kinds, engine and plain")
+	}
+	switch kind := s.Kind().(type) {
+	case *Engine:
+		if !nameForm.MatchString(kind.Model) {
+			return errors.Errorf("malformed model %.200q", kind.Model)
+		}
+		return nil
+	case *Plain:
+		return kind.check()
+	default:
+		return errors.New("no kind, neither engine nor plain")
+	}
+}
+
+func (p *Plain) check() error {
+	for _, c := range p.Idempotent {
+		if !methodForm.MatchString(c.Method) {
+			return errors.Errorf("malformed method %.200q", c.Method)
+		}
+		if !strings.HasPrefix(c.Path, "/") || path.Clean(c.Path) != strings.TrimSuffix(c.Path, "/") && c.Path != "/" {
+			return errors.Errorf("path %.200q is not absolute and clean", c.Path)
+		}
+	}
+	return nil
+}
+
+// Repeatable reports whether the call may be repeated: its method and a
+// prefix of its path, ending between segments, are listed as idempotent. A
+// path with empty or dot segments never is.
+func (p *Plain) Repeatable(method, called string) bool {
+	clean := path.Clean(called)
+	if clean != called && clean+"/" != called {
+		return false
+	}
+	for _, c := range p.Idempotent {
+		prefix := strings.TrimSuffix(c.Path, "/")
+		if c.Method == method && (clean == prefix || strings.HasPrefix(clean, prefix+"/")) {
+			return true
+		}
+	}
+	return false
+}
