--- a/jacinthd/internal/settings/read.go
+++ b/jacinthd/internal/settings/read.go
@@ -33,7 +33,7 @@
 
 // Parse reads and checks the settings in text, which came from file.
 func Parse(file string, text []byte) (Settings, error) {
-	options := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, IgnoreInlineComment: false}
+	options := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true}
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
 		return Settings{}, errors.Errorf("%s: %s", file, oneLine(err.Error()))
--- /dev/null
+++ b/jacinthd/internal/settings/settings_test.go
@@ -0,0 +1,127 @@
+package settings_test
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
+
+	"jacinthstage/jacinthd/internal/settings"
+)
+
+const pemText = "-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n"
+
+const least = `
+[host]
+name = entry-1
+region = south
+zone = south-a
+[listen]
+caller = 127.0.0.1:8001
+peer = 127.0.0.1:8002
+admin = 127.0.0.1:8003
+[platform]
+address = http://127.0.0.1:9000
+[keys]
+authority = authority.pem
+certificate = host.pem
+key = host.key
+[load]
+rate = 4
+`
+
+// folder returns a folder with key files and the settings file in it.
+func folder(t testing.TB, text string) (string, string) {
+	dir := t.TempDir()
+	for _, name := range []string{"authority.pem", "host.pem", "host.key"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(pemText), 0o600))
+	}
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "text"), []byte("no PEM"), 0o600))
+	file := filepath.Join(dir, "host.ini")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return dir, file
+}
+
+func TestRead(t *testing.T) {
+	dir, file := folder(t, least+"[peers]\nseeds = 127.0.0.1:1, [::1]:2\n[log]\nlevel = debug\nformat = console\n")
+	got, err := settings.Read(file)
+	require.NoError(t, err)
+	require.Equal(t, settings.Settings{
+		Host:     settings.Host{Name: "entry-1", Region: "south", Zone: "south-a"},
+		Listen:   settings.Listen{Caller: netip.MustParseAddrPort("127.0.0.1:8001"), Peer: netip.MustParseAddrPort("127.0.0.1:8002"), Admin: netip.MustParseAddrPort("127.0.0.1:8003")},
+		Platform: settings.Platform{Address: "http://127.0.0.1:9000"},
+		Keys:     settings.Keys{Authority: filepath.Join(dir, "authority.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")},
+		Peers:    settings.Peers{Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("[::1]:2")}},
+		Limits:   settings.Limits{Body: 1 << 20, Prompt: 1 << 18, Queue: 256, Deadline: 30 * time.Second, Longest: 2 * time.Minute},
+		Lease:    settings.Lease{Time: 10 * time.Second, Renewal: 3 * time.Second},
+		Load:     settings.Load{Rate: 4, Flight: 8},
+		Policy:   settings.Policy{Kind: settings.Homes, Weight: 0.5},
+		Log:      settings.Log{Level: zapcore.DebugLevel, Format: settings.Console},
+	}, got)
+}
+
+func TestReadRefuses(t *testing.T) {
+	replace := func(old, text string) string { return strings.Replace(least, old, text, 1) }
+	cases := []struct{ name, text, want string }{
+		{"unknown section", least + "[extra]\n", "extra: unknown section"},
+		{"unknown key", least + "burst = 1\n", "load.burst: unknown key"},
+		{"key outside", "name = x\n" + least, "name: outside of any section"},
+		{"key twice", replace("zone = south-a", "zone = south-a\nzone = south-a"), "host.zone: key given twice"},
+		{"section twice", least + "[host]\n", "host: section given twice"},
+		{"missing key", replace("zone = south-a\n", ""), "host.zone: missing key"},
+		{"missing section", replace("[load]\nrate = 4\n", ""), "load.rate: missing key"},
+		{"empty value", replace("south-a", ""), "host.zone: empty"},
+		{"bad name", replace("entry-1", "Entry 1"), `host.name: "Entry 1" is not lower case letters, digits and hyphens`},
+		{"bad address", replace("127.0.0.1:8001", "localhost:8001"), `listen.caller: "localhost:8001" is not IP:PORT`},
+		{"port zero", replace("127.0.0.1:8002", "127.0.0.1:0"), `listen.peer: "127.0.0.1:0" is not IP:PORT`},
+		{"address taken", replace("127.0.0.1:8003", "127.0.0.1:8001"), "listen.admin: the same as listen.caller"},
+		{"bad platform", replace("http://127.0.0.1:9000", "https://platform"), `platform.address: "https://platform" is not http://IP:PORT`},
+		{"bad seed", least + "[peers]\nseeds = 127.0.0.1:1,x\n", `peers.seeds: "x" is not IP:PORT`},
+		{"missing file", replace("key = host.key", "key = none.key"), "keys.key: DIR/none.key: no such file or directory"},
+		{"not a key file", replace("key = host.key", "key = text"), "keys.key: DIR/text: not a PEM file"},
+		{"a folder", replace("key = host.key", "key = ."), "keys.key: DIR: not a PEM file"},
+		{"not a number", replace("rate = 4", "rate = four"), `load.rate: "four" is not a number`},
+		{"no such number", replace("rate = 4", "rate = NaN"), "load.rate: NaN is out of range 0.01 to 10000"},
+		{"out of range", least + "flight = 0\n", "load.flight: 0 is out of range 1 to 10000"},
+		{"not a time", least + "[lease]\ntime = 10\n", `lease.time: "10" is not a time such as 500ms, 30s or 2m`},
+		{"rare renewals", least + "[lease]\nrenewal = 4s\n", "lease.renewal: over a third of lease.time 10s"},
+		{"deadline too late", least + "[limits]\ndeadline = 3m\n", "limits.deadline: over limits.longest"},
+		{"prompt over body", least + "[limits]\nbody = 1000\n", "limits.prompt: over limits.body"},
+		{"no such policy", least + "[policy]\nkind = best\n", `policy.kind: "best" is none of homes, least, random`},
+		{"weight over one", least + "[policy]\nweight = 1.1\n", "policy.weight: 1.1 is out of range 0 to 1"},
+		{"no such level", least + "[log]\nlevel = loud\n", `log.level: "loud" is none of debug, info, warn, error`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			dir, file := folder(t, c.text)
+			_, err := settings.Read(file)
+			require.EqualError(t, err, file+": "+strings.ReplaceAll(c.want, "DIR", dir))
+		})
+	}
+}
+
+func TestReadMissingFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "none.ini")
+	_, err := settings.Read(file)
+	require.EqualError(t, err, file+": no such file or directory")
+}
+
+// FuzzParse checks that any text gives settings or one line.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(least))
+	f.Add([]byte("[host\nname"))
+	f.Add([]byte("[host]\nname = \"\"\"a\nb\n"))
+	f.Add([]byte("a:b:c\\\n[x.y]\n%(z)s = `"))
+	dir, _ := folder(f, least)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := settings.Parse(filepath.Join(dir, "host.ini"), text)
+		if err != nil {
+			require.NotContains(t, err.Error(), "\n")
+		}
+	})
+}
