--- /dev/null
+++ b/stage/host/assign.go
@@ -0,0 +1,309 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Facts are what the next table is computed from.
+type Facts struct {
+	// Members are the hosts whose leases exist.
+	Members []Identity
+	// Runners are those of the configuration version Config. They count only
+	// where Config is above the table's.
+	Runners []Runner
+	Config  uint64
+	// Gone names hosts that the platform says are gone.
+	Gone map[string]bool
+	// Drained holds the runners that Self owns and has drained, with the epoch
+	// of that ownership.
+	Self    string
+	Drained map[string]uint32
+}
+
+// Assign returns the table that follows old. It returns old's content where
+// nothing has to change. It neither changes old nor keeps parts of it that it changes.
+//
+// First each row's owner is settled: a lost owner loses its fenced runners, a
+// new life of an owner gets a new epoch, a drained runner goes to Next. Then
+// the runners are balanced: every member that isn't leaving has its part, of
+// n/m or one more. Rows without a fit owner and those over a member's part go
+// to members with room: in the runner's zone first, then by rendezvous hashing.
+// A runner with a live owner doesn't change hands here; its row gets a Next.
+func Assign(old Table, facts Facts) Table {
+	a := newAssignment(old, facts)
+	a.configure()
+	for _, row := range a.next.Rows {
+		a.settle(row)
+	}
+	a.next.Rows = a.rows
+	a.balance()
+	a.grant()
+	return a.next
+}
+
+// An assignment is one run of Assign.
+type assignment struct {
+	old   Table
+	facts Facts
+	next  Table
+	rows  []Row // the rows settled so far
+	epoch uint32
+	live  map[string]Identity
+	fresh map[string]bool // live members whose life isn't in the old table
+	fit   []string        // live members that aren't leaving
+}
+
+func newAssignment(old Table, facts Facts) *assignment {
+	a := &assignment{
+		old:   old,
+		facts: facts,
+		next:  old,
+		epoch: old.Top + 1,
+		rows:  make([]Row, 0, max(len(old.Rows), len(facts.Runners))),
+		live:  make(map[string]Identity, len(facts.Members)),
+		fresh: make(map[string]bool),
+	}
+	a.next.Members = slices.SortedFunc(slices.Values(facts.Members), func(x, y Identity) int {
+		return strings.Compare(x.Name, y.Name)
+	})
+	for _, m := range a.next.Members {
+		a.live[m.Name] = m
+		if before, ok := old.Member(m.Name); !ok || !before.Same(m) {
+			a.fresh[m.Name] = true
+		}
+		if !m.Leaving {
+			a.fit = append(a.fit, m.Name)
+		}
+	}
+	return a
+}
+
+// configure makes the set of rows that of the configured runners. A runner that
+// left the configuration is marked, as its owner must drain it.
+func (a *assignment) configure() {
+	if a.facts.Config <= a.old.Config {
+		return
+	}
+	a.next.Config = a.facts.Config
+	rows := make(map[string]Row, len(a.old.Rows))
+	for _, row := range a.old.Rows {
+		row.Removed = true
+		rows[row.Runner] = row
+	}
+	for _, r := range a.facts.Runners {
+		row := rows[r.Name]
+		row.Runner, row.Zone, row.Fenced = r.Name, r.Zone, checked(r.Fencing)
+		row.Removed = false
+		rows[r.Name] = row
+	}
+	a.next.Rows = make([]Row, 0, len(rows))
+	for _, row := range rows {
+		a.next.Rows = append(a.next.Rows, row)
+	}
+	slices.SortFunc(a.next.Rows, func(x, y Row) int { return strings.Compare(x.Runner, y.Runner) })
+}
+
+func checked(f Fencing) bool {
+	_, ok := f.(Checked)
+	return ok
+}
+
+// settle appends the row with its owner as the facts have it, or drops it.
+func (a *assignment) settle(row Row) {
+	owner, live := a.live[row.Owner]
+	epoch, drained := a.facts.Drained[row.Runner]
+	drained = drained && row.Owner == a.facts.Self && row.Epoch == epoch
+	switch {
+	case row.Owner == "":
+	case !live && (row.Fenced || a.facts.Gone[row.Owner]):
+		vacate(&row, false)
+	case !live:
+		row.Next = ""
+	case a.fresh[row.Owner]:
+		row.From, row.Prior, row.Clean = row.Owner, row.Epoch, false
+		a.number(&row)
+	case drained && (row.Removed || len(a.fit) == 0 && owner.Leaving):
+		vacate(&row, true)
+	case drained && row.Next != "" && a.isFit(row.Next):
+		to := row.Next
+		vacate(&row, true)
+		row.Owner = to
+		a.number(&row)
+	}
+	if row.Removed && row.Owner == "" && (row.Clean || row.From == "") {
+		return
+	}
+	a.rows = append(a.rows, row)
+}
+
+// vacate takes the row from its owner.
+func vacate(row *Row, clean bool) {
+	row.From, row.Prior, row.Clean = row.Owner, row.Epoch, clean
+	row.Owner, row.Next = "", ""
+}
+
+// number gives the row the epoch of this table.
+func (a *assignment) number(row *Row) {
+	row.Epoch = a.epoch
+	a.next.Top = a.epoch
+}
+
+func (a *assignment) isFit(name string) bool {
+	m, ok := a.live[name]
+	return ok && !m.Leaving
+}
+
+// balance gives every fit member its part of the runners.
+func (a *assignment) balance() {
+	if len(a.fit) == 0 {
+		a.forget()
+		return
+	}
+	have := make(map[string][]int, len(a.fit)) // rows by the member that has or will have them
+	var homeless []int
+	count := 0
+	for i := range a.rows {
+		row := &a.rows[i]
+		if !a.movable(row) {
+			row.Next = ""
+			continue
+		}
+		count++
+		if row.Next != "" && !a.isFit(row.Next) {
+			row.Next = ""
+		}
+		holder := cmp.Or(row.Next, row.Owner)
+		if a.isFit(holder) {
+			have[holder] = append(have[holder], i)
+		} else {
+			homeless = append(homeless, i)
+		}
+	}
+	room := a.shed(have, &homeless, count)
+	slices.Sort(homeless)
+	for _, i := range homeless {
+		a.place(&a.rows[i], room)
+	}
+}
+
+// forget ends the planned moves where no member is fit to take a runner.
+func (a *assignment) forget() {
+	for i := range a.rows {
+		a.rows[i].Next = ""
+	}
+}
+
+// movable reports whether the row takes part in the balance: its runner is
+// configured, and its owner, if any, is live.
+func (a *assignment) movable(row *Row) bool {
+	if row.Removed {
+		return false
+	}
+	_, live := a.live[row.Owner]
+	return live || row.Owner == ""
+}
+
+// shed moves the rows over a member's part to homeless and returns the room
+// that each member has left. The members with the most rows get the larger parts.
+func (a *assignment) shed(have map[string][]int, homeless *[]int, count int) map[string]int {
+	order := slices.Clone(a.fit)
+	slices.SortStableFunc(order, func(x, y string) int { return len(have[y]) - len(have[x]) })
+	part, extra := count/len(order), count%len(order)
+	room := make(map[string]int, len(order))
+	for i, name := range order {
+		limit := part
+		if i < extra {
+			limit++
+		}
+		room[name] = limit - len(have[name])
+		if room[name] >= 0 {
+			continue
+		}
+		rows := have[name]
+		slices.SortFunc(rows, func(x, y int) int { return a.prefer(name, &a.rows[x], &a.rows[y]) })
+		*homeless = append(*homeless, rows[limit:]...)
+		room[name] = 0
+	}
+	return room
+}
+
+// prefer orders the rows of a member by how much it should keep them: first
+// those that it owns, then those in its zone, then by rendezvous hashing.
+func (a *assignment) prefer(name string, x, y *Row) int {
+	zone := a.live[name].Zone
+	return cmp.Or(
+		compare(x.Owner == name, y.Owner == name),
+		compare(x.Zone == zone, y.Zone == zone),
+		cmp.Compare(score(y.Runner, name), score(x.Runner, name)),
+		strings.Compare(x.Runner, y.Runner),
+	)
+}
+
+// compare orders true before false.
+func compare(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// place gives the row to the best member with room: its owner, then those in
+// its zone, then by rendezvous hashing.
+func (a *assignment) place(row *Row, room map[string]int) {
+	best := ""
+	for _, name := range a.fit {
+		if room[name] > 0 && (best == "" || a.better(row, name, best)) {
+			best = name
+		}
+	}
+	if best == "" {
+		return
+	}
+	room[best]--
+	switch row.Owner {
+	case "":
+		row.Owner = best
+		a.number(row)
+	case best:
+		row.Next = ""
+	default:
+		row.Next = best
+	}
+}
+
+func (a *assignment) better(row *Row, x, y string) bool {
+	return cmp.Or(
+		compare(x == row.Owner, y == row.Owner),
+		compare(a.live[x].Zone == row.Zone, a.live[y].Zone == row.Zone),
+		cmp.Compare(score(row.Runner, y), score(row.Runner, x)),
+	) < 0
+}
+
+// score is the rendezvous hash of a runner and a host.
+func score(runner, host string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(runner)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
+
+// grant keeps the granting host for as long as it lives and isn't leaving.
+func (a *assignment) grant() {
+	g := &a.next.Grant
+	if a.isFit(g.Owner) && !a.fresh[g.Owner] || len(a.fit) == 0 {
+		return
+	}
+	g.Owner = slices.MaxFunc(a.fit, func(x, y string) int { return cmp.Compare(score("", x), score("", y)) })
+	g.Epoch = a.epoch
+	a.next.Top = a.epoch
+}
--- /dev/null
+++ b/stage/host/event.go
@@ -0,0 +1,191 @@
+package host
+
+import (
+	"time"
+
+	"jacinthstage/stage/lease"
+)
+
+// An Event is what a Member is told. Found, Missing, Listed, Wrote, Deleted and
+// Failed answer the call whose number they carry; an answer that comes twice,
+// or later than the call's deadline, has no effect.
+type Event interface{ event() }
+
+// Started says that the process runs. It comes first.
+type Started struct{}
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Stop asks for a planned stop.
+type Stop struct{}
+
+// Found answers a Get with the object.
+type Found struct {
+	Call    uint64
+	Version uint64
+	Value   []byte
+}
+
+// Missing answers a Get: there is no such object.
+type Missing struct{ Call uint64 }
+
+// An Object is one object of a List.
+type Object struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// Listed answers a List with all objects under the prefix.
+type Listed struct {
+	Call    uint64
+	Objects []Object
+}
+
+// Wrote says that a Put took effect and made Version.
+type Wrote struct {
+	Call    uint64
+	Version uint64
+}
+
+// Deleted says that a Delete took effect.
+type Deleted struct{ Call uint64 }
+
+// Failed says that a call failed.
+type Failed struct {
+	Call  uint64
+	Cause lease.Cause
+}
+
+// Watched says that a watch showed the region's table.
+type Watched struct {
+	Version uint64
+	Value   []byte
+}
+
+// A State is what the platform's list says of a host.
+type State uint8
+
+// The states of the platform's list. A host that isn't listed is Unlisted.
+const (
+	Unlisted State = iota
+	Live
+	Leaving
+	Gone
+)
+
+// Presence says what the platform's list shows of one host.
+type Presence struct {
+	Name  string
+	State State
+}
+
+// Runners are the region's runners in the configuration version Config.
+type Runners struct {
+	Config  uint64
+	Runners []Runner
+}
+
+// Drained says that this host has ended all use of a runner after the newest
+// Handover of it, with no Acquire since.
+type Drained struct{ Runner string }
+
+func (Started) event()  {}
+func (Tick) event()     {}
+func (Stop) event()     {}
+func (Found) event()    {}
+func (Missing) event()  {}
+func (Listed) event()   {}
+func (Wrote) event()    {}
+func (Deleted) event()  {}
+func (Failed) event()   {}
+func (Watched) event()  {}
+func (Presence) event() {}
+func (Runners) event()  {}
+func (Drained) event()  {}
+
+// An Action is what a Member asks for or tells. Get, List, Put and Delete are
+// calls on the object API, each to be answered by an event with its number.
+type Action interface{ action() }
+
+// Get asks to read an object.
+type Get struct {
+	Call uint64
+	Key  string
+}
+
+// List asks for all objects whose keys start with Prefix.
+type List struct {
+	Call   uint64
+	Prefix string
+}
+
+// Put asks to update an object at Version, or to create it where Version is 0.
+type Put struct {
+	Call    uint64
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// Delete asks to delete an object at Version.
+type Delete struct {
+	Call    uint64
+	Key     string
+	Version uint64
+}
+
+// Acquire says that this host owns a runner at an epoch. For an epoch that it
+// has already, it ends a Handover: the runner stays.
+type Acquire struct {
+	Runner string
+	Epoch  uint32
+	// Inherited says that requests of an earlier owner, or of an earlier
+	// process of this host, may still run on the runner.
+	Inherited bool
+	// From is the earlier owner, which may be this host; empty for a new runner.
+	From string
+}
+
+// Release says that this host no longer owns a runner and must stop its use at once.
+type Release struct{ Runner string }
+
+// Handover asks to drain a runner, so that it can go to the host To; To is
+// empty where the runner goes to none. Drained answers it.
+type Handover struct {
+	Runner string
+	To     string
+}
+
+// Renewed says that this host is a member with a lease valid until Until, and
+// that its view of the table is from after the lease's last lapse.
+type Renewed struct{ Until time.Time }
+
+// Lapsed says that the lease is no longer valid, or that the host is no member.
+type Lapsed struct{}
+
+// Members tells a new table.
+type Members struct {
+	Table   Table
+	Version uint64
+}
+
+// Replaced says that another process runs under this host's name. It is final.
+type Replaced struct{}
+
+// Stopped says that a planned stop is complete. It is final.
+type Stopped struct{}
+
+func (Get) action()      {}
+func (List) action()     {}
+func (Put) action()      {}
+func (Delete) action()   {}
+func (Acquire) action()  {}
+func (Release) action()  {}
+func (Handover) action() {}
+func (Renewed) action()  {}
+func (Lapsed) action()   {}
+func (Members) action()  {}
+func (Replaced) action() {}
+func (Stopped) action()  {}
--- /dev/null
+++ b/stage/lease/value.go
@@ -0,0 +1,79 @@
+// Package lease keeps and judges the leases by which hosts show that they live.
+//
+// Each host keeps one lease object in the object API and renews it by
+// conditional update; Holder decides when to renew it and until when it is
+// valid. An Observer judges the lease of another host. Neither compares clocks
+// between hosts:
+//
+//   - A holder counts validity from the moment it sent the renewal, on its own
+//     monotonic clock, less a margin.
+//   - An observer calls a lease lapsed only once a read that it sent a whole
+//     term after it first saw a version shows that version still.
+//
+// A lapsed lease is broken by deleting its object at the version that was
+// judged. From then on no renewal of the old holder can succeed, so a holder
+// that wakes learns of it with its next renewal, and begins a new life.
+//
+// The package does no I/O: Step takes an event and returns actions.
+package lease
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// A Value is the content of a lease object.
+type Value struct {
+	_ struct{} `cbor:",toarray"`
+	// Name is the host's name.
+	Name string
+	// Incarnation tells one run of the host's process from the next.
+	Incarnation string
+	// Life grows when the holder starts again after its lease was broken.
+	Life   uint32
+	Region string
+	Zone   string
+	// Peer is the address of the link between hosts.
+	Peer netip.AddrPort
+	// Sequence grows with each renewal.
+	Sequence uint64
+}
+
+const prefix = "lease/"
+
+// Prefix returns the prefix of the keys of all leases of a region.
+func Prefix(region string) string { return prefix + region + "/" }
+
+// Key returns the key of a host's lease object.
+func Key(region, name string) string { return Prefix(region) + name }
+
+// Name returns the host's name of a lease key, and false where key is none of region.
+func Name(region, key string) (string, bool) {
+	return strings.CutPrefix(key, Prefix(region))
+}
+
+// Encode returns the object's value.
+func (v Value) Encode() []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "lease: encode"))
+	}
+	return data
+}
+
+// Decode reads an object's value. It fails on what Encode can't have made.
+func Decode(data []byte) (Value, error) {
+	var v Value
+	if err := cbor.Unmarshal(data, &v); err != nil {
+		return Value{}, errors.Wrap(err, "lease: decode")
+	}
+	return v, nil
+}
+
+// Same reports whether both values are of the same life of the same process.
+func (v Value) Same(other Value) bool {
+	return v.Name == other.Name && v.Incarnation == other.Incarnation && v.Life == other.Life
+}
