engine: test that a silent connection costs one request

Cause: the test before passed with the closing of idle connections taken out. Change: two idle connections go silent; the second must not be used again. Seen: fails without CloseIdleConnections, passes with it.

--- a/jacinthd/internal/engine/client_test.go
+++ b/jacinthd/internal/engine/client_test.go
@@ -9,10 +9,12 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"jacinthstage/jacinthd/internal/engine"
 	"jacinthstage/stage/adapter"
@@ -177,23 +179,31 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 }
 
-// A connection that went silent must not be used again while new ones work.
-func TestSilentConnectionIsDropped(t *testing.T) {
-	var silent string
+// Connections that went silent must not be used again while new ones work:
+// one silent connection costs one request, however many are idle.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	var known, silent sync.Map // remote addresses
+	both := make(chan struct{}, 1)
 	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		if silent == "" {
-			silent = r.RemoteAddr
-		} else if r.RemoteAddr == silent {
+		body, _ := io.ReadAll(r.Body)
+		known.Store(r.RemoteAddr, true)
+		if _, ok := silent.Load(r.RemoteAddr); ok {
 			<-r.Context().Done()
 			return
 		}
+		if strings.Contains(string(body), "meet") {
+			select { // the first waits until the second has come
+			case both <- struct{}{}:
+				both <- struct{}{}
+			case <-both:
+			}
+		}
 		say(200, done(0))(w, r)
 	})
 	client := &engine.Client{Silence: silence}
 	defer client.Close()
-	run := func() error {
-		stream, err := client.Complete(context.Background(), addr, engine.Request{ID: "r1", Ref: fees})
+	run := func(prompt string) error {
+		stream, err := client.Complete(context.Background(), addr, engine.Request{ID: "r1", Ref: fees, Prompt: prompt})
 		if err != nil {
 			return err
 		}
@@ -201,9 +211,18 @@
 		_, err = stream.Next()
 		return err
 	}
-	require.NoError(t, run())
-	require.Eventually(t, func() bool { return engine.Silent.Is(run()) }, 5*time.Second, time.Millisecond)
-	require.NoError(t, run())
+	var pair errgroup.Group
+	pair.Go(func() error { return run("meet") })
+	pair.Go(func() error { return run("meet") })
+	require.NoError(t, pair.Wait())
+	require.Eventually(t, func() bool {
+		known.Range(func(conn, _ any) bool {
+			silent.Store(conn, true)
+			return true
+		})
+		return engine.Silent.Is(run(""))
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, run(""))
 }
 
 func TestOrder(t *testing.T) {
