--- a/jacinthd/internal/settings/settings_test.go
+++ b/jacinthd/settings/settings_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap/zapcore"
 
-	"jacinthstage/jacinthd/internal/settings"
+	"jacinthstage/jacinthd/settings"
 )
 
 const pemText = "-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n"
