--- /dev/null
+++ b/jacinthd/internal/peer/codec.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"jacinthstage/stage/adapter"
+)
+
+// A message travels as a length of 4 bytes, a kind of one byte and its body in
+// CBOR. The kind is the message's place in kinds.
+
+// MaxMessage is the largest message, in bytes with its kind.
+const MaxMessage = 2 << 20
+
+// header is the length and the kind, in bytes.
+const header = 5
+
+// kinds are the messages by their kind on the wire. Kinds are only added.
+var kinds = []Message{
+	Forward{}, Admission{}, Token{}, End{}, Refusal{}, Done{},
+	Ask{}, Grant{}, Yield{}, Drained{}, Config{}, Patches{}, Suspect{},
+}
+
+var numbers = func() map[reflect.Type]byte {
+	all := make(map[reflect.Type]byte, len(kinds))
+	for i, m := range kinds {
+		all[reflect.TypeOf(m)] = byte(i)
+	}
+	return all
+}()
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC, TextMarshaler: cbor.TextMarshalerTextString}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels: 8, MaxArrayElements: 1 << 16, MaxMapPairs: 64,
+		IndefLength: cbor.IndefLengthForbidden, TextUnmarshaler: cbor.TextUnmarshalerTextString,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Write writes one message. It fails before it wrote anything where the
+// message is over MaxMessage.
+func Write(to io.Writer, m Message) error {
+	_, err := write(to, m)
+	return err
+}
+
+func write(to io.Writer, m Message) (int, error) {
+	number, ok := numbers[reflect.TypeOf(m)]
+	if !ok {
+		return 0, errors.Errorf("peer: no kind for %T", m)
+	}
+	if err := check(m); err != nil {
+		return 0, err
+	}
+	out := bytes.NewBuffer(make([]byte, header, 64))
+	if err := encoding.NewEncoder(out).Encode(m); err != nil {
+		return 0, errors.Wrap(err, "peer: encode")
+	}
+	frame := out.Bytes()
+	if len(frame)-header+1 > MaxMessage {
+		return 0, errors.Errorf("peer: message over %d bytes", MaxMessage)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-header+1))
+	frame[header-1] = number
+	return to.Write(frame)
+}
+
+// Read reads one message. io.EOF says that the input ended before it. Memory
+// grows with what has arrived, not with the length that the sender claims.
+func Read(from io.Reader) (Message, error) {
+	m, _, err := read(from)
+	return m, err
+}
+
+func read(from io.Reader) (Message, int, error) {
+	var head [header]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return nil, 0, err
+	}
+	size := int64(binary.BigEndian.Uint32(head[:])) - 1
+	if size < 0 || size >= MaxMessage {
+		return nil, header, errors.Errorf("peer: message of %d bytes, at most %d", size+1, MaxMessage)
+	}
+	var body bytes.Buffer
+	if n, err := io.CopyN(&body, from, size); err != nil {
+		return nil, header + int(n), errors.Wrap(io.ErrUnexpectedEOF, "peer: message cut")
+	}
+	m, err := decode(head[header-1], body.Bytes())
+	return m, header + body.Len(), err
+}
+
+func decode(number byte, body []byte) (Message, error) {
+	if int(number) >= len(kinds) {
+		return nil, errors.Errorf("peer: unknown kind %d", number)
+	}
+	value := reflect.New(reflect.TypeOf(kinds[number]))
+	if err := decoding.Unmarshal(body, value.Interface()); err != nil {
+		return nil, errors.Wrapf(err, "peer: decode kind %d", number)
+	}
+	m := value.Elem().Interface().(Message)
+	return m, check(m)
+}
+
+// check refuses a message that lacks what its kind must say.
+func check(m Message) error {
+	whole := true
+	switch m := m.(type) {
+	case Forward:
+		whole = m.ID != "" && m.Ref != adapter.Ref{} && m.Runner != "" && !m.Deadline.IsZero() && m.Tokens > 0 && m.Offset >= 0
+	case Ask:
+		whole = m.Ref != adapter.Ref{}
+	case Grant:
+		whole = m.Ref != adapter.Ref{}
+	case Yield:
+		whole = m.Ref != adapter.Ref{}
+	case Token:
+		whole = m.Index >= 0
+	case Admission, End, Refusal, Done, Drained, Config, Patches, Suspect:
+	default:
+		return errors.Errorf("peer: no check for %T", m)
+	}
+	if !whole {
+		return errors.Errorf("peer: %T lacks a field", m)
+	}
+	return nil
+}
--- /dev/null
+++ b/jacinthd/internal/peer/codec_test.go
@@ -0,0 +1,108 @@
+package peer_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/verdict"
+)
+
+var (
+	fees = adapter.Ref{Name: "fees", Version: "v1"}
+	noon = time.Date(2026, 1, 2, 12, 0, 0, 5, time.UTC)
+)
+
+func messages() []peer.Message {
+	return []peer.Message{
+		peer.Forward{ID: "i", Ref: fees, Runner: "r", Service: "s", Caller: "c", Weight: 2, Priority: 3, Deadline: noon, Prefix: 1 << 63, Tokens: 5, Prompt: "p", Offset: 6, Print: "f"},
+		peer.Admission{Waiting: 1, Running: 2, Resident: true, Stall: time.Second},
+		peer.Token{Index: 3, Text: "t"},
+		peer.End{Tokens: 4},
+		peer.Refusal{Verdict: verdict.NotRun, Code: verdict.Busy, Text: "full", Again: noon, Crash: true},
+		peer.Refusal{},
+		peer.Done{},
+		peer.Ask{Runner: "r", Ref: fees, Waiting: 3, Deadline: noon},
+		peer.Grant{Runner: "r", Ref: fees, Deadline: noon},
+		peer.Yield{Runner: "r", Ref: fees},
+		peer.Drained{Runner: "r", Epoch: 3},
+		peer.Config{Version: 9},
+		peer.Patches{Version: 9, Patches: [][]byte{{1}, {2}}},
+		peer.Suspect{Print: "f", Crash: "r/i"},
+	}
+}
+
+func TestMessagesRoundTrip(t *testing.T) {
+	var wire bytes.Buffer
+	for _, m := range messages() {
+		require.NoError(t, peer.Write(&wire, m))
+	}
+	for _, want := range messages() {
+		got, err := peer.Read(&wire)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	_, err := peer.Read(&wire)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestBadMessages(t *testing.T) {
+	cases := []struct {
+		name string
+		wire []byte
+	}{
+		{"no kind", []byte{0, 0, 0, 0, 0}},
+		{"unknown kind", []byte{0, 0, 0, 2, 200, 0xa0}},
+		{"over the limit", []byte{0xff, 0xff, 0xff, 0xff, 0}},
+		{"cut", []byte{0, 0, 0, 9, 1, 0xa0}},
+		{"not CBOR", []byte{0, 0, 0, 2, 1, 0xff}},
+		{"bytes behind the body", []byte{0, 0, 0, 3, 5, 0xa0, 0xa0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := peer.Read(bytes.NewReader(c.wire))
+			require.Error(t, err)
+		})
+	}
+}
+
+// A claimed length alone must not take memory.
+func TestClaimedLengthTakesNoMemory(t *testing.T) {
+	wire := binary.BigEndian.AppendUint32(nil, peer.MaxMessage)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	const readers = 64
+	for range readers {
+		_, err := peer.Read(bytes.NewReader(append(wire, 0, 0)))
+		require.Error(t, err)
+	}
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(readers*peer.MaxMessage/4))
+}
+
+func FuzzRead(f *testing.F) {
+	for _, m := range messages() {
+		var wire bytes.Buffer
+		require.NoError(f, peer.Write(&wire, m))
+		f.Add(wire.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		m, err := peer.Read(bytes.NewReader(wire))
+		if err != nil {
+			return
+		}
+		var out bytes.Buffer
+		require.NoError(t, peer.Write(&out, m))
+		back, err := peer.Read(&out)
+		require.NoError(t, err)
+		require.Equal(t, m, back)
+	})
+}
--- /dev/null
+++ b/jacinthd/internal/peer/message.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"time"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/verdict"
+)
+
+// A Message is what hosts send each other. The set is closed.
+type Message interface{ message() }
+
+// Forward asks the owner of a runner to serve a completion on it. The answers
+// are one Admission, Tokens from Offset on, and End; or a Refusal in place of
+// what is left.
+type Forward struct {
+	ID       string      `cbor:"1,keyasint"`
+	Ref      adapter.Ref `cbor:"2,keyasint"`
+	Runner   string      `cbor:"3,keyasint"`
+	Service  string      `cbor:"4,keyasint"`
+	Caller   string      `cbor:"5,keyasint"`
+	Weight   int         `cbor:"6,keyasint,omitempty"`
+	Priority int         `cbor:"7,keyasint,omitempty"`
+	Deadline time.Time   `cbor:"8,keyasint"`
+	Prefix   uint64      `cbor:"9,keyasint,omitempty"`
+	Tokens   int         `cbor:"10,keyasint"`
+	Prompt   string      `cbor:"11,keyasint"`
+	Offset   int         `cbor:"12,keyasint,omitempty"` // index of the first token wanted; above 0 only to resume
+	// Print is the fingerprint of caller and body, for suspects.
+	Print string `cbor:"13,keyasint,omitempty"`
+}
+
+// Admission says that the owner sends the request to the runner now.
+type Admission struct {
+	Waiting  int           `cbor:"1,keyasint,omitempty"` // requests queued at the owner
+	Running  int           `cbor:"2,keyasint,omitempty"` // requests on the engine
+	Resident bool          `cbor:"3,keyasint,omitempty"` // the adapter was resident on arrival
+	Stall    time.Duration `cbor:"4,keyasint,omitempty"` // what the request waited for its adapter
+}
+
+// Token is one piece of an answer.
+type Token struct {
+	_     struct{} `cbor:",toarray"`
+	Index int
+	Text  string
+}
+
+// End says that an answer is whole.
+type End struct {
+	_      struct{} `cbor:",toarray"`
+	Tokens int      // tokens of the whole answer, those before the offset included
+}
+
+// Refusal ends a call in place of its answer.
+type Refusal struct {
+	Verdict verdict.Verdict `cbor:"1,keyasint"`
+	Code    verdict.Code    `cbor:"2,keyasint"`
+	Text    string          `cbor:"3,keyasint"`
+	Again   time.Time       `cbor:"4,keyasint,omitzero"` // when coming back may help
+	// Crash says that the runner's process ended with the request in progress.
+	Crash bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Done answers a call that has nothing else to say.
+type Done struct{}
+
+// Ask asks the host that grants loads for the leave to load an adapter. The
+// answer is Grant, or a Refusal.
+type Ask struct {
+	Runner   string      `cbor:"1,keyasint"`
+	Ref      adapter.Ref `cbor:"2,keyasint"`
+	Waiting  int         `cbor:"3,keyasint"` // requests that wait for the adapter
+	Deadline time.Time   `cbor:"4,keyasint"` // after it the leave is of no use
+}
+
+// Grant is the leave to load one adapter until a deadline.
+type Grant struct {
+	Runner   string      `cbor:"1,keyasint"`
+	Ref      adapter.Ref `cbor:"2,keyasint"`
+	Deadline time.Time   `cbor:"3,keyasint"`
+}
+
+// Yield gives a granted leave back. The answer is Done.
+type Yield struct {
+	Runner string      `cbor:"1,keyasint"`
+	Ref    adapter.Ref `cbor:"2,keyasint"`
+}
+
+// Drained says that an owner has no request left on a runner that it gave up.
+// The answer is Done.
+type Drained struct {
+	Runner string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"` // the epoch in which it owned the runner
+}
+
+// Config says which configuration version is in force at the sender. The
+// answer is Patches.
+type Config struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+// Patches hands on the patches behind the version that Config named, as they
+// stand in the object API.
+type Patches struct {
+	Version uint64   `cbor:"1,keyasint"` // in force at the sender
+	Patches [][]byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Suspect says that a request was in progress when a target crashed. The
+// answer is Done.
+type Suspect struct {
+	Print string `cbor:"1,keyasint"` // fingerprint of caller and body
+	Crash string `cbor:"2,keyasint"` // names the crash, the same on every host
+}
+
+func (Forward) message()   {}
+func (Admission) message() {}
+func (Token) message()     {}
+func (End) message()       {}
+func (Refusal) message()   {}
+func (Done) message()      {}
+func (Ask) message()       {}
+func (Grant) message()     {}
+func (Yield) message()     {}
+func (Drained) message()   {}
+func (Config) message()    {}
+func (Patches) message()   {}
+func (Suspect) message()   {}
--- /dev/null
+++ b/jacinthd/internal/peer/meter.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// A Volume counts the bytes of messages to and from the peers of one region.
+// What QUIC and UDP add is not in it.
+type Volume struct{ sent, received atomic.Uint64 }
+
+// Sent returns the bytes sent so far.
+func (v *Volume) Sent() uint64 { return v.sent.Load() }
+
+// Received returns the bytes received so far.
+func (v *Volume) Received() uint64 { return v.received.Load() }
+
+// A meter holds the volumes by region.
+type meter struct {
+	mu      sync.RWMutex
+	regions map[string]*Volume
+}
+
+func (m *meter) of(region string) *Volume {
+	m.mu.RLock()
+	v := m.regions[region]
+	m.mu.RUnlock()
+	if v != nil {
+		return v
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.regions == nil {
+		m.regions = map[string]*Volume{}
+	}
+	if m.regions[region] == nil {
+		m.regions[region] = &Volume{}
+	}
+	return m.regions[region]
+}
+
+// Volume returns the count for a region.
+func (l *Link) Volume(region string) *Volume { return l.meter.of(region) }
--- /dev/null
+++ b/jacinthd/internal/peer/stream.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"jacinthstage/stage/verdict"
+)
+
+// A Stream is one call in progress, at either end. Send and Recv are each for
+// one goroutine at a time; Close may be called from any.
+type Stream struct {
+	raw   *quic.Stream
+	conn  *quic.Conn
+	count *Volume
+	done  func()
+	stop  func() bool
+	once  sync.Once
+}
+
+func newStream(raw *quic.Stream, conn *quic.Conn, count *Volume) *Stream {
+	return &Stream{raw: raw, conn: conn, count: count, done: func() {}, stop: func() bool { return true }}
+}
+
+// follow gives up the stream when ctx ends, which tells the peer.
+func (s *Stream) follow(ctx context.Context) {
+	s.stop = context.AfterFunc(ctx, s.abandon)
+}
+
+func (s *Stream) abandon() {
+	s.raw.CancelRead(streamGone)
+	s.raw.CancelWrite(streamGone)
+}
+
+// Send sends a message. After an error the peer may have got it.
+func (s *Stream) Send(m Message) error {
+	n, err := write(s.raw, m)
+	s.count.sent.Add(uint64(n))
+	if err != nil {
+		return broken(err)
+	}
+	return nil
+}
+
+// Recv returns the peer's next message. A Refusal comes back as a
+// *verdict.Error, or as a *Crash around one.
+func (s *Stream) Recv() (Message, error) {
+	m, n, err := read(s.raw)
+	s.count.received.Add(uint64(n))
+	if err != nil {
+		return nil, broken(err)
+	}
+	refusal, ok := m.(Refusal)
+	if !ok {
+		return m, nil
+	}
+	said := &verdict.Error{Verdict: refusal.Verdict, Code: refusal.Code, Message: refusal.Text, Again: refusal.Again}
+	if refusal.Crash {
+		return nil, &Crash{Err: said}
+	}
+	return nil, said
+}
+
+// Lost reports whether the connection itself ended, as opposed to the peer's
+// giving up this call alone.
+func (s *Stream) Lost() bool {
+	return s.conn.Context().Err() != nil
+}
+
+// Close ends the call. A peer that still sends is told to stop.
+func (s *Stream) Close() {
+	s.once.Do(func() {
+		s.stop()
+		_ = s.raw.Close()
+		s.raw.CancelRead(streamGone)
+		s.done()
+	})
+}
+
+func broken(cause error) error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the link between hosts failed: " + cause.Error()}
+}
+
+// A Crash is the refusal of a request whose runner's process ended with it in
+// progress.
+type Crash struct{ Err *verdict.Error }
+
+// Error returns the refusal's text.
+func (c *Crash) Error() string { return c.Err.Error() }
+
+// Unwrap returns the refusal.
+func (c *Crash) Unwrap() error { return c.Err }
+
+// Refuse returns the Refusal that tells a peer err.
+func Refuse(err error) Refusal {
+	var crash *Crash
+	refusal := Refusal{Code: verdict.Broken, Text: "the request failed", Crash: errors.As(err, &crash)}
+	var said *verdict.Error
+	if errors.As(err, &said) {
+		refusal.Verdict, refusal.Code, refusal.Text, refusal.Again = said.Verdict, said.Code, said.Message, said.Again
+	}
+	return refusal
+}
