--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -57,18 +57,19 @@
 	cases := []struct {
 		name string
 		wire []byte
+		want string
 	}{
-		{"no kind", []byte{0, 0, 0, 0, 0}},
-		{"unknown kind", []byte{0, 0, 0, 2, 200, 0xa0}},
-		{"over the limit", []byte{0xff, 0xff, 0xff, 0xff, 0}},
-		{"cut", []byte{0, 0, 0, 9, 1, 0xa0}},
-		{"not CBOR", []byte{0, 0, 0, 2, 1, 0xff}},
-		{"bytes behind the body", []byte{0, 0, 0, 3, 5, 0xa0, 0xa0}},
+		{"no kind", []byte{0, 0, 0, 0, 0}, "at most"},
+		{"unknown kind", []byte{0, 0, 0, 2, 200, 0xa0}, "unknown kind"},
+		{"over the limit", []byte{0xff, 0xff, 0xff, 0xff, 0}, "at most"},
+		{"cut", []byte{0, 0, 0, 9, 1, 0xa0}, "cut"},
+		{"not CBOR", []byte{0, 0, 0, 2, 1, 0xff}, "decode"},
+		{"bytes behind the body", []byte{0, 0, 0, 3, 5, 0xa0, 0xa0}, "decode"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, err := peer.Read(bytes.NewReader(c.wire))
-			require.Error(t, err)
+			require.ErrorContains(t, err, c.want)
 		})
 	}
 }
--- a/jacinthd/internal/peer/connection.go
+++ b/jacinthd/internal/peer/connection.go
@@ -73,7 +73,7 @@
 
 // run opens the connection for all who wait for d.
 func (p *peer) run(d *dial) {
-	ctx, cancel := context.WithTimeout(context.Background(), handshake)
+	ctx, cancel := context.WithTimeout(context.Background(), p.link.silence())
 	defer cancel()
 	d.conn, d.err = p.link.open().Dial(ctx, net.UDPAddrFromAddrPort(p.addr), p.link.Identity.client(p.name), p.link.config())
 	p.mu.Lock()
--- a/jacinthd/internal/peer/credentials.go
+++ b/jacinthd/internal/peer/credentials.go
@@ -1,302 +1,93 @@
-package load
+package peer
 
 import (
-	"math"
-	"time"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
 
-	"jacinthstage/stage/adapter"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 )
 
-// How a denied host is told to come back.
-const (
-	soonest = 20 * time.Millisecond
-	latest  = time.Second
-	grace   = 200 * time.Millisecond // how long a want outlives its time to come back
-)
-
-// A Grantor grants the permits of one region. The zero value with the exported
-// fields set grants once Start was called.
-type Grantor struct {
-	Rate   float64 // loads a second
-	Burst  float64 // loads that the store accepts at once
-	Flight int     // loads in progress
-
-	epoch   uint64
-	ready   time.Time // earlier, permits of an earlier grantor may be in use
-	until   time.Time // end of this host's lease
-	permit  uint64
-	reply   uint64
-	tokens  float64
-	filled  time.Time
-	hosts   map[string]*member
-	places  []place
-	permits map[uint64]grant
-}
-
-type member struct {
-	sequence uint64
-	sent     uint64    // number of the last reply
-	when     time.Time // when it was sent
-	place    int
-	wants    []want
-	expires  time.Time // of the wants
-}
-
-type want struct {
-	Want
-	since time.Time
-}
-
-type grant struct {
-	host string
-	ends time.Time
-}
-
-// A place is reserved until it expires, except while its holder is bound.
-type place struct {
-	host    string
-	expires time.Time
-	bound   time.Time // the holder does not use it before
-}
-
-// Places returns how many hosts may have a place. Where the store's burst has
-// no room there is none: such hosts then load nothing without the grantor.
-func (g *Grantor) Places() int {
-	spare := g.Burst - g.Rate*Window.Seconds() - 1
-	return max(0, min(int(spare), g.Flight/2))
-}
-
-// share is the rate of one place: all together have half of the store's.
-func (g *Grantor) share() float64 { return g.Rate / 2 / float64(max(g.Places(), 1)) }
-
-// Start makes this host the grantor of epoch until its lease ends.
-func (g *Grantor) Start(now time.Time, epoch uint64, lease time.Time) {
-	g.epoch, g.until = epoch, lease
-	g.ready = now.Add(Window + Hold)
-	g.tokens, g.filled = 0, g.ready
-	g.hosts = map[string]*member{}
-	g.permits = map[uint64]grant{}
-	g.places = make([]place, g.Places())
-	for i := range g.places {
-		g.places[i].expires = now.Add(Tenure + Hold)
-	}
-}
-
-// Renew says that this host's lease now ends at lease.
-func (g *Grantor) Renew(lease time.Time) { g.until = lease }
-
-// Answer returns the reply to a request. It reports false for one that gets
-// none: of another epoch, out of order, or after the end of the lease.
-func (g *Grantor) Answer(now time.Time, q Request) (Reply, bool) {
-	if q.Epoch != g.epoch || !now.Before(g.until) {
-		return Reply{}, false
-	}
-	m := g.hosts[q.Host]
-	if m == nil {
-		m = &member{}
-		g.hosts[q.Host] = m
-	}
-	if q.Sequence <= m.sequence {
-		return Reply{}, false
-	}
-	m.sequence = q.Sequence
-	g.refill(now)
-	g.settle(q)
-	g.bind(now, m, q)
-	g.assign(now, m, q)
-	r := Reply{Epoch: g.epoch, Sequence: q.Sequence, Place: m.place}
-	if m.place > 0 {
-		r.Rate = g.share()
-	}
-	g.decide(now, m, q, &r)
-	g.reply++
-	r.Number = g.reply
-	m.sent, m.when = g.reply, now
-	g.forget(now)
-	return r, true
-}
-
-// refill adds the tokens of the time since the last call, at the rate that the
-// reserved places leave.
-func (g *Grantor) refill(now time.Time) {
-	for id, p := range g.permits {
-		if !now.Before(p.ends) {
-			delete(g.permits, id)
-		}
-	}
-	if !now.After(g.filled) {
-		return
-	}
-	rate := g.Rate
-	for _, p := range g.places {
-		if p.reserved(g.filled, now) {
-			rate -= g.share()
-		}
-	}
-	room := g.Burst - g.Rate*Window.Seconds() - float64(len(g.places))
-	g.tokens = min(g.tokens+rate*now.Sub(g.filled).Seconds(), room)
-	g.filled = now
-}
-
-// reserved reports whether the place may be in use at any time of the interval.
-func (p place) reserved(from, to time.Time) bool {
-	return from.Before(p.expires) && p.bound.Before(to)
-}
-
-// settle ends the permits that the holder no longer has.
-func (g *Grantor) settle(q Request) {
-	for _, id := range q.Unused {
-		if p, ok := g.permits[id]; ok && p.host == q.Host {
-			delete(g.permits, id)
-			g.tokens++
-		}
-	}
-	held := map[uint64]bool{}
-	for _, id := range q.Held {
-		held[id] = true
-	}
-	for id, p := range g.permits {
-		if p.host == q.Host && !held[id] {
-			delete(g.permits, id)
-		}
-	}
-}
+// protocol is the ALPN name of the link.
+const protocol = "jacinthstage/1"
 
-// bind notes that the holder saw the last reply, and so does not use its place
-// for Silence after it.
-func (g *Grantor) bind(now time.Time, m *member, q Request) {
-	if m.place == 0 || q.Seen == 0 || q.Seen != m.sent {
-		return
-	}
-	p := &g.places[m.place-1]
-	if until := m.when.Add(Silence); until.After(p.bound) && now.Before(until) {
-		p.bound = until
-	}
+// Credentials are the files, in PEM, by which a host proves its name to its
+// peers. The name is the certificate's first DNS name.
+type Credentials struct {
+	Authority   string // certificate of the authority that signs all hosts
+	Certificate string // this host's certificate
+	Key         string // its private key
 }
 
-// assign renews the host's place, takes over one that it had from an earlier
-// grantor, or gives it a free one.
-func (g *Grantor) assign(now time.Time, m *member, q Request) {
-	claimed := q.Place > 0 && q.Place <= len(g.places)
-	switch {
-	case m.place > 0:
-	case claimed && g.places[q.Place-1].host == "":
-		m.place = q.Place
-	default:
-		m.place = g.vacant(now)
-	}
-	if m.place > 0 {
-		p := &g.places[m.place-1]
-		p.host, p.expires = q.Host, now.Add(Tenure+Hold)
-	}
+// An Identity is what Credentials hold. Its zero value proves nothing.
+type Identity struct {
+	// Name is this host's name.
+	Name string
+	pair tls.Certificate
+	pool *x509.CertPool
+	// reset is the key of stateless resets: the same for each incarnation of
+	// the host, so that a restarted one can end its old connections.
+	reset quic.StatelessResetKey
 }
 
-func (g *Grantor) vacant(now time.Time) int {
-	for i := range g.places {
-		p := &g.places[i]
-		if now.Before(p.expires) {
-			continue
-		}
-		if old := g.hosts[p.host]; old != nil {
-			old.place = 0
-		}
-		*p = place{}
-		return i + 1
+// Load reads the files. Its error names the one at fault.
+func (c Credentials) Load() (*Identity, error) {
+	authority, err := os.ReadFile(c.Authority)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: authority")
 	}
-	return 0
-}
-
-// decide grants or denies each want of the request.
-func (g *Grantor) decide(now time.Time, m *member, q Request, r *Reply) {
-	m.wants = renew(now, m.wants, q.Wants)
-	m.expires = now.Add(grace)
-	kept := m.wants[:0]
-	for _, w := range m.wants {
-		if g.grantable(now, w) {
-			g.permit++
-			g.tokens--
-			id := g.epoch<<32 | g.permit
-			g.permits[id] = grant{host: q.Host, ends: now.Add(Window + Hold)}
-			r.Grants = append(r.Grants, Grant{Permit: id, Runner: w.Runner, Ref: w.Ref})
-			continue
-		}
-		kept = append(kept, w)
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Errorf("peer: no certificate in %s", c.Authority)
 	}
-	m.wants = kept
-	for _, w := range kept {
-		after := g.after(now, w)
-		r.Denials = append(r.Denials, Denial{Runner: w.Runner, Ref: w.Ref, After: after})
-		if until := now.Add(after + grace); until.After(m.expires) {
-			m.expires = until
-		}
+	pair, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: %s and %s", c.Certificate, c.Key)
 	}
+	return identify(pair, pool)
 }
 
-// renew returns the new wants, each with the time it was first told.
-func renew(now time.Time, old []want, wants []Want) []want {
-	type key struct {
-		runner string
-		ref    adapter.Ref
-	}
-	since := map[key]time.Time{}
-	for _, w := range old {
-		since[key{w.Runner, w.Ref}] = w.since
+func identify(pair tls.Certificate, pool *x509.CertPool) (*Identity, error) {
+	name, err := nameOf(pair.Leaf)
+	if err != nil {
+		return nil, err
 	}
-	list := make([]want, 0, len(wants))
-	for _, w := range wants {
-		first, ok := since[key{w.Runner, w.Ref}]
-		if !ok {
-			first = now
-		}
-		list = append(list, want{Want: w, since: first})
+	key, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: private key")
 	}
-	return list
-}
-
-// worth orders the wants: the time that its requests wait, in request-seconds,
-// with a second added for each so that many waiters go before a long wait.
-func (w want) worth(now time.Time) float64 {
-	return float64(w.Waiting) * (1 + now.Sub(w.since).Seconds())
-}
-
-func (g *Grantor) grantable(now time.Time, w want) bool {
-	return !now.Before(g.ready) &&
-		len(g.permits) < g.Flight-len(g.places) &&
-		float64(g.rank(now, w))+1 <= g.tokens
+	reset := sha256.Sum256(append([]byte("peer: stateless reset"), key...))
+	return &Identity{Name: name, pair: pair, pool: pool, reset: reset}, nil
 }
 
-// rank returns how many wants are worth more than w.
-func (g *Grantor) rank(now time.Time, w want) int {
-	n, worth := 0, w.worth(now)
-	for _, m := range g.hosts {
-		if !now.Before(m.expires) {
-			continue
-		}
-		for _, other := range m.wants {
-			if other.worth(now) > worth {
-				n++
-			}
-		}
+func nameOf(leaf *x509.Certificate) (string, error) {
+	if leaf == nil || len(leaf.DNSNames) == 0 {
+		return "", errors.New("peer: certificate without a DNS name")
 	}
-	return n
+	return leaf.DNSNames[0], nil
 }
 
-// after returns when a permit for w may be had.
-func (g *Grantor) after(now time.Time, w want) time.Duration {
-	missing := float64(g.rank(now, w)) + 1 - g.tokens
-	seconds := math.Max(missing, 0) / g.Rate
-	after := time.Duration(seconds * float64(time.Second))
-	if wait := g.ready.Sub(now); wait > after {
-		after = wait
+// server returns the TLS settings for incoming connections: a peer without a
+// certificate of the authority is refused in the handshake.
+func (i *Identity) server() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{i.pair},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    i.pool,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
 	}
-	return min(max(after, soonest), latest)
 }
 
-// forget drops the hosts that hold nothing and want nothing.
-func (g *Grantor) forget(now time.Time) {
-	for name, m := range g.hosts {
-		if m.place == 0 && now.After(m.when.Add(Tenure)) {
-			delete(g.hosts, name)
-		}
+// client returns the TLS settings for a connection to the host called name.
+func (i *Identity) client(name string) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{i.pair},
+		RootCAs:      i.pool,
+		ServerName:   name,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
 	}
 }
--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -29,8 +29,6 @@
 	defaultSilence = 3 * time.Second
 	// beats is the number of keep-alive packets within the liveness deadline.
 	beats = 3
-	// handshake limits the opening of a connection.
-	handshake = 2 * time.Second
 	// unused is how long a connection without calls is kept.
 	unused = time.Minute
 	// maxStreams is the number of calls at once from one peer.
@@ -54,7 +52,7 @@
 	Identity *Identity
 	// Conn is the UDP socket. The Link closes it.
 	Conn net.PacketConn
-	// Silence is the liveness deadline of connections. 0 means 3 s.
+	// Silence is the liveness deadline of connections, also while they open. 0 means 3 s.
 	Silence time.Duration
 	// Region returns a peer's region, for the count of bytes. nil counts all in one.
 	Region func(name string) string
@@ -79,13 +77,17 @@
 	return l.transport
 }
 
-func (l *Link) config() *quic.Config {
-	silence := l.Silence
-	if silence <= 0 {
-		silence = defaultSilence
+func (l *Link) silence() time.Duration {
+	if l.Silence > 0 {
+		return l.Silence
 	}
+	return defaultSilence
+}
+
+func (l *Link) config() *quic.Config {
+	silence := l.silence()
 	return &quic.Config{
-		HandshakeIdleTimeout:  handshake,
+		HandshakeIdleTimeout:  silence,
 		MaxIdleTimeout:        silence,
 		KeepAlivePeriod:       silence / beats,
 		MaxIncomingStreams:    maxStreams,
@@ -137,7 +139,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(stream.raw.Context(), cancel)()
-	_ = stream.raw.SetReadDeadline(time.Now().Add(handshake))
+	_ = stream.raw.SetReadDeadline(time.Now().Add(l.silence()))
 	first, err := stream.Recv()
 	if err != nil {
 		l.Log.Info("peer: bad call from "+name, zap.Error(err))
