follow: an upper bound of 3 s on taking a watch up again, compacted or not

The wait after a compacted watch began at the longest one, 6 s in the worst case; now at the first one, and the longest is 2 s.

--- a/jacinthd/internal/follow/follow.go
+++ b/jacinthd/internal/follow/follow.go
@@ -28,7 +28,7 @@
 const (
 	tick      = 500 * time.Millisecond // between ticks of the log
 	firstWait = time.Second            // most before the first repetition of a call
-	mostWait  = 3 * time.Second        // most between repetitions
+	mostWait  = 2 * time.Second        // most between repetitions
 	saveTime  = 30 * time.Second       // longest that the writing of a snapshot takes
 	askTime   = 10 * time.Second       // longest that a handover by a peer takes
 	queue     = 64                     // events waiting for the log
@@ -260,7 +260,7 @@
 		r.change(ctx, f, c)
 	})
 	if errors.Is(err, store.ErrCompacted) {
-		r.listed, r.lived = false, true
+		r.listed, r.lived, r.wait = false, true, 0
 	}
 	if ctx.Err() != nil && outer.Err() == nil {
 		r.listed = false
