engine, peer, control: what the path of a request needs

Change: engine requests carry the time after which nothing may be written, and the client keeps each engine's last known incarnation; peer tells a failed link (Fault) from a peer's refusal; control.Leave makes a ticket whose End runs once.

--- a/jacinthd/internal/control/port.go
+++ b/jacinthd/internal/control/port.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"jacinthstage/stage/adapter"
@@ -79,6 +80,14 @@
 	end    func(Outcome)
 }
 
+// Leave returns a ticket whose first End calls end.
+func Leave(target target.Target, before time.Time, hint Hint, stall time.Duration, end func(Outcome)) *Ticket {
+	var once sync.Once
+	return &Ticket{Target: target, Before: before, Hint: hint, Stall: stall, end: func(outcome Outcome) {
+		once.Do(func() { end(outcome) })
+	}}
+}
+
 // End gives the ticket back. Calls after the first have no effect.
 func (t *Ticket) End(outcome Outcome) { t.end(outcome) }
 
--- a/jacinthd/internal/engine/client.go
+++ b/jacinthd/internal/engine/client.go
@@ -48,6 +48,8 @@
 
 	once      sync.Once
 	transport *http.Transport
+	// incarnations holds the last known incarnation by address.
+	incarnations sync.Map
 }
 
 // open returns the transport, making it on first use.
@@ -86,27 +88,39 @@
 	reply  *http.Response
 }
 
-// send sends a request with a JSON body (none where body is nil) and returns
-// once the reply's header has come. silence of 0 leaves only the context's
-// deadline.
-func (c *Client) send(ctx context.Context, method string, addr netip.AddrPort, path string, body any, silence time.Duration) (*exchange, error) {
+// A call is what send sends.
+type call struct {
+	method string
+	path   string
+	body   any // in JSON; nil for none
+	// silence is the progress deadline's distance; 0 leaves only the context's.
+	silence time.Duration
+	// before is when nothing may be written any more; zero for no limit.
+	before time.Time
+}
+
+// send sends a request and returns once the reply's header has come.
+func (c *Client) send(ctx context.Context, addr netip.AddrPort, a call) (*exchange, error) {
 	x := &exchange{client: c, parent: ctx}
-	text, err := encode(body)
+	text, err := encode(a.body)
 	if err != nil {
 		return nil, &Fault{Kind: Unreached, cause: err}
 	}
 	traced, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			x.sent.Store(true)
+			_ = info.Conn.SetWriteDeadline(a.before)
+		},
 	}))
 	x.cancel = cancel
-	request, err := http.NewRequestWithContext(traced, method, "http://"+addr.String()+path, text)
+	request, err := http.NewRequestWithContext(traced, a.method, "http://"+addr.String()+a.path, text)
 	if err != nil {
 		cancel()
 		return nil, &Fault{Kind: Unreached, cause: err}
 	}
 	request.Header.Set("Content-Type", "application/json")
-	if silence > 0 {
-		x.timer = time.AfterFunc(silence, x.expire)
+	if a.silence > 0 {
+		x.timer = time.AfterFunc(a.silence, x.expire)
 	}
 	x.reply, err = c.open().RoundTrip(request)
 	if err != nil {
@@ -192,7 +206,7 @@
 	body := struct {
 		ID string `json:"id"`
 	}{id}
-	x, err := c.send(ctx, http.MethodPost, addr, "/v1/cancel", body, c.silence())
+	x, err := c.send(ctx, addr, call{method: http.MethodPost, path: "/v1/cancel", body: body, silence: c.silence()})
 	if err != nil {
 		return false, err
 	}
@@ -202,3 +216,18 @@
 	err = x.finish(&reply)
 	return reply.Cancelled, err
 }
+
+// Incarnation returns the incarnation that the engine's last receipt or report
+// named, empty where there was none.
+func (c *Client) Incarnation(addr netip.AddrPort) string {
+	known, _ := c.incarnations.Load(addr)
+	name, _ := known.(string)
+	return name
+}
+
+// learn keeps the incarnation that an engine named.
+func (c *Client) learn(addr netip.AddrPort, incarnation string) {
+	if incarnation != "" && c.Incarnation(addr) != incarnation {
+		c.incarnations.Store(addr, incarnation)
+	}
+}
--- a/jacinthd/internal/engine/order.go
+++ b/jacinthd/internal/engine/order.go
@@ -48,12 +48,13 @@
 	body := order.order()
 	body.Number = number
 	body.Deadline = deadline
-	x, err := c.send(ctx, http.MethodPost, addr, "/v1/orders", body, 0)
+	x, err := c.send(ctx, addr, call{method: http.MethodPost, path: "/v1/orders", body: body})
 	if err != nil {
 		return Receipt{}, err
 	}
 	var receipt Receipt
 	err = x.finish(&receipt)
+	c.learn(addr, receipt.Incarnation)
 	return receipt, err
 }
 
@@ -77,11 +78,12 @@
 
 // Report asks an engine for its report.
 func (c *Client) Report(ctx context.Context, addr netip.AddrPort) (Report, error) {
-	x, err := c.send(ctx, http.MethodGet, addr, "/v1/report", nil, c.silence())
+	x, err := c.send(ctx, addr, call{method: http.MethodGet, path: "/v1/report", silence: c.silence()})
 	if err != nil {
 		return Report{}, err
 	}
 	var report Report
 	err = x.finish(&report)
+	c.learn(addr, report.Incarnation)
 	return report, err
 }
--- a/jacinthd/internal/engine/stream.go
+++ b/jacinthd/internal/engine/stream.go
@@ -27,6 +27,9 @@
 	Deadline time.Time
 	Priority int // larger first
 	Offset   int // index of the first token wanted; above 0 only to resume
+	// Before is when the request may no longer be sent; zero for no limit. What
+	// was not written by then is not written.
+	Before time.Time
 }
 
 // An Event is what a Stream yields: Token or End.
@@ -81,7 +84,9 @@
 		Priority int       `json:"priority,omitempty"`
 		Offset   int       `json:"offset,omitempty"`
 	}{request.ID, request.Ref.String(), request.Prompt, request.Tokens, true, request.Deadline, request.Priority, request.Offset}
-	x, err := c.send(ctx, http.MethodPost, addr, "/v1/completions", body, c.silence())
+	x, err := c.send(ctx, addr, call{
+		method: http.MethodPost, path: "/v1/completions", body: body, silence: c.silence(), before: request.Before,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/jacinthd/internal/peer/stream.go
+++ b/jacinthd/internal/peer/stream.go
@@ -48,7 +48,7 @@
 }
 
 // Recv returns the peer's next message. A Refusal comes back as a
-// *verdict.Error, or as a *Crash around one.
+// *verdict.Error, or as a *Crash around one; other errors are a *Fault.
 func (s *Stream) Recv() (Message, error) {
 	m, n, err := read(s.raw)
 	s.count.received.Add(uint64(n))
@@ -88,7 +88,26 @@
 	if errors.Is(cause, net.ErrClosed) {
 		s.lost.Store(true)
 	}
-	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the link between hosts failed: " + cause.Error()}
+	return &Fault{cause}
+}
+
+// A Fault is a failure of the link with a call in progress. The peer may have
+// got the call and may go on with it.
+type Fault struct{ cause error }
+
+// Error returns the cause.
+func (f *Fault) Error() string { return "peer: the link failed: " + f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.cause }
+
+// As makes a Fault readable as a *verdict.Error.
+func (f *Fault) As(target any) bool {
+	into, ok := target.(**verdict.Error)
+	if ok {
+		*into = &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the link between hosts failed"}
+	}
+	return ok
 }
 
 // A Crash is the refusal of a request whose runner's process ended with it in
