--- a/standin/main.go
+++ b/standin/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&platformCommand{}, "stand-ins")
 	subcommands.Register(&runnerCommand{}, "stand-ins")
 	subcommands.Register(&registryCommand{}, "stand-ins")
+	subcommands.Register(&trialCommand{}, "measurements")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := subcommands.Execute(ctx)
