--- /dev/null
+++ b/jacinthctl/internal/command/audit.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"jacinthstage/jacinthd/archive"
+	"jacinthstage/stage/patch"
+)
+
+// described is the number of changes that a row of the table names.
+const described = 3
+
+type auditCommand struct {
+	output
+	platform
+	last uint64
+}
+
+func (*auditCommand) Name() string     { return "audit" }
+func (*auditCommand) Synopsis() string { return "show the accepted patches" }
+func (*auditCommand) Usage() string {
+	return `audit -platform URL [-last N]:
+  Show the newest accepted patches: number, time, author, id, reason, changes.
+`
+}
+
+func (c *auditCommand) SetFlags(f *flag.FlagSet) {
+	c.platform.flags(f)
+	c.jsonFlag(f)
+	f.Uint64Var(&c.last, "last", 50, "number of patches")
+}
+
+func (c *auditCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.usage("audit: no arguments")
+	}
+	s, err := c.open()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	config, err := archive.Read(ctx, s)
+	if err != nil {
+		return c.fail(err)
+	}
+	patches := []patch.Patch{}
+	_, err = archive.Behind(ctx, s, config.Version-min(c.last, config.Version), func(a patch.Accepted) {
+		p, err := patch.Decode(a.Data)
+		if err != nil {
+			p = patch.Patch{Number: a.Number, Reason: err.Error()}
+		}
+		patches = append(patches, p)
+	})
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(patches, func(w io.Writer) {
+		fmt.Fprintln(w, "NUMBER\tTIME\tAUTHOR\tID\tREASON\tCHANGES")
+		for _, p := range patches {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", p.Number, p.Time.Format(time.RFC3339), plain(p.Author), plain(p.ID), plain(p.Reason), summary(p))
+		}
+	})
+}
+
+// summary names the first changes of a patch.
+func summary(p patch.Patch) string {
+	var parts []string
+	for _, change := range p.Changes[:min(len(p.Changes), described)] {
+		parts = append(parts, patch.Describe(change))
+	}
+	if more := len(p.Changes) - described; more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// plain keeps a text on its row.
+func plain(text string) string { return strings.Join(strings.Fields(text), " ") }
--- /dev/null
+++ b/jacinthctl/internal/command/command.go
@@ -0,0 +1,122 @@
+// Package command holds the commands of jacinthctl, a file each.
+//
+// Each prints a table for people or, with -json, one JSON value for programs.
+// The exit status is 0 where the command did its work, 1 where it failed or a
+// patch was refused, 2 where it was called wrongly.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"jacinthstage/jacinthd/settings"
+	"jacinthstage/jacinthd/store/remote"
+)
+
+// callTime is the longest that a command waits for the object API.
+const callTime = 30 * time.Second
+
+// Run runs the command that args name and returns its exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("jacinthctl", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	commander := subcommands.NewCommander(flags, "jacinthctl")
+	commander.Output, commander.Error = stdout, stderr
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	out := output{stdout: stdout, stderr: stderr}
+	for _, c := range []subcommands.Command{
+		&patchCommand{output: out}, &showCommand{output: out}, &auditCommand{output: out},
+	} {
+		commander.Register(c, "configuration")
+	}
+	for _, c := range []subcommands.Command{
+		&hostsCommand{output: out}, &targetsCommand{output: out}, &leasesCommand{output: out},
+	} {
+		commander.Register(c, "state")
+	}
+	for _, c := range []subcommands.Command{
+		&checkCommand{output: out}, &keysCommand{output: out}, &versionCommand{output: out},
+	} {
+		commander.Register(c, "hosts")
+	}
+	if err := flags.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(ctx))
+}
+
+// output is how a command answers.
+type output struct {
+	stdout, stderr io.Writer
+	json           bool
+}
+
+func (o *output) jsonFlag(f *flag.FlagSet) {
+	f.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+// print prints value as JSON, or else the table that rows writes, cells
+// separated by tabs.
+func (o *output) print(value any, rows func(w io.Writer)) subcommands.ExitStatus {
+	if o.json {
+		encoder := json.NewEncoder(o.stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(value); err != nil {
+			return o.fail(err)
+		}
+		return subcommands.ExitSuccess
+	}
+	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
+	rows(w)
+	if err := w.Flush(); err != nil {
+		return o.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// fail prints the error on one line.
+func (o *output) fail(err error) subcommands.ExitStatus {
+	fmt.Fprintf(o.stderr, "jacinthctl: %v\n", err)
+	return subcommands.ExitFailure
+}
+
+// usage says that the command was called wrongly.
+func (o *output) usage(format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(o.stderr, "jacinthctl: "+format+"\n", args...)
+	return subcommands.ExitUsageError
+}
+
+// platform is where the object API is: its address or a host's settings.
+type platform struct {
+	address, settings string
+}
+
+func (p *platform) flags(f *flag.FlagSet) {
+	f.StringVar(&p.address, "platform", "", "address of the object API, http://IP:PORT")
+	f.StringVar(&p.settings, "settings", "", "settings file of a host, read for platform.address")
+}
+
+// open returns the object API.
+func (p *platform) open() (*remote.Store, error) {
+	address := p.address
+	if address == "" && p.settings != "" {
+		s, err := settings.Read(p.settings)
+		if err != nil {
+			return nil, err
+		}
+		address = s.Platform.Address
+	}
+	if address == "" {
+		return nil, errors.New("give -platform or -settings")
+	}
+	return remote.New(address)
+}
--- /dev/null
+++ b/jacinthctl/internal/command/show.go
@@ -0,0 +1,142 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"jacinthstage/jacinthd/archive"
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/caller"
+	"jacinthstage/stage/patch"
+	"jacinthstage/stage/rule"
+	"jacinthstage/stage/service"
+	"jacinthstage/stage/target"
+)
+
+type showCommand struct {
+	output
+	platform
+}
+
+func (*showCommand) Name() string     { return "show" }
+func (*showCommand) Synopsis() string { return "show the newest configuration" }
+func (*showCommand) Usage() string {
+	return `show -platform URL [adapters|callers|rules|services|targets [NAME]]:
+  Show the newest configuration: how much it holds, or the entries of one kind.
+  With -json the entries are printed in the form of a patch.
+`
+}
+
+func (c *showCommand) SetFlags(f *flag.FlagSet) {
+	c.platform.flags(f)
+	c.jsonFlag(f)
+}
+
+// tables are the kinds of entry and how each is printed.
+var tables = map[string]func(w io.Writer, c *patch.Config, name string){
+	"adapters": func(w io.Writer, c *patch.Config, name string) {
+		table(w, "NAME\tSERVICE\tVERSIONS", c.Adapters, name, func(a adapter.Adapter) string {
+			return fmt.Sprintf("%s\t%s\t%s", a.Name, a.Service, strings.Join(a.Versions, " "))
+		})
+	},
+	"callers": func(w io.Writer, c *patch.Config, name string) {
+		table(w, "NAME\tTOKENS\tWEIGHT\tPRIORITY", c.Callers, name, func(a caller.Caller) string {
+			return fmt.Sprintf("%s\t%d\t%d\t%d", a.Name, len(a.Tokens), max(a.Weight, 1), a.Priority)
+		})
+	},
+	"rules": func(w io.Writer, c *patch.Config, name string) {
+		table(w, "NAME\tCALLER\tADAPTER\tVERSIONS\tSERVICE", c.Rules, name, func(r rule.Rule) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%s\t%s", r.Name, r.Caller, dash(r.Adapter), dash(strings.Join(r.Versions, " ")), dash(r.Service))
+		})
+	},
+	"services": func(w io.Writer, c *patch.Config, name string) {
+		table(w, "NAME\tKIND\tDETAIL", c.Services, name, func(s service.Service) string {
+			return s.Name + "\t" + kindOf(s)
+		})
+	},
+	"targets": func(w io.Writer, c *patch.Config, name string) {
+		table(w, "NAME\tSERVICE\tADDRESS\tREGION\tZONE\tSLOTS\tBATCH", c.Targets, name, func(t target.Target) string {
+			return fmt.Sprintf("%s\t%s\t%v\t%s\t%s\t%d\t%d", t.Name, t.Service, t.Address, t.Region, t.Zone, t.Slots, t.Batch)
+		})
+	},
+}
+
+func (c *showCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	kind, name := f.Arg(0), f.Arg(1)
+	if f.NArg() > 2 || kind != "" && tables[kind] == nil {
+		return c.usage("show: give one of %s, and a name", strings.Join(slices.Sorted(maps.Keys(tables)), ", "))
+	}
+	s, err := c.open()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	config, err := archive.Read(ctx, s)
+	if err != nil {
+		return c.fail(err)
+	}
+	form, err := patchForm(config, kind, name)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(form, func(w io.Writer) {
+		if kind != "" {
+			tables[kind](w, config, name)
+			return
+		}
+		fmt.Fprintf(w, "VERSION\tSERVICES\tTARGETS\tADAPTERS\tCALLERS\tRULES\n%d\t%d\t%d\t%d\t%d\t%d\n", config.Version,
+			len(config.Services), len(config.Targets), len(config.Adapters), len(config.Callers), len(config.Rules))
+	})
+}
+
+// patchForm returns the entries of a kind, all where it is empty, as a patch
+// that puts them.
+func patchForm(config *patch.Config, kind, name string) (patch.Patch, error) {
+	form := patch.Patch{Base: config.Version}
+	changes, err := config.Changes()
+	for _, change := range changes {
+		words := strings.Fields(patch.Describe(change)) // put KIND NAME
+		if kind != "" && words[1]+"s" != kind || name != "" && words[2] != name {
+			continue
+		}
+		form.Changes = append(form.Changes, change)
+	}
+	return form, err
+}
+
+// table prints the entries sorted by name, or the one of that name.
+func table[V any](w io.Writer, head string, entries map[string]V, name string, row func(V) string) {
+	fmt.Fprintln(w, head)
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		if name == "" || key == name {
+			fmt.Fprintln(w, row(entries[key]))
+		}
+	}
+}
+
+func kindOf(s service.Service) string {
+	switch kind := s.Kind().(type) {
+	case *service.Engine:
+		return fmt.Sprintf("engine\tmodel %s, fenced %v", kind.Model, kind.Fenced)
+	case *service.Plain:
+		var calls []string
+		for _, call := range kind.Idempotent {
+			calls = append(calls, call.Method+" "+call.Path)
+		}
+		return "plain\tidempotent " + dash(strings.Join(calls, ", "))
+	default:
+		return "none\t-"
+	}
+}
+
+// dash stands for an empty cell.
+func dash(text string) string { return cmp.Or(text, "-") }
--- /dev/null
+++ b/jacinthctl/internal/command/state.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"strings"
+
+	"jacinthstage/jacinthd/archive"
+	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/lease"
+)
+
+// The prefixes of the objects that hosts keep.
+var (
+	leasePrefix  = strings.TrimSuffix(lease.Prefix(""), "/")
+	assignPrefix = host.Key("")
+)
+
+// A leased is one host's lease object.
+type leased struct {
+	lease.Value
+	version uint64 // of the object
+}
+
+// leases returns the leases of all regions, sorted by region and name.
+func leases(ctx context.Context, s store.Store) ([]leased, error) {
+	var out []leased
+	var fault error
+	_, err := archive.List(ctx, s, leasePrefix, "", func(o store.Object) {
+		v, err := lease.Decode(o.Value)
+		if err != nil {
+			fault = err
+			return
+		}
+		out = append(out, leased{Value: v, version: o.Version})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out, fault
+}
+
+// A regional is the assignment table of one region.
+type regional struct {
+	host.Table
+	region string
+}
+
+// assignments returns the assignment tables, sorted by region.
+func assignments(ctx context.Context, s store.Store) ([]regional, error) {
+	var out []regional
+	var fault error
+	_, err := archive.List(ctx, s, assignPrefix, "", func(o store.Object) {
+		t, err := host.Decode(o.Value)
+		if err != nil {
+			fault = err
+			return
+		}
+		out = append(out, regional{Table: t, region: strings.TrimPrefix(o.Key, assignPrefix)})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out, fault
+}
+
+// presence returns the state of each host or target in the platform's list.
+func presence(ctx context.Context, s store.Store, kind string) (map[string]string, error) {
+	list, err := s.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]string{}
+	for _, p := range list {
+		if p.Kind == kind {
+			out[p.Name] = p.State
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/jacinthctl/internal/command/targets.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/google/subcommands"
+
+	"jacinthstage/jacinthd/archive"
+	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/host"
+)
+
+type targetsCommand struct {
+	output
+	platform
+}
+
+func (*targetsCommand) Name() string     { return "targets" }
+func (*targetsCommand) Synopsis() string { return "show the targets" }
+func (*targetsCommand) Usage() string {
+	return `targets -platform URL:
+  Show each target of the configuration: service, address, region, availability
+  zone, state in the platform's list (which lags), and for a runner its owner
+  and the epoch of its fencing numbers.
+`
+}
+
+func (c *targetsCommand) SetFlags(f *flag.FlagSet) {
+	c.platform.flags(f)
+	c.jsonFlag(f)
+}
+
+// A targetRow is one target.
+type targetRow struct {
+	Name    string         `json:"name"`
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Region  string         `json:"region"`
+	Zone    string         `json:"zone"`
+	State   string         `json:"state"` // in the platform's list, empty where it isn't listed
+	Owner   string         `json:"owner,omitempty"`
+	Epoch   uint32         `json:"epoch,omitempty"`
+}
+
+func (c *targetsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.usage("targets: no arguments")
+	}
+	s, err := c.open()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	rows, err := targetRows(ctx, s)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(rows, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tSERVICE\tADDRESS\tREGION\tZONE\tSTATE\tOWNER\tEPOCH")
+		for _, r := range rows {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%d\n", r.Name, r.Service, r.Address, r.Region, r.Zone, dash(r.State), dash(r.Owner), r.Epoch)
+		}
+	})
+}
+
+func targetRows(ctx context.Context, s store.Store) ([]targetRow, error) {
+	config, err := archive.Read(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	listed, err := presence(ctx, s, "target")
+	if err != nil {
+		return nil, err
+	}
+	tables, err := assignments(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	owners := map[string]host.Row{}
+	for _, t := range tables {
+		for _, row := range t.Rows {
+			owners[row.Runner] = row
+		}
+	}
+	rows := []targetRow{}
+	for _, name := range slices.Sorted(maps.Keys(config.Targets)) {
+		t, owner := config.Targets[name], owners[name]
+		rows = append(rows, targetRow{Name: name, Service: t.Service, Address: t.Address, Region: t.Region, Zone: t.Zone,
+			State: listed[name], Owner: owner.Owner, Epoch: owner.Epoch})
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/jacinthctl/internal/command/version.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+)
+
+type versionCommand struct{ output }
+
+func (*versionCommand) Name() string     { return "version" }
+func (*versionCommand) Synopsis() string { return "show the program's version" }
+func (*versionCommand) Usage() string {
+	return `version:
+  Show the commit that the program was built from and the Go version.
+`
+}
+
+func (c *versionCommand) SetFlags(f *flag.FlagSet) { c.jsonFlag(f) }
+
+// A versionAnswer is what the program was built from.
+type versionAnswer struct {
+	Version string `json:"version"`
+	Commit  string `json:"commit"`
+	Go      string `json:"go"`
+}
+
+func (c *versionCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.usage("version: no arguments")
+	}
+	answer := versionAnswer{Version: "unknown", Commit: "unknown"}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		answer.Version, answer.Go = info.Main.Version, info.GoVersion
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				answer.Commit = s.Value
+			}
+		}
+	}
+	return c.print(answer, func(w io.Writer) {
+		fmt.Fprintf(w, "jacinthctl %s, commit %s, %s\n", answer.Version, answer.Commit, answer.Go)
+	})
+}
--- a/jacinthctl/main.go
+++ b/jacinthctl/main.go
@@ -1,4 +1,20 @@
-// Command jacinthctl is one of the programs of jacinthstage.
+// Command jacinthctl is the operator's command: it sends patches, shows the
+// configuration, its audit trail and the state of hosts and targets, checks
+// settings and makes keys.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"jacinthstage/jacinthctl/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
--- a/stage/patch/apply.go
+++ b/stage/patch/apply.go
@@ -63,7 +63,7 @@
 type item struct{ kind, name string }
 
 func (i item) refuse(format string, args ...any) error {
-	return &Refusal{Item: i.kind, Name: fmt.Sprintf("%.200q", i.name), Reason: fmt.Sprintf(format, args...)}
+	return &Refusal{Item: i.kind, Name: i.name, Reason: fmt.Sprintf(format, args...)}
 }
 
 // A draft is the next configuration while changes are applied to it.
@@ -104,7 +104,7 @@
 	case RemoveTarget:
 		return remove(d, &n.Targets, ItemTarget, x.Name)
 	default:
-		return item{ItemPatch, "change"}.refuse("unknown change %T", change)
+		return item{ItemPatch, fmt.Sprint(d.next.Version)}.refuse("unknown change %T", change)
 	}
 }
 
--- a/stage/patch/patch.go
+++ b/stage/patch/patch.go
@@ -1,6 +1,7 @@
 package patch
 
 import (
+	"fmt"
 	"time"
 
 	"jacinthstage/stage/adapter"
@@ -93,4 +94,52 @@
 }
 
 // Error returns the item, its name and the reason.
-func (r *Refusal) Error() string { return r.Item + " " + r.Name + ": " + r.Reason }
+func (r *Refusal) Error() string {
+	if r.Item == ItemPatch {
+		return fmt.Sprintf("%s %s: %s", r.Item, r.Name, r.Reason)
+	}
+	return fmt.Sprintf("%s %.200q: %s", r.Item, r.Name, r.Reason)
+}
+
+// Describe returns what a change does, such as "put adapter fees".
+func Describe(change Change) string {
+	r, err := recordOf(change)
+	switch {
+	case err != nil:
+		return err.Error()
+	case r.Put != nil:
+		return "put " + r.Put.describe()
+	default:
+		return "remove " + r.Remove.describe()
+	}
+}
+
+func (e entry) describe() string {
+	switch {
+	case e.Adapter != nil:
+		return ItemAdapter + " " + e.Adapter.Name
+	case e.Caller != nil:
+		return ItemCaller + " " + e.Caller.Name
+	case e.Rule != nil:
+		return ItemRule + " " + e.Rule.Name
+	case e.Service != nil:
+		return ItemService + " " + e.Service.Name
+	default:
+		return ItemTarget + " " + e.Target.Name
+	}
+}
+
+func (n names) describe() string {
+	switch {
+	case n.Adapter != "":
+		return ItemAdapter + " " + n.Adapter
+	case n.Caller != "":
+		return ItemCaller + " " + n.Caller
+	case n.Rule != "":
+		return ItemRule + " " + n.Rule
+	case n.Service != "":
+		return ItemService + " " + n.Service
+	default:
+		return ItemTarget + " " + n.Target
+	}
+}
--- a/stage/patch/snapshot.go
+++ b/stage/patch/snapshot.go
@@ -52,6 +52,18 @@
 	return Snapshot{Manifest: data, Parts: b.parts}, nil
 }
 
+// Changes returns the changes that make the configuration from an empty one,
+// services first.
+func (c *Config) Changes() ([]Change, error) {
+	var out []Change
+	err := c.entries(func(e entry) error {
+		change, err := record{Put: &e}.change()
+		out = append(out, change)
+		return err
+	})
+	return out, err
+}
+
 // entries calls add with each entry, in one order for equal configurations.
 func (c *Config) entries(add func(entry) error) error {
 	return firstError(
