traffic: caller API and the path of a request, first version

Change: completions in one piece and as server-sent events, models, the door to plain services; own runners and forwarding to other hosts; retries on NotRun or before the first byte; resumption at the offset; explicit error events; tickets held for a lost entry host; planned stop that waits for all requests.

--- /dev/null
+++ b/jacinthd/internal/traffic/forward.go
@@ -0,0 +1,240 @@
+package traffic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/engine"
+	"jacinthstage/jacinthd/internal/peer"
+)
+
+// forward sends a request to the owner of a runner and hands its answer on.
+func (s *Server) forward(ctx context.Context, q request, c control.Candidate, to sink) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.Link.Open(ctx, c.Peer, c.Owner, forwardOf(q, c.Runner, to.next()))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			s.blame(q, c, err)
+			return err
+		}
+		last, err := s.receive(q, c, m, to)
+		if last || err != nil {
+			return err
+		}
+	}
+}
+
+// receive hands one message of an answer on.
+func (s *Server) receive(q request, c control.Candidate, m peer.Message, to sink) (last bool, err error) {
+	switch m := m.(type) {
+	case peer.Admission:
+		hint := control.Hint{Waiting: m.Waiting, Running: m.Running, Resident: m.Resident}
+		s.Control.Hint(c.Runner, q.job.Ref, hint)
+		return false, to.admitted(hint, m.Stall)
+	case peer.Token:
+		if m.Index != to.next() {
+			return true, disorder(c, "token", m.Index, to.next())
+		}
+		return false, to.token(engine.Token{Index: m.Index, Text: m.Text})
+	case peer.End:
+		if m.Tokens != to.next() {
+			return true, disorder(c, "end", m.Tokens, to.next())
+		}
+		return true, to.end(engine.End{Tokens: m.Tokens})
+	default:
+		return true, errors.Errorf("traffic: host %s answered with %T", c.Owner, m)
+	}
+}
+
+func disorder(c control.Candidate, what string, got, want int) error {
+	return errors.Errorf("traffic: host %s sent %s %d, want %d", c.Owner, what, got, want)
+}
+
+// blame records a crash that the owner tells of.
+func (s *Server) blame(q request, c control.Candidate, err error) {
+	var crash *peer.Crash
+	if errors.As(err, &crash) {
+		s.crashed(q, c.Runner)
+	}
+}
+
+func forwardOf(q request, runner string, offset int) peer.Forward {
+	j := q.job
+	return peer.Forward{
+		ID: j.ID, Ref: j.Ref, Runner: runner, Service: j.Service, Caller: j.Caller, Weight: j.Weight, Priority: j.Priority,
+		Deadline: j.Deadline, Prefix: j.Prefix, Tokens: j.Tokens, Prompt: q.prompt, Offset: offset, Print: q.print,
+	}
+}
+
+func requestOf(m peer.Forward) request {
+	return request{
+		job: control.Job{
+			ID: m.ID, Ref: m.Ref, Service: m.Service, Caller: m.Caller, Weight: m.Weight, Priority: m.Priority,
+			Deadline: m.Deadline, Prefix: m.Prefix, Tokens: m.Tokens,
+		},
+		prompt: m.Prompt, print: m.Print, arrived: time.Now(),
+	}
+}
+
+// Forwarded serves a request that the host called name forwarded. ctx ends when
+// that host no longer waits, or its connection ends.
+func (s *Server) Forwarded(ctx context.Context, name string, m peer.Forward, stream *peer.Stream) {
+	s.open()
+	s.tasks.add()
+	defer s.tasks.done()
+	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
+	defer cancel()
+	q := requestOf(m)
+	err := s.accept(ctx, q, m, stream)
+	if err == nil {
+		return
+	}
+	s.log.Debug("traffic: forwarded request failed", zap.String("id", m.ID), zap.String("from", name), zap.Error(err))
+	_ = stream.Send(peer.Refuse(err))
+}
+
+// accept serves a forwarded request: on the ticket held from an earlier try
+// where there is one, else on a new one.
+func (s *Server) accept(ctx context.Context, q request, m peer.Forward, stream *peer.Stream) error {
+	if ctx.Err() != nil {
+		return errLate
+	}
+	if s.suspect(q) {
+		return errSuspect
+	}
+	to := &relay{stream: stream, want: m.Offset}
+	f, w := s.flights.enter(m.ID)
+	defer s.flights.leave(m.ID, f)
+	if w != nil {
+		s.tasks.done() // that of the held ticket
+		w.to = to
+	} else {
+		ticket, err := s.Control.Admit(ctx, m.Runner, q.job)
+		if err != nil {
+			return errors.WithMessage(err, "traffic: admit")
+		}
+		w = s.admitted(q, ticket, to)
+	}
+	w.hold = func(w *work) bool { return s.keep(f, w, stream.Lost()) }
+	return w.serve(ctx)
+}
+
+// A relay is the sink towards the host that forwarded a request.
+type relay struct {
+	stream *peer.Stream
+	want   int
+}
+
+func (r *relay) next() int { return r.want }
+
+func (r *relay) send(m peer.Message) error {
+	if err := r.stream.Send(m); err != nil {
+		return errors.WithMessage(errGone, err.Error())
+	}
+	return nil
+}
+
+func (r *relay) admitted(hint control.Hint, stall time.Duration) error {
+	return r.send(peer.Admission{Waiting: hint.Waiting, Running: hint.Running, Resident: hint.Resident, Stall: stall})
+}
+
+func (r *relay) token(t engine.Token) error {
+	r.want = t.Index + 1
+	return r.send(peer.Token{Index: t.Index, Text: t.Text})
+}
+
+func (r *relay) end(e engine.End) error { return r.send(peer.End{Tokens: e.Tokens}) }
+
+// A flight is one try at a forwarded request, in progress or with its ticket held.
+type flight struct {
+	id    string
+	held  *work
+	timer *time.Timer
+}
+
+// flights are the newest tries by request.
+type flights struct {
+	mu   sync.Mutex
+	byID map[string]*flight
+}
+
+// enter makes a new try the newest and returns the work that an earlier one
+// left behind with its ticket, nil if none.
+func (f *flights) enter(id string) (*flight, *work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byID == nil {
+		f.byID = map[string]*flight{}
+	}
+	mine := &flight{id: id}
+	before := f.byID[id]
+	f.byID[id] = mine
+	if before == nil || before.held == nil {
+		return mine, nil
+	}
+	before.timer.Stop()
+	w := before.held
+	before.held = nil
+	return mine, w
+}
+
+// leave forgets a try, unless its ticket is held.
+func (f *flights) leave(id string, mine *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byID[id] == mine && mine.held == nil {
+		delete(f.byID, id)
+	}
+}
+
+// keep decides on the ticket of a request that was sent to the engine and that
+// nobody waits for any more. A later try has a ticket of its own, so this one
+// ends without a cancel; where the link was lost, the ticket is held so that
+// the entry host can resume.
+func (s *Server) keep(mine *flight, w *work, lost bool) bool {
+	s.flights.mu.Lock()
+	defer s.flights.mu.Unlock()
+	if s.flights.byID[mine.id] != mine {
+		w.ticket.End(control.Served{})
+		return true
+	}
+	if !lost || !time.Now().Before(w.q.job.Deadline) {
+		return false
+	}
+	s.tasks.add()
+	mine.held = w
+	mine.timer = time.AfterFunc(s.limits.Resume, func() { s.drop(mine) })
+	return true
+}
+
+// drop ends a held ticket that nobody came back for. Where the runner has
+// another owner by now, that one decides what is cancelled.
+func (s *Server) drop(mine *flight) {
+	s.flights.mu.Lock()
+	w := mine.held
+	mine.held = nil
+	if w != nil && s.flights.byID[mine.id] == mine {
+		delete(s.flights.byID, mine.id)
+	}
+	s.flights.mu.Unlock()
+	if w == nil {
+		return
+	}
+	if c, ok := s.owner(w.q, w.ticket.Target.Name); ok && c.Here {
+		w.cancel()
+		return
+	}
+	w.ticket.End(control.Lost{})
+	s.tasks.done()
+}
--- /dev/null
+++ b/jacinthd/internal/traffic/path.go
@@ -0,0 +1,182 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/verdict"
+)
+
+// resumePause is the pause between tries at resuming.
+const resumePause = 100 * time.Millisecond
+
+// completions answers POST /v1/completions.
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	s.tasks.add()
+	defer s.tasks.done()
+	q, streamed, err := s.read(w, r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	base := newBase(w, q, s.limits.Stuck)
+	var to answer = &whole{base: base}
+	if streamed {
+		to = &stream{base: base}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.job.Deadline)
+	defer cancel()
+	if err := s.serve(ctx, q, to); err != nil && r.Context().Err() == nil {
+		s.log.Info("traffic: request failed", zap.String("id", q.job.ID), zap.Stringer("ref", q.job.Ref), zap.Error(err))
+		to.fail(err)
+	}
+}
+
+// serve tries runners until one has answered or no further try is allowed.
+func (s *Server) serve(ctx context.Context, q request, to answer) error {
+	if s.suspect(q) {
+		return errSuspect
+	}
+	var last error = errNoTarget
+	maybe := false // an earlier try may have run
+	tried := map[control.Candidate]bool{}
+	for {
+		c, ok := s.pick(q, tried)
+		if !ok || len(tried) > 0 && !s.retry(q) {
+			return marked(last, maybe)
+		}
+		tried[c] = true
+		err := s.try(ctx, q, c, to)
+		if err != nil && to.started() {
+			err = s.resume(ctx, q, c, to, err)
+		}
+		if err == nil {
+			s.succeeded(q)
+			return nil
+		}
+		maybe = maybe || verdict.Of(err) != verdict.NotRun
+		last = err
+		switch {
+		case ctx.Err() != nil:
+			return marked(errLate, maybe)
+		case to.started() || final(err):
+			return marked(err, maybe)
+		case s.suspect(q):
+			return marked(errSuspect, maybe)
+		}
+		to.restart()
+	}
+}
+
+// pick returns the best candidate not yet tried.
+func (s *Server) pick(q request, tried map[control.Candidate]bool) (control.Candidate, bool) {
+	for _, c := range s.Control.Route(q.job) {
+		if !tried[c] {
+			return c, true
+		}
+	}
+	return control.Candidate{}, false
+}
+
+// final reports whether err is the same on every runner.
+func final(err error) bool {
+	if errors.Is(err, errGone) {
+		return true
+	}
+	switch said(err).Code {
+	case verdict.Malformed, verdict.Unauthenticated, verdict.Forbidden, verdict.Unknown, verdict.Conflict,
+		verdict.Oversize, verdict.Invalid, verdict.Limited, verdict.Expired, verdict.Suspect:
+		return true
+	default:
+		return false
+	}
+}
+
+// try sends the request to one runner, from the answer's next token on.
+func (s *Server) try(ctx context.Context, q request, c control.Candidate, to sink) error {
+	if c.Here {
+		return s.own(ctx, q, c.Runner, to)
+	}
+	return s.forward(ctx, q, c, to)
+}
+
+// resume goes on with an answer that broke after its first byte, where it
+// began. It tries again for as long as the runner may still be reached through
+// its owner of that time.
+func (s *Server) resume(ctx context.Context, q request, c control.Candidate, to answer, err error) error {
+	until := time.Now().Add(s.limits.Resume)
+	next := to.next()
+	for ctx.Err() == nil && resumable(err) && time.Now().Before(until) {
+		s.log.Info("traffic: answer broke, resuming", zap.String("id", q.job.ID), zap.Int("offset", to.next()), zap.Error(err))
+		pause(ctx, resumePause)
+		owner, ok := s.owner(q, c.Runner)
+		if !ok {
+			continue
+		}
+		if err = s.try(ctx, q, owner, to); err == nil {
+			return nil
+		}
+		if to.next() > next {
+			next = to.next()
+			until = time.Now().Add(s.limits.Resume)
+		}
+	}
+	// The answer has begun, so whatever the last try says, it ran.
+	e := *said(err)
+	e.Verdict = verdict.MayHaveRun
+	return &e
+}
+
+// resumable reports whether the answer may go on elsewhere: the link failed, or
+// the owner did not take the request. An owner that says that the engine lost
+// the request is right.
+func resumable(err error) bool {
+	var link *peer.Fault
+	return errors.As(err, &link) || verdict.Of(err) == verdict.NotRun && !final(err)
+}
+
+// owner returns the candidate for a runner as ownership is now.
+func (s *Server) owner(q request, runner string) (control.Candidate, bool) {
+	for _, c := range s.Control.Route(q.job) {
+		if c.Runner == runner {
+			return c, true
+		}
+	}
+	return control.Candidate{}, false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) retry(q request) bool {
+	return s.Retries == nil || s.Retries.Retry(q.job.Service)
+}
+
+func (s *Server) succeeded(q request) {
+	if s.Retries != nil {
+		s.Retries.Succeeded(q.job.Service)
+	}
+}
+
+func (s *Server) suspect(q request) bool {
+	return s.Suspects != nil && s.Suspects.Refused(q.print)
+}
+
+// crashed records that a request was in progress on a runner that crashed.
+func (s *Server) crashed(q request, runner string) {
+	if s.Suspects != nil {
+		s.Suspects.Crashed(q.print, runner+"/"+q.job.ID)
+	}
+}
--- /dev/null
+++ b/jacinthd/internal/traffic/server.go
@@ -0,0 +1,218 @@
+// Package traffic is the caller API and the path of a request through a host.
+//
+// A completion goes from the host that its caller reached (the entry host) to
+// the host that owns a runner, and from there to the runner's engine; the two
+// hosts may be one. Only the owner takes tickets and speaks to the engine. The
+// entry host picks runners, retries and resumes:
+//
+//   - a try with the verdict NotRun, or any try whose answer has not reached the
+//     caller by a single byte, may be followed by a try on the next runner,
+//     within the retry budget and never past the deadline;
+//   - an answer that broke after its first byte goes on only where it began, at
+//     its offset: on the same engine, through the runner's owner of that time;
+//     where that fails it ends with an explicit error;
+//   - a refusal is given at once.
+//
+// A ticket ends after the last byte, a confirmed cancel or a clean refusal; a
+// request whose fate is unknown ends its ticket as Lost. An owner whose link to
+// the entry host broke holds the ticket for a while, so that the entry host may
+// resume, and then cancels.
+//
+// Goroutines here belong to requests; they read control's view and never touch
+// its state.
+package traffic
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/engine"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/caller"
+	"jacinthstage/stage/service"
+	"jacinthstage/stage/target"
+)
+
+// A Plain serves the calls of plain services.
+type Plain interface {
+	// Serve answers one call of who to svc. path is the decoded path behind the
+	// service's name, with its leading slash and without dot segments.
+	Serve(w http.ResponseWriter, r *http.Request, who caller.Caller, svc service.Service, path string, targets []target.Target)
+}
+
+// A Budget limits retries.
+type Budget interface {
+	// Succeeded counts a request that was answered.
+	Succeeded(service string)
+	// Retry takes the leave for one retry; false where the budget is spent.
+	Retry(service string) bool
+}
+
+// Suspects remember requests that were in progress when targets crashed.
+type Suspects interface {
+	// Refused reports whether a request with this fingerprint is to be refused.
+	Refused(fingerprint string) bool
+	// Crashed records a crash. The same crash may be recorded by several hosts
+	// and several times; its name tells that it is the same.
+	Crashed(fingerprint, crash string)
+}
+
+// Limits bound what a caller may ask for. A zero field means its default.
+type Limits struct {
+	Body     int64         // largest request body in bytes; 1 MiB
+	Header   int           // largest request header in bytes; 32 KiB
+	Tokens   int           // most tokens of one answer; 4096
+	Deadline time.Duration // distance of the deadline where a request names none; 30 s
+	Longest  time.Duration // most distant deadline that a request may name; 5 min
+	Stuck    time.Duration // a caller that takes no byte for so long is gone; 10 s
+	// Resume is how long an answer that broke waits for its runner to be
+	// reachable again, and an owner for a lost entry host to resume; 10 s.
+	Resume time.Duration
+}
+
+func (l Limits) filled() Limits {
+	fill(&l.Body, 1<<20)
+	fill(&l.Header, 32<<10)
+	fill(&l.Tokens, 4096)
+	fill(&l.Deadline, 30*time.Second)
+	fill(&l.Longest, 5*time.Minute)
+	fill(&l.Stuck, 10*time.Second)
+	fill(&l.Resume, 10*time.Second)
+	return l
+}
+
+func fill[T int | int64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// A Server serves callers, and the requests that other hosts forward. Control,
+// Engine and Link must be set before the first request, the other fields may be.
+type Server struct {
+	Control control.Control
+	Engine  *engine.Client
+	Link    *peer.Link
+	// Plain serves plain services; without it they are unknown.
+	Plain Plain
+	// Retries limits retries; nil leaves only the number of runners.
+	Retries Budget
+	// Suspects may be nil: then no request is refused for crashes.
+	Suspects Suspects
+	Limits   Limits
+	Log      *zap.Logger
+
+	once   sync.Once
+	limits Limits
+	log    *zap.Logger
+	server *http.Server
+
+	flights flights
+	tasks   tasks
+}
+
+func (s *Server) open() {
+	s.once.Do(func() {
+		s.limits = s.Limits.filled()
+		s.log = s.Log
+		if s.log == nil {
+			s.log = zap.NewNop()
+		}
+		s.server = &http.Server{
+			Handler:           s.routes(),
+			ReadHeaderTimeout: s.limits.Stuck,
+			IdleTimeout:       2 * time.Minute,
+			MaxHeaderBytes:    s.limits.Header,
+			ErrorLog:          zap.NewStdLog(s.log),
+		}
+	})
+}
+
+// Handler returns the caller API.
+func (s *Server) Handler() http.Handler {
+	s.open()
+	return s.server.Handler
+}
+
+func (s *Server) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Use(s.named)
+	r.Post("/v1/completions", s.completions)
+	r.Get("/v1/models", s.models)
+	r.HandleFunc("/service/{name}", s.service)
+	r.HandleFunc("/service/{name}/*", s.service)
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) { fail(w, errNoPath) })
+	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) { failWith(w, http.StatusMethodNotAllowed, errNoMethod) })
+	return r
+}
+
+// Serve serves callers on listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	s.open()
+	err := s.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "traffic: serve")
+}
+
+// Shutdown takes no new connection and returns once all requests, those of
+// callers and those that other hosts forwarded, have ended, or with ctx's
+// error. The link must go on being served until then.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.open()
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "traffic: shutdown")
+	}
+	return s.tasks.wait(ctx)
+}
+
+// tasks counts what must end before a planned stop does.
+type tasks struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{} // closed when the count falls to 0; nil if nobody waits
+}
+
+func (t *tasks) add() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count++
+}
+
+func (t *tasks) done() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count--
+	if t.count == 0 && t.idle != nil {
+		close(t.idle)
+		t.idle = nil
+	}
+}
+
+func (t *tasks) wait(ctx context.Context) error {
+	t.mu.Lock()
+	if t.count == 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	if t.idle == nil {
+		t.idle = make(chan struct{})
+	}
+	idle := t.idle
+	t.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "traffic: shutdown")
+	}
+}
