control: the control goroutine, the process and its commands

Cause: nothing served a request end to end. Change: one goroutine runs membership, runners, permits and routing of the decision core; the process puts listeners, link, caller API and configuration together and stops as planned.

--- /dev/null
+++ b/jacinthd/internal/control/membership.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/lease"
+	"jacinthstage/stage/runner"
+	"jacinthstage/stage/service"
+)
+
+const (
+	tablePrefix = "assign/"
+	// listPeriod is the time between two reads of the platform's list.
+	listPeriod = time.Second
+	// retryPeriod is the time from a failed watch to the next.
+	retryPeriod = time.Second
+)
+
+// memberStep passes an event to the membership and carries its actions out.
+func (l *Loop) memberStep(event host.Event) {
+	for _, action := range l.member.Step(l.now, event) {
+		l.memberAct(action)
+	}
+}
+
+func (l *Loop) memberAct(action host.Action) {
+	switch a := action.(type) {
+	case host.Get:
+		go l.get(a)
+	case host.List:
+		go l.list(a)
+	case host.Put:
+		go l.put(a)
+	case host.Delete:
+		go l.remove(a)
+	case host.Acquire:
+		l.acquire(a)
+	case host.Release:
+		l.release(a.Runner)
+	case host.Handover:
+		l.handover(a)
+	case host.Renewed:
+		l.lease = a.Until
+		l.permits.renew(l)
+		l.eachRunner(runner.Renewed{Lease: a.Until})
+	case host.Lapsed:
+		l.Log.Info("lease: lapsed")
+		l.lease = l.now
+		l.permits.renew(l)
+		l.eachRunner(runner.Lapsed{})
+	case host.Members:
+		l.tables[l.Region] = a.Table
+		l.permits.elect(l)
+		l.dirty = true
+	case host.Replaced:
+		l.Log.Error("lease: another process runs under this name")
+		l.halt()
+	case host.Stopped:
+		l.Log.Info("lease: given up")
+		l.halt()
+	default:
+		panic(fmt.Sprintf("control: action %T of the membership", action))
+	}
+}
+
+// halt tells Stop that the membership has ended.
+func (l *Loop) halt() {
+	select {
+	case <-l.stopped:
+	default:
+		close(l.stopped)
+	}
+}
+
+// Stop starts a planned stop and returns once every runner was handed over and
+// the lease given up, or ctx ended.
+func (l *Loop) Stop(ctx context.Context) error {
+	l.post(stop{})
+	select {
+	case <-l.stopped:
+		return nil
+	case <-l.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Stopped is closed once this host's membership has ended for good.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+func (l *Loop) get(a host.Get) {
+	object, err := l.Store.Get(l.ctx, a.Key)
+	switch {
+	case err == nil:
+		l.post(stored{host.Found{Call: a.Call, Version: object.Version, Value: object.Value}})
+	case errors.Is(err, store.ErrMissing):
+		l.post(stored{host.Missing{Call: a.Call}})
+	default:
+		l.post(stored{failed(a.Call, err)})
+	}
+}
+
+func (l *Loop) list(a host.List) {
+	var objects []host.Object
+	after := ""
+	for {
+		page, err := l.Store.List(l.ctx, a.Prefix, after)
+		if err != nil {
+			l.post(stored{failed(a.Call, err)})
+			return
+		}
+		for _, o := range page.Objects {
+			objects = append(objects, host.Object{Key: o.Key, Version: o.Version, Value: o.Value})
+			after = o.Key
+		}
+		if !page.More {
+			l.post(stored{host.Listed{Call: a.Call, Objects: objects}})
+			return
+		}
+	}
+}
+
+func (l *Loop) put(a host.Put) {
+	var object store.Object
+	var err error
+	if a.Version == 0 {
+		object, err = l.Store.Create(l.ctx, a.Key, a.Value)
+	} else {
+		object, err = l.Store.Update(l.ctx, a.Key, a.Version, a.Value)
+	}
+	if err != nil {
+		l.post(stored{failed(a.Call, err)})
+		return
+	}
+	l.post(stored{host.Wrote{Call: a.Call, Version: object.Version}})
+}
+
+func (l *Loop) remove(a host.Delete) {
+	if err := l.Store.Delete(l.ctx, a.Key, a.Version); err != nil {
+		l.post(stored{failed(a.Call, err)})
+		return
+	}
+	l.post(stored{host.Deleted{Call: a.Call}})
+}
+
+func failed(call uint64, err error) host.Failed {
+	cause := lease.Unknown
+	switch {
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrMissing):
+		cause = lease.Conflict
+	case errors.Is(err, store.ErrUnavailable):
+		cause = lease.Unavailable
+	}
+	return host.Failed{Call: call, Cause: cause}
+}
+
+// watchTables follows the tables of all regions until ctx ends.
+func (l *Loop) watchTables(ctx context.Context) {
+	for ctx.Err() == nil {
+		page, err := l.Store.List(ctx, tablePrefix, "")
+		if err == nil {
+			for _, o := range page.Objects {
+				l.seeTable(o)
+			}
+			err = l.Store.Watch(ctx, tablePrefix, page.Revision, func(c store.Change) {
+				if put, ok := c.(store.Put); ok {
+					l.seeTable(put.Object)
+				}
+			})
+		}
+		l.Log.Debug("host: watch ended", zap.Error(err))
+		pause(ctx, retryPeriod)
+	}
+}
+
+func (l *Loop) seeTable(o store.Object) {
+	l.post(watched{region: strings.TrimPrefix(o.Key, tablePrefix), object: o})
+}
+
+// table takes a region's table in. That of this host's own region goes through
+// the membership.
+func (l *Loop) table(w watched) {
+	if w.region == l.Region {
+		l.memberStep(host.Watched{Version: w.object.Version, Value: w.object.Value})
+		return
+	}
+	table, err := host.Decode(w.object.Value)
+	if err != nil {
+		l.Log.Error("host: unreadable table", zap.String("region", w.region), zap.Error(err))
+		return
+	}
+	l.tables[w.region] = table
+	l.dirty = true
+}
+
+// watchPresence reads the platform's list again and again until ctx ends.
+func (l *Loop) watchPresence(ctx context.Context) {
+	for ctx.Err() == nil {
+		all, err := l.Store.Hosts(ctx)
+		if err == nil {
+			l.post(listed{all})
+		}
+		pause(ctx, listPeriod)
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+var states = map[string]host.State{"live": host.Live, "leaving": host.Leaving, "gone": host.Gone}
+
+// present takes the platform's list in: hosts for the membership, targets for routing.
+func (l *Loop) present(all []store.Presence) {
+	for _, p := range all {
+		if p.Kind == "host" {
+			l.memberStep(host.Presence{Name: p.Name, State: states[p.State]})
+			continue
+		}
+		if l.presence[p.Name] == p.State {
+			continue
+		}
+		l.presence[p.Name] = p.State
+		l.dirty = true
+		if o, ok := l.owned[p.Name]; ok && p.State != "live" {
+			l.runnerStep(o, runner.Leaving{})
+		}
+	}
+}
+
+// fit reports whether the platform's list allows new work for a target.
+func (l *Loop) fit(name string) bool {
+	state, known := l.presence[name]
+	return !known || state == "live"
+}
+
+// tellRunners tells the membership which runners the configuration has in this region.
+func (l *Loop) tellRunners() {
+	var runners []host.Runner
+	for _, t := range l.config.Targets {
+		engine, ok := l.config.Services[t.Service].Kind().(*service.Engine)
+		if !ok || t.Region != l.Region {
+			continue
+		}
+		r := host.Runner{Name: t.Name, Zone: t.Zone, Fencing: host.Ignored{}}
+		if engine.Fenced {
+			r.Fencing = host.Checked{}
+		}
+		runners = append(runners, r)
+	}
+	l.memberStep(host.Runners{Config: l.config.Version, Runners: runners})
+}
--- /dev/null
+++ b/jacinthd/internal/control/ownership.go
@@ -0,0 +1,350 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/engine"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/load"
+	"jacinthstage/stage/runner"
+	"jacinthstage/stage/service"
+	"jacinthstage/stage/target"
+	"jacinthstage/stage/verdict"
+)
+
+const (
+	// pollPeriod is the time between two reports asked of an engine.
+	pollPeriod = 2 * time.Second
+	// repollPeriod is the same while the engine gives none.
+	repollPeriod = 300 * time.Millisecond
+	// cancelTimeout limits the wait for an engine's confirmation.
+	cancelTimeout = 5 * time.Second
+	// tellTimeout limits the telling of another host.
+	tellTimeout = 2 * time.Second
+)
+
+// An ownership is one runner that this host owns, or that it owned and still
+// has requests on.
+type ownership struct {
+	runner  runner.Runner
+	target  target.Target
+	epoch   uint32
+	from    string // earlier owner
+	waiting map[string]waiter
+	tickets map[string]adapterPin
+	polling time.Time // when the next report is asked for; zero while one is
+	silent  bool      // the engine gave no report when last asked
+	handing bool
+}
+
+// A waiter is a job that waits to be admitted.
+type waiter struct {
+	job   Job
+	reply chan decision
+}
+
+// An adapterPin is a job with a ticket.
+type adapterPin struct{ admitted time.Time }
+
+// A decision answers a waiter: one of the two is set.
+type decision struct {
+	ticket *Ticket
+	err    *verdict.Error
+}
+
+// acquire takes a runner in, as soon as the configuration has its target.
+func (l *Loop) acquire(a host.Acquire) {
+	l.acquired[a.Runner] = a
+	l.takeAcquired()
+}
+
+func (l *Loop) takeAcquired() {
+	for name, a := range l.acquired {
+		t, ok := l.config.Targets[name]
+		if !ok {
+			continue
+		}
+		delete(l.acquired, name)
+		l.own(a, t)
+	}
+}
+
+func (l *Loop) own(a host.Acquire, t target.Target) {
+	o := l.owned[a.Runner]
+	if o == nil {
+		o = &ownership{waiting: map[string]waiter{}, tickets: map[string]adapterPin{}}
+		o.runner = runner.Runner{Name: t.Name, Slots: t.Slots, Batch: t.Batch, Policy: l.Runner, Limit: l.Queue}
+		if kind, ok := l.config.Services[t.Service].Kind().(*service.Engine); ok {
+			o.runner.Fenced = kind.Fenced
+		}
+		l.owned[a.Runner] = o
+	}
+	o.target = t
+	o.epoch = a.Epoch
+	o.from = a.From
+	o.handing = false
+	o.polling = l.now
+	l.dirty = true
+	l.Log.Info("host: acquired a runner", zap.String("runner", a.Runner), zap.Uint32("epoch", a.Epoch),
+		zap.String("from", a.From), zap.Bool("inherited", a.Inherited))
+	l.runnerStep(o, runner.Owned{
+		Epoch:     a.Epoch,
+		Inherited: a.Inherited,
+		Until:     l.now.Add(l.Longest),
+		Lease:     l.lease,
+	})
+	if !l.fit(t.Name) {
+		l.runnerStep(o, runner.Leaving{})
+	}
+}
+
+// release gives a runner up at once. Requests in progress go on to their end.
+func (l *Loop) release(name string) {
+	delete(l.acquired, name)
+	o := l.owned[name]
+	if o == nil {
+		return
+	}
+	l.Log.Info("host: released a runner", zap.String("runner", name), zap.Uint32("epoch", o.epoch),
+		zap.Int("running", len(o.tickets)))
+	l.runnerStep(o, runner.Releasing{})
+	delete(l.owned, name)
+	l.dirty = true
+	l.former[o] = true
+	l.finishFormer(o)
+}
+
+// handover drains a runner for another host.
+func (l *Loop) handover(a host.Handover) {
+	o := l.owned[a.Runner]
+	if o == nil {
+		delete(l.acquired, a.Runner)
+		l.memberStep(host.Drained{Runner: a.Runner})
+		return
+	}
+	l.Log.Info("host: handing a runner over", zap.String("runner", a.Runner), zap.String("to", a.To))
+	o.handing = true
+	l.dirty = true
+	l.runnerStep(o, runner.Releasing{})
+}
+
+// finishFormer tells the present owner once no request of this host is left.
+func (l *Loop) finishFormer(o *ownership) {
+	if !l.former[o] || len(o.tickets) > 0 {
+		return
+	}
+	delete(l.former, o)
+	row, ok := l.tables[l.Region].Row(o.target.Name)
+	if !ok || row.Owner == "" || row.Owner == l.Self.Name {
+		return
+	}
+	owner, ok := l.tables[l.Region].Member(row.Owner)
+	if !ok {
+		return
+	}
+	message := peer.Drained{Runner: o.target.Name, Epoch: uint64(o.epoch)}
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, tellTimeout)
+		defer cancel()
+		if _, err := l.Link.Call(ctx, owner.Peer, owner.Name, message); err != nil {
+			l.Log.Info("host: the new owner was not told of the drain", zap.String("runner", message.Runner), zap.Error(err))
+		}
+	}()
+}
+
+// inherit takes in that an earlier owner has drained a runner.
+func (l *Loop) inherit(d drained) {
+	o := l.owned[d.runner]
+	if o == nil {
+		return
+	}
+	row, ok := l.tables[l.Region].Row(d.runner)
+	if ok && row.Epoch == o.epoch && row.Prior == d.epoch {
+		l.runnerStep(o, runner.Drained{})
+	}
+}
+
+// eachRunner passes an event to every runner owned here.
+func (l *Loop) eachRunner(event runner.Event) {
+	for _, o := range l.owned {
+		l.runnerStep(o, event)
+	}
+}
+
+// runnerStep passes an event to a runner and carries its actions out.
+func (l *Loop) runnerStep(o *ownership, event runner.Event) {
+	for _, action := range o.runner.Step(l.now, event) {
+		l.runnerAct(o, action)
+	}
+}
+
+func (l *Loop) runnerAct(o *ownership, action runner.Action) {
+	switch a := action.(type) {
+	case runner.Admit:
+		l.admit(o, a)
+	case runner.Refuse:
+		l.refuse(o, a)
+	case runner.Order:
+		l.Metrics.order(a.Kind.String())
+		go l.order(o, a)
+	case runner.Ask:
+		l.permits.step(l, load.Asked{Want: load.Want{Runner: o.target.Name, Ref: a.Ref, Waiting: a.Waiting}})
+	case runner.Yield:
+		l.permits.step(l, load.Yielded{Runner: o.target.Name, Ref: a.Ref, Used: a.Used})
+	case runner.Cancel:
+		go l.cancel(o, a.ID)
+	case runner.AskReport:
+		l.askReport(o)
+	case runner.Empty:
+		l.empty(o)
+	case runner.Superseded:
+		l.Log.Warn("host: superseded on a runner", zap.String("runner", o.target.Name), zap.Uint64("number", a.Number))
+		l.dirty = true
+	default:
+		panic(fmt.Sprintf("control: action %T of a runner", action))
+	}
+}
+
+func (l *Loop) admit(o *ownership, a runner.Admit) {
+	w, ok := o.waiting[a.ID]
+	if !ok {
+		panic("control: admitted a job that does not wait: " + a.ID)
+	}
+	delete(o.waiting, a.ID)
+	o.tickets[a.ID] = adapterPin{admitted: l.now}
+	l.Metrics.admitted(a.Stall, a.Resident)
+	usage := o.runner.Usage()
+	hint := Hint{Waiting: usage.Waiting, Running: usage.Running, Resident: a.Resident}
+	w.reply <- decision{ticket: Leave(o.target, a.Before, hint, a.Stall, func(outcome Outcome) {
+		l.post(ended{owner: o, id: a.ID, outcome: outcome})
+	})}
+}
+
+func (l *Loop) refuse(o *ownership, a runner.Refuse) {
+	w, ok := o.waiting[a.ID]
+	if !ok {
+		return
+	}
+	delete(o.waiting, a.ID)
+	l.Metrics.refused(string(a.Err.Code))
+	w.reply <- decision{err: a.Err}
+}
+
+// empty says that a runner that was stopped has nothing left.
+func (l *Loop) empty(o *ownership) {
+	if o.handing && l.owned[o.target.Name] == o {
+		l.memberStep(host.Drained{Runner: o.target.Name})
+	}
+}
+
+// order sends an order to the engine and posts what became of it.
+func (l *Loop) order(o *ownership, a runner.Order) {
+	var order engine.Order
+	switch a.Kind {
+	case runner.Load:
+		order = engine.Load{Ref: a.Ref}
+	case runner.Unload:
+		order = engine.Unload{Ref: a.Ref}
+	case runner.Fence:
+		order = engine.Fence{}
+	default:
+		panic(fmt.Sprintf("control: order %v", a.Kind))
+	}
+	receipt, err := l.Engines.Order(l.ctx, o.target.Address, order, a.Number, a.Deadline)
+	l.post(answered{owner: o, event: outcomeOf(a, receipt, err)})
+}
+
+// outcomeOf tells what an engine's answer to an order means.
+func outcomeOf(a runner.Order, receipt engine.Receipt, err error) runner.Answered {
+	event := runner.Answered{Number: a.Number, Highest: receipt.Number, Incarnation: receipt.Incarnation}
+	if err == nil {
+		event.Answer = runner.Done
+		return event
+	}
+	var refusal *engine.Refusal
+	if !errors.As(err, &refusal) {
+		if verdict.Of(err) == verdict.NotRun {
+			event.Answer = runner.Failed
+		}
+		return event
+	}
+	event.Highest = refusal.Number
+	switch refusal.Reason {
+	case engine.Fenced:
+		event.Answer = runner.Fenced
+	case engine.Full:
+		event.Answer = runner.Full
+	case engine.Absent:
+		event.Answer = runner.Missing
+	default:
+		event.Answer = runner.Failed
+	}
+	return event
+}
+
+func (l *Loop) cancel(o *ownership, id string) {
+	ctx, stop := context.WithTimeout(l.ctx, cancelTimeout)
+	defer stop()
+	if _, err := l.Engines.Cancel(ctx, o.target.Address, id); err == nil {
+		l.post(cancelled{owner: o, id: id})
+	}
+}
+
+// poll asks for a report where one is due.
+func (l *Loop) poll(o *ownership) {
+	if due(o.polling, l.now) {
+		l.askReport(o)
+	}
+}
+
+func (l *Loop) askReport(o *ownership) {
+	o.polling = time.Time{}
+	go func() {
+		report, err := l.Engines.Report(l.ctx, o.target.Address)
+		if err != nil {
+			l.post(reported{owner: o})
+			return
+		}
+		l.post(reported{owner: o, report: convert(report)})
+	}()
+}
+
+func convert(r engine.Report) *runner.Report {
+	out := &runner.Report{Number: r.Number, Made: r.Made, Incarnation: r.Incarnation}
+	for _, s := range r.Slots {
+		out.Slots = append(out.Slots, runner.Occupied{Ref: s.Adapter, Loading: s.State == "loading", Requests: s.Requests})
+	}
+	return out
+}
+
+func (l *Loop) report(p reported) {
+	o := p.owner
+	silent := p.report == nil
+	if silent != o.silent {
+		o.silent = silent
+		l.dirty = true
+		l.Log.Info("engine: reports", zap.String("runner", o.target.Name), zap.Bool("answered", !silent))
+	}
+	if silent {
+		o.polling = l.now.Add(repollPeriod)
+		return
+	}
+	o.polling = l.now.Add(pollPeriod)
+	l.runnerStep(o, runner.Reported{Report: *p.report})
+}
+
+// crash asks an engine whose connections broke for a report, which tells
+// whether it restarted.
+func (l *Loop) crash(p crashed) {
+	l.Metrics.crashed()
+	l.Log.Warn("engine: ended with requests in progress", zap.String("runner", p.runner), zap.Strings("requests", p.ids))
+	if o := l.owned[p.runner]; o != nil {
+		l.askReport(o)
+	}
+}
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -25,6 +25,7 @@
 var kinds = []Message{
 	Forward{}, Admission{}, Token{}, End{}, Refusal{}, Done{},
 	Ask{}, Grant{}, Yield{}, Drained{}, Config{}, Patches{}, Suspect{},
+	Want{}, Permits{},
 }
 
 var numbers = func() map[reflect.Type]byte {
@@ -132,7 +133,7 @@
 		whole = m.Ref != adapter.Ref{}
 	case Token:
 		whole = m.Index >= 0
-	case Admission, End, Refusal, Done, Drained, Config, Patches, Suspect:
+	case Admission, End, Refusal, Done, Drained, Config, Patches, Suspect, Want, Permits:
 	default:
 		return errors.Errorf("peer: no check for %T", m)
 	}
--- /dev/null
+++ b/jacinthd/internal/process/process.go
@@ -0,0 +1,202 @@
+// Package process puts the parts of a host's process together: it opens what
+// the host listens on, starts the goroutines, and carries out a planned stop.
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/engine"
+	"jacinthstage/jacinthd/internal/follow"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/traffic"
+	"jacinthstage/jacinthd/settings"
+	"jacinthstage/jacinthd/store/remote"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/lease"
+)
+
+const (
+	// headerTimeout limits the reading of a request's header.
+	headerTimeout = 10 * time.Second
+	// incarnationSize is the length of an incarnation's name, in bytes.
+	incarnationSize = 8
+	// stopMargin is how long a planned stop may take beyond the latest deadline
+	// of a request.
+	stopMargin = 10 * time.Second
+	// unreadyPeriod is how long a stopping host still takes requests, so that
+	// the balancer sees that it is not ready.
+	unreadyPeriod = 500 * time.Millisecond
+)
+
+// A Process is one host's process. Use New.
+type Process struct {
+	settings settings.Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	caller   net.Listener
+	admin    net.Listener
+	link     *peer.Link
+	engines  *engine.Client
+	loop     *control.Loop
+	follower *follow.Follower
+	traffic  *traffic.Server
+	stopping atomic.Bool
+}
+
+// New opens what the host listens on and loads its keys. An error names the
+// settings key at fault.
+func New(s settings.Settings, log *zap.Logger) (*Process, error) {
+	p := &Process{settings: s, log: log, registry: prometheus.NewRegistry(), engines: &engine.Client{}}
+	identity, err := peer.Credentials{
+		Authority:   s.Keys.Authority,
+		Certificate: s.Keys.Certificate,
+		Key:         s.Keys.Key,
+	}.Load()
+	if err != nil {
+		return nil, errors.Wrap(err, "keys")
+	}
+	if identity.Name != s.Host.Name {
+		return nil, errors.Errorf("keys.certificate: is for host %s, not %s", identity.Name, s.Host.Name)
+	}
+	if p.caller, err = net.Listen("tcp", s.Listen.Caller.String()); err != nil {
+		return nil, errors.Wrap(err, "listen.caller")
+	}
+	if p.admin, err = net.Listen("tcp", s.Listen.Admin.String()); err != nil {
+		return nil, errors.Wrap(err, "listen.admin")
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Listen.Peer))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen.peer")
+	}
+	p.link = &peer.Link{Identity: identity, Conn: conn, Log: log, Region: p.regionOf}
+	return p, p.assemble()
+}
+
+// assemble makes the parts and tells them of each other.
+func (p *Process) assemble() error {
+	s := p.settings
+	objects, err := remote.New(s.Platform.Address)
+	if err != nil {
+		return errors.Wrap(err, "platform.address")
+	}
+	metrics := &control.Metrics{}
+	metrics.Register(p.registry)
+	p.loop = &control.Loop{
+		Self: host.Identity{
+			Name:        s.Host.Name,
+			Incarnation: incarnation(),
+			Peer:        s.Listen.Peer,
+			Zone:        s.Host.Zone,
+		},
+		Region:  s.Host.Region,
+		Store:   objects,
+		Engines: p.engines,
+		Link:    p.link,
+		Log:     p.log,
+		Terms:   lease.Terms{Term: s.Lease.Time, Renewal: s.Lease.Renewal},
+		Longest: s.Limits.Longest,
+		Queue:   s.Limits.Queue,
+		Rate:    s.Load.Rate,
+		Flight:  s.Load.Flight,
+		Metrics: metrics,
+	}
+	p.loop.Start()
+	p.follower = &follow.Follower{
+		Host:    s.Host.Name,
+		Store:   objects,
+		Publish: p.loop.Configure,
+		Log:     p.log,
+	}
+	p.traffic = &traffic.Server{
+		Control: p.loop,
+		Engine:  p.engines,
+		Link:    p.link,
+		Log:     p.log,
+		Limits: traffic.Limits{
+			Body:     int64(s.Limits.Body),
+			Deadline: s.Limits.Deadline,
+			Longest:  s.Limits.Longest,
+		},
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then carries out a planned stop. Its error
+// says what ended the process otherwise.
+func (p *Process) Run(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, run := errgroup.WithContext(run)
+	admin := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(p.log)}
+	group.Go(func() error { p.loop.Run(run); return nil })
+	group.Go(func() error { return ended(p.follower.Run(run)) })
+	group.Go(func() error { return p.link.Serve(run, p.serve) })
+	group.Go(func() error { return p.traffic.Serve(p.caller) })
+	group.Go(func() error { return served(admin.Serve(p.admin)) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			p.stop()
+		case <-p.loop.Stopped():
+			p.log.Error("host: the membership ended")
+		case <-run.Done():
+		}
+		_ = admin.Close()
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	_ = p.link.Close()
+	p.engines.Close()
+	return err
+}
+
+// stop hands the runners over and lets what is in progress finish.
+func (p *Process) stop() {
+	p.log.Info("host: planned stop")
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Limits.Longest+stopMargin)
+	defer cancel()
+	p.stopping.Store(true)
+	time.Sleep(unreadyPeriod)
+	if err := p.loop.Stop(ctx); err != nil {
+		p.log.Error("host: runners not handed over", zap.Error(err))
+	}
+	if err := p.traffic.Shutdown(ctx); err != nil {
+		p.log.Error("host: requests cut", zap.Error(err))
+	}
+	p.log.Info("host: stopped")
+}
+
+// ended drops the error of a part that ended with its context.
+func ended(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// served drops the error of a server that was closed.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func incarnation() string {
+	var b [incarnationSize]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
