--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -128,7 +128,7 @@
 		}
 		l.tick()
 		l.publish()
-		timer.Reset(max(l.next().Sub(time.Now()), 0))
+		timer.Reset(max(time.Until(l.next()), 0))
 	}
 }
 
