--- /dev/null
+++ b/jacinthd/internal/peer/stream.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"jacinthstage/stage/verdict"
+)
+
+// A Stream is one call in progress, at either end. Send and Recv are each for
+// one goroutine at a time; Close may be called from any.
+type Stream struct {
+	raw   *quic.Stream
+	count *Volume
+	done  func()
+	stop  func() bool
+	once  sync.Once
+	lost  atomic.Bool
+}
+
+func newStream(raw *quic.Stream, count *Volume) *Stream {
+	return &Stream{raw: raw, count: count, done: func() {}, stop: func() bool { return true }}
+}
+
+// follow gives up the stream when ctx ends, which tells the peer.
+func (s *Stream) follow(ctx context.Context) {
+	s.stop = context.AfterFunc(ctx, s.abandon)
+}
+
+func (s *Stream) abandon() {
+	s.raw.CancelRead(streamGone)
+	s.raw.CancelWrite(streamGone)
+}
+
+// Send sends a message. After an error the peer may have got it.
+func (s *Stream) Send(m Message) error {
+	n, err := write(s.raw, m)
+	s.count.sent.Add(uint64(n))
+	if err != nil {
+		return s.broken(err)
+	}
+	return nil
+}
+
+// Recv returns the peer's next message. A Refusal comes back as a
+// *verdict.Error, or as a *Crash around one; other errors are a *Fault.
+func (s *Stream) Recv() (Message, error) {
+	m, n, err := read(s.raw)
+	s.count.received.Add(uint64(n))
+	if err != nil {
+		return nil, s.broken(err)
+	}
+	refusal, ok := m.(Refusal)
+	if !ok {
+		return m, nil
+	}
+	said := &verdict.Error{Verdict: refusal.Verdict, Code: refusal.Code, Message: refusal.Text, Again: refusal.Again}
+	if refusal.Crash {
+		return nil, &Crash{Err: said}
+	}
+	return nil, said
+}
+
+// Lost reports whether the connection itself ended, as opposed to the peer's
+// giving up this call alone.
+func (s *Stream) Lost() bool {
+	return s.lost.Load() || errors.Is(context.Cause(s.raw.Context()), net.ErrClosed)
+}
+
+// Close ends the call. A peer that still sends is told to stop.
+func (s *Stream) Close() {
+	s.once.Do(func() {
+		s.stop()
+		_ = s.raw.Close()
+		s.raw.CancelRead(streamGone)
+		s.done()
+	})
+}
+
+// broken notes whether the connection ended: quic-go's errors of that kind,
+// and no others, are net.ErrClosed.
+func (s *Stream) broken(cause error) error {
+	if errors.Is(cause, net.ErrClosed) {
+		s.lost.Store(true)
+	}
+	return &Fault{cause}
+}
+
+// A Fault is a failure of the link with a call in progress. The peer may have
+// got the call and may go on with it.
+type Fault struct{ cause error }
+
+// Error returns the cause.
+func (f *Fault) Error() string { return "peer: the link failed: " + f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.cause }
+
+// As makes a Fault readable as a *verdict.Error.
+func (f *Fault) As(target any) bool {
+	into, ok := target.(**verdict.Error)
+	if ok {
+		*into = &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the link between hosts failed"}
+	}
+	return ok
+}
+
+// A Crash is the refusal of a request whose runner's process ended with it in
+// progress.
+type Crash struct{ Err *verdict.Error }
+
+// Error returns the refusal's text.
+func (c *Crash) Error() string { return c.Err.Error() }
+
+// Unwrap returns the refusal.
+func (c *Crash) Unwrap() error { return c.Err }
+
+// Refuse returns the Refusal that tells a peer err.
+func Refuse(err error) Refusal {
+	var crash *Crash
+	refusal := Refusal{Code: verdict.Broken, Text: "the request failed", Crash: errors.As(err, &crash)}
+	var said *verdict.Error
+	if errors.As(err, &said) {
+		refusal.Verdict, refusal.Code, refusal.Text, refusal.Again = said.Verdict, said.Code, said.Message, said.Again
+	}
+	return refusal
+}
