--- /dev/null
+++ b/standin/internal/load/try.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthstage/standin/internal/plan"
+)
+
+// An outcome is how one try ended: answered, refused, failed, wrong, doubled,
+// cut or unreached.
+type outcome interface{ outcome() }
+
+// answered is a whole answer that is right in every token.
+type answered struct {
+	stall time.Duration
+	body  string // of an issuance
+}
+
+// refused is a final answer that says that the request did not run.
+type refused struct {
+	again time.Duration // when coming back may help; negative where it does not
+}
+
+// failed is a final answer that says that the request ran or may have run.
+type failed struct{ busy bool } // busy: the same key is in progress
+
+// wrong is an answer by another model or for another prompt.
+type wrong struct{}
+
+// doubled is an answer that came twice.
+type doubled struct{}
+
+// cut is an answer whose connection broke before it was whole.
+type cut struct{}
+
+// unreached is a request that was not sent, as its host refused the connection.
+type unreached struct{}
+
+func (answered) outcome()  {}
+func (refused) outcome()   {}
+func (failed) outcome()    {}
+func (wrong) outcome()     {}
+func (doubled) outcome()   {}
+func (cut) outcome()       {}
+func (unreached) outcome() {}
+
+// complete carries a completion to its end.
+func (t *Tool) complete(ctx context.Context, c plan.Completion) outcome {
+	body, err := json.Marshal(struct {
+		Model  string `json:"model"`
+		Prompt string `json:"prompt"`
+		Tokens int    `json:"max_tokens"`
+		Stream bool   `json:"stream"`
+	}{c.Model, c.Prompt, c.Tokens, c.Stream})
+	if err != nil {
+		return failed{}
+	}
+	return t.tries(ctx, func(host netip.AddrPort) outcome {
+		start := time.Now()
+		answer, last := t.post(ctx, host, "/v1/completions", "", string(body))
+		if last != nil {
+			return last
+		}
+		defer func() { _ = answer.Body.Close() }()
+		if c.Stream {
+			return t.stream(answer.Body, c, start)
+		}
+		return whole(answer.Body, c)
+	})
+}
+
+// tries sends a request again for as long as that may help.
+func (t *Tool) tries(ctx context.Context, try func(netip.AddrPort) outcome) outcome {
+	var host netip.AddrPort
+	var last outcome = cut{}
+	for range t.Tries {
+		host = t.host(host)
+		last = try(host)
+		wait := hurdle
+		switch o := last.(type) {
+		case refused:
+			if o.again < 0 {
+				return o
+			}
+			wait = o.again
+		case cut:
+			t.tally.resent()
+		case unreached:
+			t.refusedBy(host)
+		case failed:
+			if !o.busy {
+				return o
+			}
+			wait = time.Second
+		default:
+			return last
+		}
+		if !sleep(ctx, wait) {
+			return last
+		}
+	}
+	return last
+}
+
+// post sends one try. Where the outcome is known from the answer's head, it
+// returns that; else the answer, which has status 200 or 201.
+func (t *Tool) post(ctx context.Context, host netip.AddrPort, path, key, body string) (*http.Response, outcome) {
+	// The body is a plain reader, so that the client can't send it again by itself.
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.String()+path, io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		return nil, failed{}
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Authorization", "Bearer "+t.Token)
+	r.Header.Set("Content-Type", "application/json")
+	if limit, ok := ctx.Deadline(); ok {
+		r.Header.Set("X-Deadline", limit.Add(-margin).Format(time.RFC3339Nano))
+	}
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	answer, err := t.client.Do(r)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, unreached{}
+	case err != nil:
+		return nil, cut{}
+	case answer.StatusCode < http.StatusMultipleChoices:
+		return answer, nil
+	default:
+		defer func() { _ = answer.Body.Close() }()
+		return nil, t.refusal(answer)
+	}
+}
+
+// A fault is an error answer of the caller API.
+type fault struct {
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		Verdict string `json:"verdict"`
+	} `json:"error"`
+}
+
+func (t *Tool) refusal(answer *http.Response) outcome {
+	var said fault
+	if json.NewDecoder(answer.Body).Decode(&said) != nil {
+		return cut{}
+	}
+	t.tally.code(said.Error.Code)
+	switch {
+	case said.Error.Code == "inprogress" || said.Error.Code == "conflict":
+		return failed{busy: true}
+	case said.Error.Verdict != "notrun":
+		return failed{}
+	case answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusTooManyRequests:
+		return refused{again: -1}
+	}
+	seconds, err := strconv.Atoi(answer.Header.Get("Retry-After"))
+	if err != nil {
+		seconds = 1
+	}
+	return refused{again: time.Duration(seconds) * time.Second}
+}
