--- a/stage/runner/runner.go
+++ b/stage/runner/runner.go
@@ -102,7 +102,7 @@
 func (r *Runner) handle(now time.Time, event Event) {
 	switch e := event.(type) {
 	case Owned:
-		r.own(e)
+		r.own(now, e)
 	case Renewed:
 		r.tenure.lease, r.tenure.lapsed = e.Lease, false
 	case Lapsed:
--- a/stage/runner/tenure.go
+++ b/stage/runner/tenure.go
@@ -31,7 +31,7 @@
 	need    uint64    // number that the report must reach; zero until window
 }
 
-func (r *Runner) own(e Owned) {
+func (r *Runner) own(now time.Time, e Owned) {
 	r.owned = true
 	r.stopping, r.told = "", false
 	inherited := e.Inherited || len(r.jobs) > 0
@@ -41,6 +41,10 @@
 	r.inherit = inheritance{active: inherited, until: e.Until}
 	r.known = false
 	r.first = r.number(1)
+	if inherited && !r.Fenced {
+		// The earlier owner's last order may take effect until its deadline.
+		r.hold = now.Add(loadLimit)
+	}
 }
 
 // forget drops what is known of the engine. Requests of an earlier tenure come
