traffic: failure tests; resume where no other runner is left

Change: an answer that has not started and whose only owner was lost is resumed there in place of failing; a deadline that passes at the owner is told as expired, not as a broken engine.

--- a/jacinthd/internal/traffic/fake_test.go
+++ b/jacinthd/internal/traffic/fake_test.go
@@ -22,6 +22,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,7 +163,9 @@
 	routes   func() []control.Candidate
 	own      map[string]netip.AddrPort
 	admit    func(ctx context.Context) error
+	admitted chan struct{} // told before admit is called
 	stall    time.Duration
+	lapsed   bool // tickets' leave has lapsed
 	outcomes []string
 	crashes  []string
 }
@@ -186,11 +189,16 @@
 		return nil, verdict.Refuse(verdict.Unavailable, "not owned here")
 	}
 	if admit != nil {
+		c.admitted <- struct{}{}
 		if err := admit(ctx); err != nil {
 			return nil, err
 		}
 	}
-	return control.Leave(target.Target{Name: runner, Address: addr}, time.Now().Add(time.Second), control.Hint{}, c.stall, func(o control.Outcome) {
+	before := time.Now().Add(time.Second)
+	if c.lapsed {
+		before = time.Now()
+	}
+	return control.Leave(target.Target{Name: runner, Address: addr}, before, control.Hint{}, c.stall, func(o control.Outcome) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.outcomes = append(c.outcomes, strings.TrimPrefix(fmt.Sprintf("%T", o), "control."))
@@ -274,16 +282,52 @@
 	url  string
 }
 
-func newHost(t testing.TB, config *patch.Config, identity *peer.Identity) *host {
+// A muted socket drops all datagrams, both ways, while its flag is set.
+type muted struct {
+	net.PacketConn
+	drop atomic.Bool
+}
+
+func (m *muted) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := m.PacketConn.ReadFrom(b)
+		if err != nil || !m.drop.Load() {
+			return n, from, err
+		}
+	}
+}
+
+func (m *muted) WriteTo(b []byte, to net.Addr) (int, error) {
+	if m.drop.Load() {
+		return len(b), nil
+	}
+	return m.PacketConn.WriteTo(b, to)
+}
+
+func newMuted(t testing.TB, config *patch.Config, identity *peer.Identity, set ...func(*host)) (*host, *muted) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &muted{PacketConn: conn}
+	return newHostOn(t, config, identity, m, set...), m
+}
+
+func newHost(t testing.TB, config *patch.Config, identity *peer.Identity, set ...func(*host)) *host {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	fake := &fakeControl{config: config, own: map[string]netip.AddrPort{}, routes: func() []control.Candidate { return nil }}
+	return newHostOn(t, config, identity, conn, set...)
+}
+
+func newHostOn(t testing.TB, config *patch.Config, identity *peer.Identity, conn net.PacketConn, set ...func(*host)) *host {
+	fake := &fakeControl{config: config, own: map[string]netip.AddrPort{}, admitted: make(chan struct{}, 8), routes: func() []control.Candidate { return nil }}
 	link := &peer.Link{Identity: identity, Conn: conn, Silence: silence}
 	h := &host{fake: fake, name: identity.Name, peer: netip.MustParseAddrPort(conn.LocalAddr().String())}
 	h.Server = &traffic.Server{
 		Control: fake, Engine: &engine.Client{Silence: silence}, Link: link,
 		Limits: traffic.Limits{Body: 4 << 10, Resume: 2 * time.Second},
 	}
+	for _, f := range set {
+		f(h)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	h.url = "http://" + listener.Addr().String()
@@ -307,6 +351,9 @@
 	return h
 }
 
+// patient lets engines be silent for as long as a test lasts.
+func patient(h *host) { h.Engine.Silence = patience }
+
 // here returns the candidate for a runner that h owns from now on.
 func (h *host) here(runner string, e *fakeEngine) control.Candidate {
 	h.takes(runner, e)
@@ -331,6 +378,20 @@
 	h.fake.routes = func() []control.Candidate { return candidates }
 }
 
+// gate holds a stream until opened is closed or its connection ends, and says
+// on reached that it does.
+func gate(reached chan<- struct{}, opened <-chan struct{}) step {
+	return func(_ *fakeEngine, _ http.ResponseWriter, r *http.Request, _ string, _ int) bool {
+		reached <- struct{}{}
+		select {
+		case <-opened:
+			return false
+		case <-r.Context().Done():
+			return true
+		}
+	}
+}
+
 // A reply is what a caller got.
 type reply struct {
 	status int
@@ -358,6 +419,13 @@
 	return send(t, r, headers...)
 }
 
+// later posts on a goroutine of its own; the returned function waits for the reply.
+func later(t testing.TB, h *host, body string) func() reply {
+	got := make(chan reply, 1)
+	go func() { got <- post(t, h, body) }()
+	return func() reply { return <-got }
+}
+
 func send(t testing.TB, r *http.Request, headers ...string) reply {
 	r.Header.Set("Authorization", "Bearer secret")
 	for i := 0; i < len(headers); i += 2 {
@@ -373,6 +441,29 @@
 	return reply{response.StatusCode, response.Header, string(text)}
 }
 
+// begun posts a stream and returns once the caller has got seen; the returned
+// function waits for the rest.
+func begun(t testing.TB, h *host, seen string) func() reply {
+	r, err := http.NewRequest(http.MethodPost, h.url+"/v1/completions", strings.NewReader(asStream))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer secret")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	var text strings.Builder
+	buffer := make([]byte, 1<<10)
+	for !strings.Contains(text.String(), seen) {
+		n, err := response.Body.Read(buffer)
+		require.NoError(t, err)
+		text.Write(buffer[:n])
+	}
+	return func() reply {
+		rest, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return reply{response.StatusCode, response.Header, text.String() + string(rest)}
+	}
+}
+
 const (
 	asWhole  = `{"model":"fees@v1","prompt":"p","max_tokens":4}`
 	asStream = `{"model":"fees@v1","prompt":"p","max_tokens":4,"stream":true}`
--- a/jacinthd/internal/traffic/owner.go
+++ b/jacinthd/internal/traffic/owner.go
@@ -68,7 +68,10 @@
 	for {
 		next := w.to.next()
 		err := w.stream(ctx)
-		if err == nil || ctx.Err() != nil || !w.broke(err) {
+		if err != nil && ctx.Err() != nil {
+			return w.verdict(errLate)
+		}
+		if err == nil || !w.broke(err) {
 			return w.verdict(err)
 		}
 		if w.crashed(ctx, err) {
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -43,41 +43,76 @@
 	if s.suspect(q) {
 		return errSuspect
 	}
-	var last error = errNoTarget
-	maybe := false // an earlier try may have run
-	tried := map[control.Candidate]bool{}
-	for {
-		c, ok := s.pick(q, tried)
-		if !ok || len(tried) > 0 && !s.retry(q) {
-			return marked(last, maybe)
-		}
-		tried[c] = true
-		err := s.try(ctx, q, c, to)
-		if err != nil && to.started() {
-			err = s.resume(ctx, q, c, to, err)
-		}
-		if err == nil {
+	a := &attempts{s: s, q: q, to: to, tried: map[control.Candidate]bool{}, last: errNoTarget}
+	for a.more() {
+		if err := a.step(ctx); err == nil {
 			s.succeeded(q)
 			return nil
 		}
-		maybe = maybe || verdict.Of(err) != verdict.NotRun
-		last = err
-		switch {
-		case ctx.Err() != nil:
-			return marked(errLate, maybe)
-		case to.started() || final(err):
-			return marked(err, maybe)
-		case s.suspect(q):
-			return marked(errSuspect, maybe)
+		if a.over(ctx) {
+			break
 		}
 		to.restart()
 	}
+	return marked(a.last, a.maybe)
+}
+
+// attempts are the tries at one request so far.
+type attempts struct {
+	s     *Server
+	q     request
+	to    answer
+	tried map[control.Candidate]bool
+	at    control.Candidate // of the last try
+	last  error             // of the last try
+	maybe bool              // a try may have run
+	// resumed says that the last try was one at resuming, after which there is none.
+	resumed bool
+}
+
+// more reports whether there is something to try, and for a retry takes the
+// leave. Where no runner is left, a lost link may still be found again.
+func (a *attempts) more() bool {
+	_, ok := a.pick()
+	if len(a.tried) == 0 {
+		return ok
+	}
+	return (ok || lost(a.last)) && a.s.retry(a.q)
+}
+
+// step makes one try. An answer that has started can only be resumed.
+func (a *attempts) step(ctx context.Context) error {
+	c, ok := a.pick()
+	if ok {
+		a.tried[c], a.at = true, c
+		a.last = a.s.try(ctx, a.q, c, a.to)
+	}
+	if a.last != nil && (a.to.started() || !ok) {
+		a.resumed = true
+		a.last = a.s.resume(ctx, a.q, a.at, a.to, a.last)
+	}
+	return a.last
+}
+
+// over reports whether no further try is of use after a failed one.
+func (a *attempts) over(ctx context.Context) bool {
+	a.maybe = a.maybe || verdict.Of(a.last) != verdict.NotRun
+	switch {
+	case ctx.Err() != nil:
+		a.last = errLate
+		return true
+	case a.s.suspect(a.q):
+		a.last = errSuspect
+		return true
+	default:
+		return a.resumed || a.to.started() || final(a.last)
+	}
 }
 
 // pick returns the best candidate not yet tried.
-func (s *Server) pick(q request, tried map[control.Candidate]bool) (control.Candidate, bool) {
-	for _, c := range s.Control.Route(q.job) {
-		if !tried[c] {
+func (a *attempts) pick() (control.Candidate, bool) {
+	for _, c := range a.s.Control.Route(a.q.job) {
+		if !a.tried[c] {
 			return c, true
 		}
 	}
@@ -137,8 +172,13 @@
 // the owner did not take the request. An owner that says that the engine lost
 // the request is right.
 func resumable(err error) bool {
+	return lost(err) || verdict.Of(err) == verdict.NotRun && !final(err)
+}
+
+// lost reports whether the link to the owner failed with the request in progress.
+func lost(err error) bool {
 	var link *peer.Fault
-	return errors.As(err, &link) || verdict.Of(err) == verdict.NotRun && !final(err)
+	return errors.As(err, &link)
 }
 
 // owner returns the candidate for a runner as ownership is now.
