traffic: tests of misbehaving hosts and of overlapping tries

The deadline check before sending has no test of its own: the context's deadline stops the same case.

--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/adapter"
 )
 
 // patience bounds each wait of these tests.
@@ -105,6 +107,40 @@
 	require.Equal(t, []int{1, 0}, []int{ran, cancelled})
 }
 
+// A later try reaches the owner before the end of the earlier one has: the
+// earlier one's end cancels nothing.
+func TestLaterTryOutlivesTheEarlier(t *testing.T) {
+	ids := identities(t, "entry-1", "entry-2")
+	reached, opened := make(chan struct{}, 2), make(chan struct{})
+	e := newEngine(t, at(1, gate(reached, nil)), at(2, gate(reached, opened)))
+	entry := newHost(t, configuration(t), ids["entry-1"])
+	owner := newHost(t, configuration(t), ids["entry-2"], patient)
+	owner.there("r1", e)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	forward := peer.Forward{ID: "i", Ref: adapter.Ref{Name: "fees", Version: "v1"}, Runner: "r1", Tokens: 4, Deadline: time.Now().Add(patience)}
+	earlier, err := entry.Link.Open(ctx, owner.peer, "entry-2", forward)
+	require.NoError(t, err)
+	<-reached
+	forward.Offset = 1
+	later, err := entry.Link.Open(ctx, owner.peer, "entry-2", forward)
+	require.NoError(t, err)
+	defer later.Close()
+	<-reached
+	earlier.Close()
+	eventually(t, func() bool { return len(owner.fake.ended()) == 1 })
+	close(opened)
+	var got []peer.Message
+	for range 5 {
+		m, err := later.Recv()
+		require.NoError(t, err)
+		got = append(got, m)
+	}
+	require.Equal(t, peer.End{Tokens: 4}, got[4])
+	ran, cancelled := e.total()
+	require.Equal(t, []int{1, 0}, []int{ran, cancelled})
+}
+
 // Nobody comes back for a request whose entry host was lost: it is cancelled.
 func TestLostEntryHost(t *testing.T) {
 	ids := identities(t, "entry-1", "entry-2")
@@ -256,6 +292,41 @@
 	})
 }
 
+// A host that answers out of order, short or with something else: nothing of
+// it reaches the caller as an answer.
+func TestMisbehavingHost(t *testing.T) {
+	cases := []struct {
+		name    string
+		answers []peer.Message
+	}{
+		{"gap", []peer.Message{peer.Token{Index: 0, Text: "t0 "}, peer.Token{Index: 2, Text: "t2 "}}},
+		{"doubled", []peer.Message{peer.Token{Index: 0, Text: "t0 "}, peer.Token{Index: 0, Text: "t0 "}}},
+		{"short", []peer.Message{peer.Token{Index: 0, Text: "t0 "}, peer.End{Tokens: 2}}},
+		{"no end", []peer.Message{peer.Token{Index: 0, Text: "t0 "}}},
+		{"something else", []peer.Message{peer.Token{Index: 0, Text: "t0 "}, peer.Done{}}},
+	}
+	ids := identities(t, "entry-1", "entry-2")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			entry := newHost(t, configuration(t), ids["entry-1"], func(h *host) { h.Limits.Resume = silence })
+			owner := newHost(t, configuration(t), ids["entry-2"], func(h *host) {
+				h.handler = func(_ context.Context, _ string, _ peer.Message, stream *peer.Stream) {
+					for _, m := range c.answers {
+						_ = stream.Send(m)
+					}
+				}
+			})
+			entry.route(control.Candidate{Runner: "r1", Owner: "entry-2", Peer: owner.peer})
+			got := post(t, entry, asStream)
+			text, whole := words(t, got)
+			require.Equal(t, "t0 ", text)
+			require.False(t, whole)
+			code, verdict := got.problem(t)
+			require.Equal(t, "broken mayhaverun", code+" "+verdict)
+		})
+	}
+}
+
 // suspects refuse a request after two crashes.
 type suspects struct {
 	mu      sync.Mutex
--- a/jacinthd/internal/traffic/fake_test.go
+++ b/jacinthd/internal/traffic/fake_test.go
@@ -280,6 +280,8 @@
 	name string
 	peer netip.AddrPort
 	url  string
+	// handler serves the link; nil means Forwarded.
+	handler peer.Handler
 }
 
 // A muted socket drops all datagrams, both ways, while its flag is set.
@@ -336,6 +338,10 @@
 	serving.Go(func() { _ = h.Serve(listener) })
 	serving.Go(func() {
 		_ = link.Serve(ctx, func(ctx context.Context, name string, first peer.Message, stream *peer.Stream) {
+			if h.handler != nil {
+				h.handler(ctx, name, first, stream)
+				return
+			}
 			h.Forwarded(ctx, name, first.(peer.Forward), stream)
 		})
 	})
