control: failure tests of a cluster, and the faults that they found

Cause: the wiring of the decision core had no test under failure. Change: three hosts with engines and an object API in a synctest bubble: kills, pauses, outages, lost answers, planned stop, a leaving target, cold restarts, failed loads, a grantor cut off, several together, each twice, on both kinds of engine. Found: a target that came back to the platform's list got no work again (mended: the runner keeps its counter at the same epoch); after a pause a job could be handled before the lease was found lapsed (mended: due ticks come first); an order read its target from another goroutine (mended); loads stop 30 s into an outage of the object API (KNOWN-RED). Before: TestTargetLeaves failed on both kinds, -race failed.

--- /dev/null
+++ b/jacinthd/internal/control/failure_test.go
@@ -0,0 +1,217 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/jacinthd/store"
+	"jacinthstage/jacinthd/store/memory"
+)
+
+func synctestSettle() { synctest.Wait() }
+
+// inBubble runs a test of a cluster with 3 hosts and 3 runners on a clock of its own.
+func inBubble(t *testing.T, fenced bool, test func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 3, fenced)
+		defer func() {
+			c.group.Wait()
+			c.stop()
+		}()
+		c.requireOwned()
+		test(c)
+		c.group.Wait()
+		c.requireSound()
+	})
+}
+
+// requireServing checks that after the faults the cluster serves as before them.
+func requireServing(c *cluster) {
+	c.settled()
+	c.traffic(10, 8, 10*time.Second)
+	answered, refused := c.settled()
+	require.Zero(c.t, refused, "refused after the faults")
+	require.NotZero(c.t, answered)
+	c.requireOwned()
+}
+
+func bothKinds(t *testing.T, test func(c *cluster)) {
+	t.Run("fenced", func(t *testing.T) { inBubble(t, true, test) })
+	t.Run("unfenced", func(t *testing.T) { inBubble(t, false, test) })
+}
+
+func TestServes(t *testing.T) {
+	bothKinds(t, requireServing)
+}
+
+func TestOwnerKilled(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			go c.traffic(10, 12, 20*time.Second)
+			time.Sleep(3 * time.Second)
+			victim := c.host(c.owner("runner-1"))
+			victim.kill()
+			time.Sleep(5 * time.Second)
+			c.store.Present(store.Presence{Name: victim.name, State: "gone", Kind: "host"})
+			time.Sleep(20 * time.Second)
+			c.start(victim.name)
+			time.Sleep(10 * time.Second)
+			c.requireSound()
+		}
+		requireServing(c)
+	})
+}
+
+func TestOwnerPausedAndWakes(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			go c.traffic(10, 12, 20*time.Second)
+			time.Sleep(3 * time.Second)
+			victim := c.host(c.owner("runner-1"))
+			victim.pause()
+			time.Sleep(9 * time.Second)
+			victim.wake()
+			time.Sleep(20 * time.Second)
+			c.requireSound()
+		}
+		requireServing(c)
+	})
+}
+
+func TestObjectAPIDown(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			c.settled()
+			c.store.Fault(memory.Faults{Outage: true})
+			time.Sleep(10 * time.Second)
+			c.traffic(10, 16, 2*time.Minute)
+			answered, refused := c.settled()
+			c.store.Fault(memory.Faults{})
+			time.Sleep(10 * time.Second)
+			if c.fenced() {
+				require.Zero(c.t, refused, "refused while the object API was down")
+				require.NotZero(c.t, answered)
+			}
+			c.requireSound()
+		}
+		requireServing(c)
+	})
+}
+
+func TestObjectAPISlowAndLosingAnswers(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			c.store.Fault(memory.Faults{Slow: 300 * time.Millisecond, Lose: 5})
+			c.traffic(10, 12, 30*time.Second)
+			c.store.Fault(memory.Faults{})
+		}
+		requireServing(c)
+	})
+}
+
+func TestPlannedStop(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			c.settled()
+			go c.traffic(10, 8, 20*time.Second)
+			time.Sleep(5 * time.Second)
+			leaver := c.host(c.owner("runner-1"))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			require.NoError(c.t, leaver.loop.Stop(ctx))
+			cancel()
+			c.requireOwned()
+			time.Sleep(20 * time.Second)
+			leaver.kill()
+			_, refused := c.settled()
+			require.Zero(c.t, refused, "refused during a planned stop")
+			c.start(leaver.name)
+			time.Sleep(10 * time.Second)
+		}
+		requireServing(c)
+	})
+}
+
+func TestTargetLeaves(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		go c.traffic(20, 8, 30*time.Second)
+		time.Sleep(5 * time.Second)
+		c.store.Present(store.Presence{Name: "runner-1", State: "leaving", Kind: "target"})
+		left := time.Now().Add(3 * time.Second)
+		time.Sleep(30 * time.Second)
+		f := c.named("runner-1")
+		f.mu.Lock()
+		last := f.last
+		f.mu.Unlock()
+		require.False(c.t, last.After(left), "new work %s after the list showed it leaving", last.Sub(left)+3*time.Second)
+		c.store.Present(store.Presence{Name: "runner-1", State: "live", Kind: "target"})
+		time.Sleep(5 * time.Second)
+		requireServing(c)
+		f.mu.Lock()
+		require.True(c.t, f.last.After(left), "a runner that came back gets no work")
+		f.mu.Unlock()
+	})
+}
+
+func TestEngineRestartsCold(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			go c.traffic(10, 12, 15*time.Second)
+			time.Sleep(3 * time.Second)
+			f := c.named("runner-2")
+			f.restart()
+			time.Sleep(20 * time.Second)
+		}
+		requireServing(c)
+	})
+}
+
+func TestLoadsFail(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		f := c.named("runner-1")
+		f.mu.Lock()
+		f.failLoads = 3
+		f.mu.Unlock()
+		c.traffic(10, 12, 20*time.Second)
+		requireServing(c)
+	})
+}
+
+func TestGrantorCutOff(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			c.sever("entry-1", true)
+			c.traffic(10, 12, 20*time.Second)
+			c.sever("entry-1", false)
+			c.traffic(10, 12, 5*time.Second)
+		}
+		requireServing(c)
+	})
+}
+
+// TestTogether brings a pause, an outage and a kill about at once, twice.
+func TestTogether(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			go c.traffic(10, 12, 40*time.Second)
+			time.Sleep(2 * time.Second)
+			paused := c.host("entry-1")
+			paused.pause()
+			c.store.Fault(memory.Faults{Outage: true})
+			time.Sleep(5 * time.Second)
+			c.host("entry-2").kill()
+			c.store.Present(store.Presence{Name: "entry-2", State: "gone", Kind: "host"})
+			time.Sleep(2 * time.Second)
+			paused.wake()
+			c.store.Fault(memory.Faults{Lose: 2})
+			time.Sleep(30 * time.Second)
+			c.start("entry-2")
+			time.Sleep(15 * time.Second)
+			c.requireSound()
+		}
+		requireServing(c)
+	})
+}
--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -120,18 +120,24 @@
 		case <-ctx.Done():
 			return
 		case p := <-l.posts:
-			l.now = time.Now()
+			l.wake()
 			l.handle(p)
 			l.drainPosts()
 		case <-timer.C:
-			l.now = time.Now()
+			l.wake()
 		}
-		l.tick()
 		l.publish()
 		timer.Reset(max(time.Until(l.next()), 0))
 	}
 }
 
+// wake takes the time and gives the ticks that are due before anything else is
+// handled: after a pause the lease must be found lapsed before a job is admitted.
+func (l *Loop) wake() {
+	l.now = time.Now()
+	l.tick()
+}
+
 // drainPosts handles what else has been posted, up to a burst.
 func (l *Loop) drainPosts() {
 	for range burst {
--- a/jacinthd/internal/control/membership.go
+++ b/jacinthd/internal/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -20,7 +21,7 @@
 	tablePrefix = "assign/"
 	// listPeriod is the time between two reads of the platform's list.
 	listPeriod = time.Second
-	// retryPeriod is the time from a failed watch to the next.
+	// retryPeriod is the mean time from a failed watch to the next.
 	retryPeriod = time.Second
 )
 
@@ -178,7 +179,7 @@
 			})
 		}
 		l.Log.Debug("host: watch ended", zap.Error(err))
-		pause(ctx, retryPeriod)
+		pause(ctx, retryPeriod/2+rand.N(retryPeriod))
 	}
 }
 
@@ -230,13 +231,30 @@
 			l.memberStep(host.Presence{Name: p.Name, State: states[p.State]})
 			continue
 		}
-		if l.presence[p.Name] == p.State {
-			continue
-		}
-		l.presence[p.Name] = p.State
-		l.dirty = true
-		if o, ok := l.owned[p.Name]; ok && p.State != "live" {
-			l.runnerStep(o, runner.Leaving{})
+		l.presentTarget(p)
+	}
+}
+
+// presentTarget stops new work for a target that leaves, and takes it up again
+// for one that came back.
+func (l *Loop) presentTarget(p store.Presence) {
+	former := l.fit(p.Name)
+	l.presence[p.Name] = p.State
+	if l.fit(p.Name) == former {
+		return
+	}
+	l.dirty = true
+	o := l.owned[p.Name]
+	switch {
+	case o == nil:
+	case former:
+		l.Log.Info("target: leaves", zap.String("runner", p.Name))
+		l.runnerStep(o, runner.Leaving{})
+	case !o.handing:
+		l.Log.Info("target: came back", zap.String("runner", p.Name))
+		l.runnerStep(o, runner.Owned{Epoch: o.epoch, Until: l.now.Add(l.Longest), Lease: l.lease})
+		if !l.now.Before(l.lease) {
+			l.runnerStep(o, runner.Lapsed{})
 		}
 	}
 }
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -192,13 +193,13 @@
 		l.refuse(o, a)
 	case runner.Order:
 		l.Metrics.order(a.Kind.String())
-		go l.order(o, a)
+		go l.order(o, o.target.Address, a)
 	case runner.Ask:
 		l.permits.step(l, load.Asked{Want: load.Want{Runner: o.target.Name, Ref: a.Ref, Waiting: a.Waiting}})
 	case runner.Yield:
 		l.permits.step(l, load.Yielded{Runner: o.target.Name, Ref: a.Ref, Used: a.Used})
 	case runner.Cancel:
-		go l.cancel(o, a.ID)
+		go l.cancel(o, o.target.Address, a.ID)
 	case runner.AskReport:
 		l.askReport(o)
 	case runner.Empty:
@@ -244,7 +245,7 @@
 }
 
 // order sends an order to the engine and posts what became of it.
-func (l *Loop) order(o *ownership, a runner.Order) {
+func (l *Loop) order(o *ownership, addr netip.AddrPort, a runner.Order) {
 	var order engine.Order
 	switch a.Kind {
 	case runner.Load:
@@ -256,7 +257,7 @@
 	default:
 		panic(fmt.Sprintf("control: order %v", a.Kind))
 	}
-	receipt, err := l.Engines.Order(l.ctx, o.target.Address, order, a.Number, a.Deadline)
+	receipt, err := l.Engines.Order(l.ctx, addr, order, a.Number, a.Deadline)
 	l.post(answered{owner: o, event: outcomeOf(a, receipt, err)})
 }
 
@@ -288,10 +289,10 @@
 	return event
 }
 
-func (l *Loop) cancel(o *ownership, id string) {
+func (l *Loop) cancel(o *ownership, addr netip.AddrPort, id string) {
 	ctx, stop := context.WithTimeout(l.ctx, cancelTimeout)
 	defer stop()
-	if _, err := l.Engines.Cancel(ctx, o.target.Address, id); err == nil {
+	if _, err := l.Engines.Cancel(ctx, addr, id); err == nil {
 		l.post(cancelled{owner: o, id: id})
 	}
 }
@@ -305,8 +306,9 @@
 
 func (l *Loop) askReport(o *ownership) {
 	o.polling = time.Time{}
+	addr := o.target.Address
 	go func() {
-		report, err := l.Engines.Report(l.ctx, o.target.Address)
+		report, err := l.Engines.Report(l.ctx, addr)
 		if err != nil {
 			l.post(reported{owner: o})
 			return
--- a/jacinthd/internal/control/post.go
+++ b/jacinthd/internal/control/post.go
@@ -114,6 +114,12 @@
 func (observed) post()   {}
 func (stop) post()       {}
 
+// holder is a post that holds the control goroutine; tests pause a host by one.
+type holder interface {
+	post
+	hold()
+}
+
 func (l *Loop) handle(p post) {
 	switch p := p.(type) {
 	case arrived:
@@ -146,6 +152,8 @@
 		l.permits.step(l, load.Replied{Reply: p.reply})
 	case observed:
 		l.observe(p)
+	case holder:
+		p.hold()
 	case stop:
 		l.stopping = true
 		l.dirty = true
--- a/stage/runner/event.go
+++ b/stage/runner/event.go
@@ -9,7 +9,8 @@
 // An Event is what a Runner is told. The kinds are the types below.
 type Event interface{ event() }
 
-// Owned says that this host owns the runner from now on.
+// Owned says that this host owns the runner from now on. At an epoch that it has
+// already, it ends a stop by Releasing or Leaving.
 type Owned struct {
 	// Epoch is the assignment's fencing epoch, the high bits of each order's number.
 	Epoch uint32
--- a/stage/runner/tenure.go
+++ b/stage/runner/tenure.go
@@ -36,7 +36,9 @@
 	r.stopping, r.told = "", false
 	inherited := e.Inherited || len(r.jobs) > 0
 	r.forget()
-	r.epoch, r.counter = e.Epoch, 0
+	if e.Epoch != r.epoch {
+		r.epoch, r.counter = e.Epoch, 0
+	}
 	r.tenure = tenure{lease: e.Lease}
 	r.inherit = inheritance{active: inherited, until: e.Until}
 	r.known = false
