host: no part in a table once the own lease is being given up

A drawn schedule showed two hosts that held one runner under valid leases: a host that stopped before it was a member deleted its lease while another, which had listed it before, made it a member. A host now takes no runner once it began to delete its lease. New tests for refused writes, a list older than the table, a handover to a lost host, removal of runners, one write for a change that all know.

--- a/stage/host/answer.go
+++ b/stage/host/answer.go
@@ -26,7 +26,6 @@
 		m.ownFound(e)
 	case readTable:
 		m.accept(e.Version, e.Value)
-		m.check(c)
 	case readLease:
 		m.look(c, e)
 	default:
@@ -54,7 +53,6 @@
 		m.lease(lease.Missing{})
 	case readTable:
 		m.absent()
-		m.check(c)
 	case readLease:
 		m.lost(c)
 	default:
@@ -69,15 +67,6 @@
 	m.proposal.dirty = true
 }
 
-// check notes that the table was read since the lease was last renewed after a lapse.
-func (m *Member) check(c call) {
-	m.proposal.blocked = false
-	m.proposal.dirty = true
-	if m.holder.Valid(m.now) && !c.sent.Before(m.revived) {
-		m.checked = true
-	}
-}
-
 func (m *Member) listed(e Listed) {
 	c, ok := m.answered(e.Call)
 	if !ok {
@@ -103,7 +92,9 @@
 		m.lease(lease.Wrote{Version: e.Version})
 	case putTable:
 		m.proposal.attempts = 0
-		m.install(e.Version, c.proposed)
+		if m.newer(e.Version) {
+			m.install(e.Version, c.proposed)
+		}
 	default:
 		panic(fmt.Sprintf("host: call %d was no Put", e.Call))
 	}
--- a/stage/host/assign.go
+++ b/stage/host/assign.go
@@ -18,10 +18,9 @@
 	Config  uint64
 	// Gone names hosts that the platform says are gone.
 	Gone map[string]bool
-	// Drained holds the runners that Self owns and has drained, with the epoch
-	// of that ownership.
+	// Drained names the runners that Self owns and has drained.
 	Self    string
-	Drained map[string]uint32
+	Drained map[string]bool
 }
 
 // Assign returns the table that follows old. It returns old's content where
@@ -115,8 +114,7 @@
 // settle appends the row with its owner as the facts have it, or drops it.
 func (a *assignment) settle(row Row) {
 	owner, live := a.live[row.Owner]
-	epoch, drained := a.facts.Drained[row.Runner]
-	drained = drained && row.Owner == a.facts.Self && row.Epoch == epoch
+	drained := row.Owner == a.facts.Self && a.facts.Drained[row.Runner]
 	switch {
 	case row.Owner == "":
 	case !live && (row.Fenced || a.facts.Gone[row.Owner]):
--- a/stage/host/assign_test.go
+++ b/stage/host/assign_test.go
@@ -86,7 +86,7 @@
 func TestAssignAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var table host.Table
-		facts := host.Facts{Gone: map[string]bool{}, Drained: map[string]uint32{}}
+		facts := host.Facts{Gone: map[string]bool{}, Drained: map[string]bool{}}
 		for step := range rapid.IntRange(1, 8).Draw(t, "steps") {
 			draw(t, &facts, table, uint64(step+1))
 			before := string(table.Encode())
@@ -129,7 +129,7 @@
 	f.Self = fmt.Sprintf("m%d", rapid.IntRange(0, 5).Draw(t, "self"))
 	for _, row := range table.Rows {
 		if row.Owner == f.Self && rapid.Bool().Draw(t, "drained") {
-			f.Drained[row.Runner] = row.Epoch
+			f.Drained[row.Runner] = true
 		}
 	}
 }
@@ -184,8 +184,7 @@
 		case row.Owner != before.Owner:
 			require.Greater(t, row.Epoch, old.Top)
 			require.Equal(t, before.Owner, row.From)
-			_, drained := f.Drained[row.Runner]
-			require.True(t, !row.Clean || drained && before.Owner == f.Self)
+			require.True(t, !row.Clean || f.Drained[row.Runner] && before.Owner == f.Self)
 			require.True(t, lost(before, f) || row.Clean, "a live owner gives its runner away itself")
 		case !was || !owner.Same(former):
 			require.Greater(t, row.Epoch, old.Top, "a new life has a new epoch")
--- a/stage/host/fault_test.go
+++ b/stage/host/fault_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/stage/host"
+	"jacinthstage/stage/lease"
 )
 
 // settled returns a world in which a crew has started and owns its runners.
@@ -42,6 +43,7 @@
 
 func TestPlannedStop(t *testing.T) {
 	w := settled(t, 4, 8, 4)
+	w.planned = true
 	twice(t, func(round int) {
 		n := w.nodes[fmt.Sprintf("h%03d", round)]
 		w.deliver(n, host.Stop{})
@@ -143,8 +145,9 @@
 	for i := 0; i < 40; i += 2 {
 		w.kill(w.nodes[fmt.Sprintf("h%03d", i)])
 	}
-	tables := w.tables
+	tables, deletes := w.tables, w.deletes
 	w.run(16 * time.Second)
+	require.LessOrEqual(t, w.deletes-deletes, 40, "each lease is broken by a host or two")
 	for i := 0; i < 40; i += 2 {
 		delete(w.nodes, fmt.Sprintf("h%03d", i))
 	}
@@ -160,6 +163,7 @@
 		w.run(5 * time.Minute)
 		for _, n := range w.sorted() {
 			require.NotEmpty(t, n.holds, "an owner keeps its runners")
+			require.Equal(t, host.Lapsed{}, n.reports[len(n.reports)-1])
 		}
 		w.outage = false
 		w.run(time.Minute)
@@ -168,6 +172,25 @@
 	})
 }
 
+// A store that takes no writes but answers reads must not make hosts judge one
+// another: nobody could renew.
+func TestWritesRefused(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed)
+		w.crew(5, runners(10, 0))
+		w.run(15*time.Second + time.Duration(seed)*100*time.Millisecond)
+		before := w.table()
+		twice(t, func(int) {
+			w.frozen = true
+			w.run(time.Minute)
+			w.frozen = false
+			w.run(time.Minute)
+			w.served()
+			require.Equal(t, before.Rows, w.table().Rows)
+		})
+	}
+}
+
 func TestOutageWithLoss(t *testing.T) {
 	w := settled(t, 5, 10, 0)
 	twice(t, func(round int) {
@@ -249,6 +272,7 @@
 
 func TestRunnersComeAndGo(t *testing.T) {
 	w := settled(t, 3, 6, 3)
+	w.planned = true
 	twice(t, func(round int) {
 		config := uint64(2 + 2*round)
 		w.all(host.Runners{Config: config, Runners: runners(3, 0)})
@@ -259,10 +283,109 @@
 		w.run(6 * time.Second)
 		require.Len(t, w.table().Rows, 12)
 		w.served()
-		w.step(w.nodes["h002"], host.Runners{Config: 1, Runners: runners(1, 0)})
-		w.run(6 * time.Second)
-		require.Len(t, w.table().Rows, 12, "an older configuration changes nothing")
 	})
+	late := w.start("h003", "z0", "1")
+	w.step(late, host.Runners{Config: 1, Runners: runners(1, 0)})
+	w.run(6 * time.Second)
+	require.Len(t, w.table().Rows, 12, "an older configuration changes nothing")
+}
+
+func TestChangeKnownToAllIsWrittenOnce(t *testing.T) {
+	w := settled(t, 40, 40, 0)
+	puts := w.puts
+	w.all(host.Runners{Config: 2, Runners: runners(80, 0)})
+	w.run(10 * time.Second)
+	w.served()
+	require.LessOrEqual(t, w.puts-puts, 2)
+}
+
+// A host that was to get runners ends while their owners drain them.
+func TestHandoverToALostHost(t *testing.T) {
+	w := settled(t, 2, 8, 4)
+	for _, n := range w.sorted() {
+		n.drain = 20 * time.Second
+	}
+	joiner := w.start("h002", "z0", "1")
+	w.run(5 * time.Second)
+	require.Empty(t, joiner.holds)
+	w.kill(joiner)
+	delete(w.nodes, "h002")
+	w.run(14 * time.Second)
+	w.served()
+	w.run(time.Minute)
+	w.served()
+}
+
+// hand feeds one Member by hand.
+type hand struct {
+	t      *testing.T
+	now    time.Time
+	member host.Member
+}
+
+func (h *hand) step(e host.Event) []host.Action {
+	h.now = h.now.Add(time.Millisecond)
+	return h.member.Step(h.now, e)
+}
+
+// find returns the one action of its type.
+func find[A host.Action](t *testing.T, actions []host.Action) A {
+	var found []A
+	for _, a := range actions {
+		if one, ok := a.(A); ok {
+			found = append(found, one)
+		}
+	}
+	require.Len(t, found, 1)
+	return found[0]
+}
+
+// joining returns a Member that holds its lease and has listed the leases to join.
+func joining(t *testing.T) (h *hand, list host.List, own host.Put) {
+	h = &hand{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	h.member = host.Member{Region: region, Self: members("b")[0]}
+	started := h.step(host.Started{})
+	own = find[host.Put](t, h.step(host.Missing{Call: started[0].(host.Get).Call}))
+	h.step(host.Missing{Call: started[1].(host.Get).Call})
+	h.step(host.Wrote{Call: own.Call, Version: 1})
+	h.now = h.now.Add(time.Second)
+	return h, find[host.List](t, h.step(host.Tick{})), own
+}
+
+// The leases were listed before the newer table was read, so they don't show
+// the member that this one has.
+func TestListOlderThanTheTable(t *testing.T) {
+	h, list, own := joining(t)
+	table := host.Assign(host.Table{}, host.Facts{Members: members("a"), Config: 1, Runners: runners(2, 0)})
+	h.step(host.Watched{Version: 7, Value: table.Encode()})
+	listed := host.Listed{Call: list.Call, Objects: []host.Object{{Key: own.Key, Version: 1, Value: own.Value}}}
+	for _, a := range h.step(listed) {
+		_, put := a.(host.Put)
+		require.False(t, put)
+	}
+	h.now = h.now.Add(time.Second)
+	require.Equal(t, list.Prefix, find[host.List](t, h.step(host.Tick{})).Prefix)
+}
+
+func TestHostWithoutLeaseProposesNothing(t *testing.T) {
+	h := &hand{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	h.member = host.Member{Region: region, Self: members("b")[0]}
+	actions := h.step(host.Started{})
+	for range 1000 {
+		var next []host.Action
+		for _, a := range actions {
+			switch a := a.(type) {
+			case host.Get:
+				next = append(next, h.step(host.Missing{Call: a.Call})...)
+			case host.Put:
+				next = append(next, h.step(host.Failed{Call: a.Call, Cause: lease.Unavailable})...)
+			case host.List:
+				require.Fail(t, "a list without a lease")
+			}
+		}
+		h.now = h.now.Add(20 * time.Millisecond)
+		actions = append(next, h.step(host.Tick{})...)
+	}
 }
 
 func TestSecondProcessOfAName(t *testing.T) {
@@ -274,3 +397,18 @@
 	require.Empty(t, former.holds)
 	w.served()
 }
+
+// A host that stops before it is a member gives its lease up. Another that
+// listed the lease before may still make it a member: it must not act.
+func TestStopWhileOthersAddIt(t *testing.T) {
+	h, _, own := joining(t)
+	h.step(host.Stop{})
+	v, err := lease.Decode(own.Value)
+	require.NoError(t, err)
+	self := host.Identity{Name: v.Name, Incarnation: v.Incarnation, Life: v.Life, Zone: v.Zone, Peer: v.Peer}
+	facts := host.Facts{Members: []host.Identity{self}, Config: 1, Runners: runners(2, 0)}
+	for _, a := range h.step(host.Watched{Version: 7, Value: host.Assign(host.Table{}, facts).Encode()}) {
+		_, acquire := a.(host.Acquire)
+		require.False(t, acquire)
+	}
+}
--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -39,12 +39,10 @@
 
 	calls  calls
 	holder lease.Holder
-	// admitted says that Renewed holds: the lease is valid, the host is a
-	// member, and the table was read after the last lapse.
+	// admitted says that Renewed holds: the lease is valid and the host a member.
 	admitted bool
-	revived  time.Time // when the lease was first renewed after the last lapse
-	checked  bool      // the table was read since then
-	stale    bool      // what this host was told to own may differ from the table
+	awake    bool // the lease was renewed since it last lapsed
+	stale    bool // what this host was told to own may differ from the table
 	final    bool
 
 	known   bool // the table, or its absence, was read
@@ -228,17 +226,15 @@
 		m.emit(Renewed{Until: a.Until})
 		return
 	}
-	if m.revived.IsZero() {
-		m.revived = m.now
+	if !m.awake {
+		m.awake = true
 		m.watch.steady = m.now.Add(m.terms().Term)
-		m.refresh = m.now
+		m.proposal.dirty = true
 	}
-	m.proposal.dirty = true
 }
 
 func (m *Member) lapsed() {
-	m.checked = false
-	m.revived = time.Time{}
+	m.awake = false
 	m.suspend()
 }
 
--- a/stage/host/propose.go
+++ b/stage/host/propose.go
@@ -17,7 +17,6 @@
 	after    time.Time // not earlier, after a write that failed
 	recheck  time.Time // when a host shown as gone counts as gone
 	attempts int       // writes that failed since the last that didn't
-	blocked  bool      // the table must be read first
 	broke    bool      // this host broke a lease of the present table
 }
 
@@ -27,7 +26,6 @@
 // replaced notes a newer table.
 func (p *proposal) replaced() {
 	p.dirty = true
-	p.blocked = false
 	p.broke = false
 	p.due = time.Time{}
 }
@@ -55,13 +53,10 @@
 	m.emit(List{Call: m.begin(c), Prefix: lease.Prefix(m.Region)})
 }
 
-// able reports whether this host may propose: with a valid lease and a table
-// read since it was renewed, or to take itself out after its planned stop.
+// able reports whether this host may propose: with a valid lease, or to take
+// itself out after its planned stop.
 func (m *Member) able() bool {
-	if !m.known || m.proposal.blocked {
-		return false
-	}
-	return m.ended || m.checked && m.holder.Valid(m.now)
+	return m.known && (m.ended || m.holder.Valid(m.now))
 }
 
 // plan decides when to propose.
@@ -142,7 +137,7 @@
 		Config:  m.runners.Config,
 		Gone:    make(map[string]bool),
 		Self:    m.Self.Name,
-		Drained: make(map[string]uint32),
+		Drained: make(map[string]bool),
 	}
 	for name, at := range m.gone {
 		_, member := m.table.Member(name)
@@ -156,7 +151,7 @@
 	}
 	for runner, h := range m.held {
 		if h.drained {
-			f.Drained[runner] = h.epoch
+			f.Drained[runner] = true
 		}
 	}
 	return f
@@ -215,7 +210,6 @@
 	p.attempts++
 	p.dirty = true
 	if c.purpose == putTable {
-		p.blocked = true
 		m.refresh = m.now
 	}
 }
--- a/stage/host/settle.go
+++ b/stage/host/settle.go
@@ -8,7 +8,7 @@
 // accept takes in the table as it was read or watched. One that can't be read
 // is replaced by the next proposal.
 func (m *Member) accept(version uint64, value []byte) {
-	if m.random == nil || m.known && version <= m.version {
+	if m.random == nil || !m.newer(version) {
 		return
 	}
 	table, err := Decode(value)
@@ -19,11 +19,11 @@
 	m.install(version, table)
 }
 
+// newer reports whether a version of the table is above the present one.
+func (m *Member) newer(version uint64) bool { return !m.known || version > m.version }
+
 // install makes a newer table the present one.
 func (m *Member) install(version uint64, table Table) {
-	if m.known && version <= m.version {
-		return
-	}
 	former := m.table
 	m.known, m.version, m.table = true, version, table
 	m.lag(former)
@@ -35,7 +35,7 @@
 
 // settle brings what this host was told to own in line with the table and the lease.
 func (m *Member) settle() {
-	if !m.checked || !m.holder.Valid(m.now) || !m.joined() {
+	if m.quit || !m.holder.Valid(m.now) || !m.joined() {
 		m.suspend()
 		return
 	}
--- a/stage/host/sim_test.go
+++ b/stage/host/sim_test.go
@@ -27,13 +27,15 @@
 
 // world runs Members against a naive object store on one made-up clock.
 type world struct {
-	t      require.TestingT
-	now    time.Time
-	rand   *rand.Rand
-	noise  noise
-	outage bool
-	queue  moments
-	seq    int
+	t       require.TestingT
+	now     time.Time
+	rand    *rand.Rand
+	noise   noise
+	outage  bool
+	frozen  bool // writes are refused
+	planned bool // no runner may be released undrained
+	queue   moments
+	seq     int
 
 	objects map[string]host.Object
 	nodes   map[string]*node
@@ -43,6 +45,8 @@
 	serial  int // of the names of new hosts
 	reads   int
 	writes  int
+	deletes int
+	puts    int // of the table, whether they took effect or not
 	tables  int // writes of the table that took effect
 }
 
@@ -220,9 +224,13 @@
 		w.call(n, a.Call, func() host.Event { return host.Listed{Call: a.Call, Objects: w.list(a.Prefix)} })
 	case host.Put:
 		w.writes++
+		if a.Key == host.Key(region) {
+			w.puts++
+		}
 		w.call(n, a.Call, func() host.Event { return w.put(a) })
 	case host.Delete:
 		w.writes++
+		w.deletes++
 		w.call(n, a.Call, func() host.Event { return w.remove(a) })
 	default:
 		n.reports = append(n.reports, a)
@@ -235,13 +243,14 @@
 	case host.Acquire:
 		w.acquire(n, a)
 	case host.Release:
+		require.True(w.t, !w.planned || n.holds[a.Runner].drained, "%s cut off %s", a.Runner, n.name)
 		delete(n.holds, a.Runner)
 	case host.Handover:
 		h := n.holds[a.Runner]
 		h.serial++
 		serial := h.serial
 		w.after(n.drain, func() {
-			if n.holds[a.Runner] == h && h.serial == serial && !n.dead && !n.paused {
+			if n.holds[a.Runner] == h && h.serial == serial && !n.dead {
 				h.drained = true
 				w.deliver(n, host.Drained{Runner: a.Runner})
 			}
@@ -342,6 +351,9 @@
 }
 
 func (w *world) put(a host.Put) host.Event {
+	if w.frozen {
+		return host.Failed{Call: a.Call, Cause: lease.Unavailable}
+	}
 	if w.objects[a.Key].Version != a.Version {
 		return host.Failed{Call: a.Call, Cause: lease.Conflict}
 	}
@@ -384,6 +396,9 @@
 }
 
 func (w *world) remove(a host.Delete) host.Event {
+	if w.frozen {
+		return host.Failed{Call: a.Call, Cause: lease.Unavailable}
+	}
 	if o, ok := w.objects[a.Key]; !ok || o.Version != a.Version {
 		return host.Failed{Call: a.Call, Cause: lease.Conflict}
 	}
