--- a/jacinthd/internal/peer/meter.go
+++ b/jacinthd/internal/peer/meter.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -41,3 +43,10 @@
 
 // Volume returns the count for a region.
 func (l *Link) Volume(region string) *Volume { return l.meter.of(region) }
+
+// Regions returns the regions with a count, sorted.
+func (l *Link) Regions() []string {
+	l.meter.mu.RLock()
+	defer l.meter.mu.RUnlock()
+	return slices.Sorted(maps.Keys(l.meter.regions))
+}
--- a/jacinthd/internal/traffic/answer.go
+++ b/jacinthd/internal/traffic/answer.go
@@ -52,11 +52,12 @@
 	stall   time.Duration
 	want    int
 	stuck   time.Duration
+	meters  *meters
 	control *http.ResponseController
 }
 
-func newBase(w http.ResponseWriter, q request, stuck time.Duration) base {
-	return base{w: w, q: q, try: q.arrived, stuck: stuck, control: http.NewResponseController(w)}
+func newBase(w http.ResponseWriter, q request, stuck time.Duration, m *meters) base {
+	return base{w: w, q: q, try: q.arrived, stuck: stuck, meters: m, control: http.NewResponseController(w)}
 }
 
 // admitted sets the stall: from the request's arrival, where it had to wait
@@ -104,6 +105,7 @@
 
 // last returns the piece that ends an answer.
 func (b *base) last(text string, tokens int) piece {
+	b.meters.stall.Observe(b.stall.Seconds())
 	p := b.piece(text)
 	stall := b.stall.Milliseconds()
 	p.Choices[0].Reason = "stop"
@@ -210,6 +212,9 @@
 			return err
 		}
 	}
+	if a.want == 0 {
+		a.meters.first.Observe(time.Since(a.q.arrived).Seconds())
+	}
 	a.want = t.Index + 1
 	a.event = append(append(append(a.event[:0], a.before...), text...), a.after...)
 	return a.write(a.event, more)
--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/peer"
@@ -189,6 +191,54 @@
 	}
 }
 
+// A caller that takes nothing for a while is gone; its request is cancelled.
+func TestStuckCaller(t *testing.T) {
+	flood := func(_ *fakeEngine, w http.ResponseWriter, r *http.Request, id string, _ int) bool {
+		text := strings.Repeat("x", 32<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"model\":\"fees@v1\",\"index\":%d,\"text\":%q}\n\n", id, i, text); err != nil {
+				return true
+			}
+		}
+		return true
+	}
+	set := func(h *host) {
+		patient(h)
+		h.Limits.Stuck = silence
+	}
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"], set)
+	e := newEngine(t, at(0, flood))
+	entry.route(entry.here("r1", e))
+	begun(t, entry, "xxx") // and never read on
+	ended(t, entry, "Cancelled")
+}
+
+// More requests than allowed at once, and a spent budget for other regions:
+// refused at once, and not run.
+func TestFullHostAndSpentLink(t *testing.T) {
+	reached, opened := make(chan struct{}, 1), make(chan struct{})
+	e := newEngine(t, at(0, gate(reached, opened)))
+	set := func(h *host) {
+		patient(h)
+		h.Limits.Requests = 1
+		h.Far = rate.NewLimiter(1, 100)
+	}
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"], set)
+	entry.route(entry.here("r1", e))
+	wait := later(t, entry, asWhole)
+	<-reached
+	code, verdict := post(t, entry, asWhole).problem(t)
+	require.Equal(t, "busy notrun", code+" "+verdict)
+	close(opened)
+	_, whole := words(t, wait())
+	require.True(t, whole)
+	entry.route(control.Candidate{Runner: "r2", Owner: "entry-9", Peer: entry.peer, Far: true})
+	code, verdict = post(t, entry, asWhole).problem(t)
+	require.Equal(t, "unavailable notrun", code+" "+verdict)
+	ran, _ := e.total()
+	require.Equal(t, 1, ran)
+}
+
 func TestDeadlinePassesOnTheEngine(t *testing.T) {
 	for _, body := range []string{asWhole, asStream} {
 		eachPath(t, patient, func(t *testing.T, entry, owner *host, place func(*fakeEngine) control.Candidate) {
--- a/jacinthd/internal/traffic/forward.go
+++ b/jacinthd/internal/traffic/forward.go
@@ -157,7 +157,7 @@
 }
 
 func (r *relay) admitted(hint control.Hint, stall time.Duration) error {
-	return r.send(peer.Admission{Waiting: hint.Waiting, Running: hint.Running, Resident: hint.Resident, Stall: stall}, false)
+	return r.send(peer.Admission{Waiting: hint.Waiting, Running: hint.Running, Resident: hint.Resident, Stall: stall}, true)
 }
 
 func (r *relay) token(t engine.Token, more bool) error {
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -20,19 +20,31 @@
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
 	s.tasks.add()
 	defer s.tasks.done()
+	defer s.present.Add(-1)
+	if s.present.Add(1) > int64(s.limits.Requests) {
+		s.meters.answered(errCrowded)
+		fail(w, errCrowded)
+		return
+	}
 	q, streamed, err := s.read(w, r)
 	if err != nil {
+		s.meters.answered(err)
 		fail(w, err)
 		return
 	}
-	base := newBase(w, q, s.limits.Stuck)
+	base := newBase(w, q, s.limits.Stuck, &s.meters)
 	var to answer = &whole{base: base}
 	if streamed {
 		to = &stream{base: base}
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.job.Deadline)
 	defer cancel()
-	if err := s.serve(ctx, q, to); err != nil && r.Context().Err() == nil {
+	err = s.serve(ctx, q, to)
+	if r.Context().Err() != nil {
+		err = errGone
+	}
+	s.meters.answered(err)
+	if err != nil && !errors.Is(err, errGone) {
 		s.log.Info("traffic: request failed", zap.String("id", q.job.ID), zap.Stringer("ref", q.job.Ref), zap.Error(err))
 		to.fail(err)
 	}
@@ -138,9 +150,22 @@
 	if c.Here {
 		return s.own(ctx, q, c.Runner, to)
 	}
+	if c.Far && s.Far != nil && !s.Far.AllowN(time.Now(), worth(q)) {
+		return errFar
+	}
 	return s.forward(ctx, q, c, to)
 }
 
+const (
+	// callBytes and tokenBytes are about what a forwarded request and each of
+	// its tokens put on the link, in bytes.
+	callBytes  = 400
+	tokenBytes = 64
+)
+
+// worth returns about how many bytes a request puts on the link at most.
+func worth(q request) int { return callBytes + len(q.prompt) + tokenBytes*q.job.Tokens }
+
 // resume goes on with an answer that broke after its first byte, where it
 // began. It tries again for as long as the runner may still be reached through
 // its owner of that time.
@@ -148,6 +173,7 @@
 	until := time.Now().Add(s.limits.Resume)
 	next := to.next()
 	for ctx.Err() == nil && resumable(err) && time.Now().Before(until) {
+		s.meters.resumes.Inc()
 		s.log.Info("traffic: answer broke, resuming", zap.String("id", q.job.ID), zap.Int("offset", to.next()), zap.Error(err))
 		pause(ctx, resumePause)
 		owner, ok := s.owner(q, c.Runner)
@@ -201,7 +227,11 @@
 }
 
 func (s *Server) retry(q request) bool {
-	return s.Retries == nil || s.Retries.Retry(q.job.Service)
+	ok := s.Retries == nil || s.Retries.Retry(q.job.Service)
+	if ok {
+		s.meters.retries.Inc()
+	}
+	return ok
 }
 
 func (s *Server) succeeded(q request) {
--- a/jacinthd/internal/traffic/server.go
+++ b/jacinthd/internal/traffic/server.go
@@ -27,11 +27,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/engine"
@@ -70,6 +72,7 @@
 	Body     int64         // largest request body in bytes; 1 MiB
 	Header   int           // largest request header in bytes; 32 KiB
 	Tokens   int           // most tokens of one answer; 4096
+	Requests int           // most completions of callers in progress at once; 2048
 	Deadline time.Duration // distance of the deadline where a request names none; 30 s
 	Longest  time.Duration // most distant deadline that a request may name; 5 min
 	Stuck    time.Duration // a caller that takes no byte for so long is gone; 10 s
@@ -82,6 +85,7 @@
 	fill(&l.Body, 1<<20)
 	fill(&l.Header, 32<<10)
 	fill(&l.Tokens, 4096)
+	fill(&l.Requests, 2048)
 	fill(&l.Deadline, 30*time.Second)
 	fill(&l.Longest, 5*time.Minute)
 	fill(&l.Stuck, 10*time.Second)
@@ -107,8 +111,11 @@
 	Retries Budget
 	// Suspects may be nil: then no request is refused for crashes.
 	Suspects Suspects
-	Limits   Limits
-	Log      *zap.Logger
+	// Far limits the bytes a second that requests to other regions may be
+	// worth; nil sets no limit.
+	Far    *rate.Limiter
+	Limits Limits
+	Log    *zap.Logger
 
 	once   sync.Once
 	limits Limits
@@ -117,6 +124,9 @@
 
 	flights flights
 	tasks   tasks
+	// present counts the completions of callers in progress.
+	present atomic.Int64
+	meters  meters
 }
 
 func (s *Server) open() {
@@ -126,6 +136,7 @@
 		if s.log == nil {
 			s.log = zap.NewNop()
 		}
+		s.meters = newMeters()
 		s.server = &http.Server{
 			Handler:           s.routes(),
 			ReadHeaderTimeout: s.limits.Stuck,
