--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/peer"
@@ -23,6 +25,13 @@
 	require.Eventually(t, holds, patience, time.Millisecond)
 }
 
+// ended waits for the end of a host's one ticket.
+func ended(t testing.TB, h *host, outcome string) {
+	t.Helper()
+	eventually(t, func() bool { return len(h.fake.ended()) > 0 })
+	require.Equal(t, []string{outcome}, h.fake.ended())
+}
+
 // eachPath runs a test with an entry host that owns the runner, and with one
 // that forwards to the owner. set prepares the owner; place puts an engine there.
 func eachPath(t *testing.T, set func(*host), test func(t *testing.T, entry, owner *host, place func(*fakeEngine) control.Candidate)) {
@@ -57,9 +66,8 @@
 	text, whole := words(t, got)
 	require.Equal(t, all, text)
 	require.True(t, whole)
-	eventually(t, func() bool { return len(old.fake.ended()) == 1 })
-	require.Equal(t, []string{"Lost"}, old.fake.ended(), "another host owns the runner")
-	require.Equal(t, []string{"Served"}, now.fake.ended())
+	ended(t, old, "Lost") // another host owns the runner
+	ended(t, now, "Served")
 	ran, cancelled := e.total()
 	require.Equal(t, []int{1, 0}, []int{ran, cancelled})
 }
@@ -82,7 +90,7 @@
 	text, whole := words(t, wait())
 	require.Equal(t, all, text)
 	require.True(t, whole)
-	require.Equal(t, []string{"Served"}, owner.fake.ended(), "one ticket")
+	ended(t, owner, "Served") // one ticket
 	ran, cancelled := e.total()
 	require.Equal(t, []int{1, 0}, []int{ran, cancelled})
 }
@@ -153,8 +161,7 @@
 	wait := later(t, entry, asStream)
 	<-reached
 	link.drop.Store(true)
-	eventually(t, func() bool { return len(owner.fake.ended()) == 1 })
-	require.Equal(t, []string{"Cancelled"}, owner.fake.ended())
+	ended(t, owner, "Cancelled")
 	code, verdict := wait().problem(t)
 	require.NotEqual(t, "notrun", verdict, code)
 }
@@ -177,14 +184,61 @@
 			if err == nil {
 				_ = response.Body.Close()
 			}
-			eventually(t, func() bool { return len(owner.fake.ended()) == 1 })
-			require.Equal(t, []string{"Cancelled"}, owner.fake.ended())
+			ended(t, owner, "Cancelled")
 			_, cancelled := e.total()
 			require.Equal(t, 1, cancelled)
 		})
 	}
 }
 
+// A caller that takes nothing for a while is gone; its request is cancelled.
+func TestStuckCaller(t *testing.T) {
+	flood := func(_ *fakeEngine, w http.ResponseWriter, r *http.Request, id string, _ int) bool {
+		text := strings.Repeat("x", 32<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"model\":\"fees@v1\",\"index\":%d,\"text\":%q}\n\n", id, i, text); err != nil {
+				return true
+			}
+		}
+		return true
+	}
+	set := func(h *host) {
+		patient(h)
+		h.Limits.Stuck = silence
+	}
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"], set)
+	e := newEngine(t, at(0, flood))
+	entry.route(entry.here("r1", e))
+	begun(t, entry, "xxx") // and never read on
+	ended(t, entry, "Cancelled")
+}
+
+// More requests than allowed at once, and a spent budget for other regions:
+// refused at once, and not run.
+func TestFullHostAndSpentLink(t *testing.T) {
+	reached, opened := make(chan struct{}, 1), make(chan struct{})
+	e := newEngine(t, at(0, gate(reached, opened)))
+	set := func(h *host) {
+		patient(h)
+		h.Limits.Requests = 1
+		h.Far = rate.NewLimiter(1, 100)
+	}
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"], set)
+	entry.route(entry.here("r1", e))
+	wait := later(t, entry, asWhole)
+	<-reached
+	code, verdict := post(t, entry, asWhole).problem(t)
+	require.Equal(t, "busy notrun", code+" "+verdict)
+	close(opened)
+	_, whole := words(t, wait())
+	require.True(t, whole)
+	entry.route(control.Candidate{Runner: "r2", Owner: "entry-9", Peer: entry.peer, Far: true})
+	code, verdict = post(t, entry, asWhole).problem(t)
+	require.Equal(t, "unavailable notrun", code+" "+verdict)
+	ran, _ := e.total()
+	require.Equal(t, 1, ran)
+}
+
 func TestDeadlinePassesOnTheEngine(t *testing.T) {
 	for _, body := range []string{asWhole, asStream} {
 		eachPath(t, patient, func(t *testing.T, entry, owner *host, place func(*fakeEngine) control.Candidate) {
@@ -194,8 +248,7 @@
 			code, verdict := got.problem(t)
 			require.Equal(t, "expired mayhaverun", code+" "+verdict)
 			require.Equal(t, body == asWhole, got.status == http.StatusGatewayTimeout)
-			eventually(t, func() bool { return len(owner.fake.ended()) == 1 })
-			require.Equal(t, []string{"Cancelled"}, owner.fake.ended())
+			ended(t, owner, "Cancelled")
 		})
 	}
 }
@@ -241,8 +294,7 @@
 					require.NotEqual(t, http.StatusOK, response.StatusCode)
 					_ = response.Body.Close()
 				}
-				eventually(t, func() bool { return len(owner.fake.ended()) == 1 })
-				require.Equal(t, []string{"Refused"}, owner.fake.ended())
+				ended(t, owner, "Refused")
 				ran, _ := e.total()
 				require.Zero(t, ran)
 			})
@@ -288,7 +340,7 @@
 		require.True(t, whole)
 		stops.Wait()
 		require.Equal(t, []string{"released", "stopped", "stopped"}, order)
-		require.Equal(t, []string{"Served"}, owner.fake.ended())
+		ended(t, owner, "Served")
 	})
 }
 
