host, runner, control: give a runner first and drain it after

Ruled out: refusing to admit at the new owner until a drain (the same gap). Change: once no order is open, the owner yields the runner; the next owner takes over with the pins of a takeover, serves what is resident, and is told when the last request has ended. The naive count in the test of Assign now asks for a gift in place of a drain, and that clean is said just where drained.

--- a/jacinthd/internal/control/failure_test.go
+++ b/jacinthd/internal/control/failure_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
+	"jacinthstage/stage/adapter"
 )
 
 func synctestSettle() { synctest.Wait() }
@@ -135,6 +137,33 @@
 	})
 }
 
+// TestHandoverWithLongStreams stops an owner while a request runs that lasts
+// longer than the test waits: the runners must have their next owner at once.
+func TestHandoverWithLongStreams(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		leaver := c.host(c.owner("runner-1"))
+		ref := adapter.Ref{Name: "a0", Version: "v1"}
+		job := control.Job{ID: "long", Ref: ref, Service: "drafts", Caller: "c", Deadline: time.Now().Add(deadline)}
+		ticket, err := leaver.loop.Admit(context.Background(), "runner-1", job)
+		require.NoError(c.t, err)
+		f := c.named("runner-1")
+		_, ok := f.begin(ref, "long")
+		require.True(c.t, ok)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		require.NoError(c.t, leaver.loop.Stop(ctx))
+		require.NotEqual(c.t, leaver.name, c.owner("runner-1"))
+		c.traffic(20, 12, 4*time.Second)
+		f.finish(ref, "long")
+		ticket.End(control.Served{})
+		leaver.kill()
+		_, refused := c.settled()
+		require.Zero(c.t, refused, "refused while a long request ran")
+		c.requireOwned()
+		requireServing(c)
+	})
+}
+
 func TestTargetLeaves(t *testing.T) {
 	bothKinds(t, func(c *cluster) {
 		go c.traffic(20, 8, 30*time.Second)
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -121,7 +121,7 @@
 	l.finishFormer(o)
 }
 
-// handover drains a runner for another host.
+// handover stops the use of a runner, so that another host can have it.
 func (l *Loop) handover(a host.Handover) {
 	o := l.owned[a.Runner]
 	if o == nil {
@@ -202,6 +202,8 @@
 		go l.cancel(o, o.target.Address, a.ID)
 	case runner.AskReport:
 		l.askReport(o)
+	case runner.Quiet:
+		l.quiet(o)
 	case runner.Empty:
 		l.empty(o)
 	case runner.Superseded:
@@ -237,6 +239,14 @@
 	w.reply <- decision{err: a.Err}
 }
 
+// quiet gives a runner that is being handed over away: its next owner takes over
+// what still runs, and serves meanwhile.
+func (l *Loop) quiet(o *ownership) {
+	if o.handing && l.owned[o.target.Name] == o {
+		l.memberStep(host.Yielded{Runner: o.target.Name})
+	}
+}
+
 // empty says that a runner that was stopped has nothing left.
 func (l *Loop) empty(o *ownership) {
 	if o.handing && l.owned[o.target.Name] == o {
--- a/stage/host/assign.go
+++ b/stage/host/assign.go
@@ -18,16 +18,17 @@
 	Config  uint64
 	// Gone names hosts that the platform says are gone.
 	Gone map[string]bool
-	// Drained names the runners that Self owns and has drained.
-	Self    string
-	Drained map[string]bool
+	// Given names the runners that Self owns and can give away, and whether
+	// they are drained.
+	Self  string
+	Given map[string]bool
 }
 
 // Assign returns the table that follows old. It returns old's content where
 // nothing has to change. It neither changes old nor keeps parts of it that it changes.
 //
 // First each row's owner is settled: a lost owner loses its fenced runners, a
-// new life of an owner gets a new epoch, a drained runner goes to Next. Then
+// new life of an owner gets a new epoch, a runner that its owner gives goes to Next. Then
 // the runners are balanced: every member that isn't leaving has its part, of
 // n/m or one more. Rows without a fit owner and those over a member's part go
 // to members with room: in the runner's zone first, then by rendezvous hashing.
@@ -114,7 +115,8 @@
 // settle appends the row with its owner as the facts have it, or drops it.
 func (a *assignment) settle(row Row) {
 	owner, live := a.live[row.Owner]
-	drained := row.Owner == a.facts.Self && a.facts.Drained[row.Runner]
+	clean, given := a.facts.Given[row.Runner]
+	given = given && row.Owner == a.facts.Self
 	switch {
 	case row.Owner == "":
 	case !live && (row.Fenced || a.facts.Gone[row.Owner]):
@@ -124,10 +126,10 @@
 	case a.fresh[row.Owner]:
 		row.From, row.Prior, row.Clean = row.Owner, row.Epoch, false
 		a.number(&row)
-	case drained && (row.Removed || len(a.fit) == 0 && owner.Leaving):
+	case given && clean && (row.Removed || len(a.fit) == 0 && owner.Leaving):
 		vacate(&row, true)
-	case drained && a.isFit(row.Next):
-		a.give(&row, true)
+	case given && !row.Removed && a.isFit(row.Next):
+		a.give(&row, clean)
 	}
 	if row.Removed && row.Owner == "" && (row.Clean || row.From == "") {
 		return
--- a/stage/host/assign_test.go
+++ b/stage/host/assign_test.go
@@ -86,7 +86,7 @@
 func TestAssignAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var table host.Table
-		facts := host.Facts{Gone: map[string]bool{}, Drained: map[string]bool{}}
+		facts := host.Facts{Gone: map[string]bool{}, Given: map[string]bool{}}
 		for step := range rapid.IntRange(1, 8).Draw(t, "steps") {
 			draw(t, &facts, table, uint64(step+1))
 			before := string(table.Encode())
@@ -94,7 +94,7 @@
 			require.Equal(t, before, string(table.Encode()), "the old table is left alone")
 			require.Equal(t, next, host.Assign(table, facts), "the same facts bring the same table")
 			checkBalance(t, next, facts)
-			if next.Config == table.Config && len(facts.Drained) == 0 {
+			if next.Config == table.Config && len(facts.Given) == 0 {
 				checkMoves(t, table, next, facts)
 			}
 			checkEpochs(t, table, next, facts)
@@ -125,11 +125,11 @@
 		f.Config = config
 		f.Runners = runners(rapid.IntRange(0, 20).Draw(t, "fenced"), rapid.IntRange(0, 6).Draw(t, "unfenced"))
 	}
-	clear(f.Drained)
+	clear(f.Given)
 	f.Self = fmt.Sprintf("m%d", rapid.IntRange(0, 5).Draw(t, "self"))
 	for _, row := range table.Rows {
-		if row.Owner == f.Self && rapid.Bool().Draw(t, "drained") {
-			f.Drained[row.Runner] = true
+		if row.Owner == f.Self && rapid.Bool().Draw(t, "given") {
+			f.Given[row.Runner] = rapid.Bool().Draw(t, "drained")
 		}
 	}
 }
@@ -184,8 +184,10 @@
 		case row.Owner != before.Owner:
 			require.Greater(t, row.Epoch, old.Top)
 			require.Equal(t, before.Owner, row.From)
-			require.True(t, !row.Clean || f.Drained[row.Runner] && before.Owner == f.Self)
-			require.True(t, lost(before, f) || row.Clean, "a live owner gives its runner away itself")
+			clean, given := f.Given[row.Runner]
+			given = given && before.Owner == f.Self && !lost(before, f)
+			require.True(t, lost(before, f) || given, "a live owner gives its runner away itself")
+			require.Equal(t, given && clean, row.Clean, "clean only where its owner had drained it")
 		case !was || !owner.Same(former):
 			require.Greater(t, row.Epoch, old.Top, "a new life has a new epoch")
 			require.False(t, row.Clean)
--- a/stage/host/event.go
+++ b/stage/host/event.go
@@ -91,6 +91,11 @@
 // Handover of it, with no Acquire since.
 type Drained struct{ Runner string }
 
+// Yielded says that this host, after the newest Handover of a runner with no
+// Acquire since, admits nothing to it and has no order open on it. Requests that
+// it admitted before may still run.
+type Yielded struct{ Runner string }
+
 func (Started) event()  {}
 func (Tick) event()     {}
 func (Stop) event()     {}
@@ -104,6 +109,7 @@
 func (Presence) event() {}
 func (Runners) event()  {}
 func (Drained) event()  {}
+func (Yielded) event()  {}
 
 // An Action is what a Member asks for or tells. Get, List, Put and Delete are
 // calls on the object API, each to be answered by an event with its number.
@@ -151,8 +157,9 @@
 // Release says that this host no longer owns a runner and must stop its use at once.
 type Release struct{ Runner string }
 
-// Handover asks to drain a runner, so that it can go to the host To; To is
-// empty where the runner goes to none. Drained answers it.
+// Handover asks to stop using a runner, so that it can go to the host To; To is
+// empty where the runner goes to none. Yielded answers it where there is a host
+// to go to, which then takes over what still runs; Drained answers it always.
 type Handover struct {
 	Runner string
 	To     string
--- a/stage/host/fault_test.go
+++ b/stage/host/fault_test.go
@@ -60,6 +60,32 @@
 	})
 }
 
+// A runner goes to its next owner before its last request has ended.
+func TestPlannedStopGivesFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.yields = true
+	w.crew(4, runners(8, 4))
+	w.run(20 * time.Second)
+	w.served()
+	n := w.nodes["h000"]
+	n.drain = time.Minute
+	w.planned = true
+	w.deliver(n, host.Stop{})
+	w.run(5 * time.Second)
+	require.True(t, n.stopped)
+	w.served()
+	taken := 0
+	for _, other := range w.sorted() {
+		for _, a := range other.reports {
+			if acquire, ok := a.(host.Acquire); ok && acquire.From == n.name {
+				require.True(t, acquire.Inherited, "%s still ran", acquire.Runner)
+				taken++
+			}
+		}
+	}
+	require.NotZero(t, taken)
+}
+
 func TestStopOfTheLast(t *testing.T) {
 	w := settled(t, 1, 2, 1)
 	n := w.nodes["h000"]
--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -67,9 +67,18 @@
 	epoch   uint32
 	handing bool // told to hand over
 	to      string
-	drained bool
+	given   gift
 }
 
+// A gift is how far this host has stopped its use of a runner.
+type gift uint8
+
+const (
+	kept    gift = iota
+	yielded      // no order is open, but requests may run
+	drained      // nothing runs
+)
+
 func (m *Member) terms() lease.Terms { return m.Terms.Fill() }
 
 func (m *Member) timeout() time.Duration {
@@ -151,7 +160,9 @@
 	case Runners:
 		m.configure(e)
 	case Drained:
-		m.drain(e.Runner)
+		m.give(e.Runner, drained)
+	case Yielded:
+		m.give(e.Runner, yielded)
 	default:
 		panic(fmt.Sprintf("host: event %T", event))
 	}
--- a/stage/host/propose.go
+++ b/stage/host/propose.go
@@ -108,7 +108,7 @@
 		return true
 	}
 	for _, h := range m.held {
-		if h.drained {
+		if h.given != kept {
 			return true
 		}
 	}
@@ -137,7 +137,7 @@
 		Config:  m.runners.Config,
 		Gone:    make(map[string]bool),
 		Self:    m.Self.Name,
-		Drained: make(map[string]bool),
+		Given:   make(map[string]bool),
 	}
 	for name, at := range m.gone {
 		_, member := m.table.Member(name)
@@ -150,8 +150,8 @@
 		}
 	}
 	for runner, h := range m.held {
-		if h.drained {
-			f.Drained[runner] = true
+		if h.given != kept {
+			f.Given[runner] = h.given == drained
 		}
 	}
 	return f
--- a/stage/host/random_test.go
+++ b/stage/host/random_test.go
@@ -38,6 +38,7 @@
 			mute:    rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "mute"),
 			doubled: rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "doubled"),
 		}
+		w.yields = rapid.Bool().Draw(t, "yields")
 		w.crew(rapid.IntRange(2, 5).Draw(t, "hosts"), runners(5, 3))
 		for range rapid.IntRange(1, 12).Draw(t, "faults") {
 			w.fault(t)
--- a/stage/host/settle.go
+++ b/stage/host/settle.go
@@ -114,13 +114,13 @@
 	clear(m.held)
 }
 
-// drain notes that a runner is drained, to be given away with the next table.
-func (m *Member) drain(runner string) {
+// give notes that a runner can be given away with the next table.
+func (m *Member) give(runner string, given gift) {
 	h, ok := m.held[runner]
 	if !ok || !h.handing {
 		return
 	}
-	h.drained = true
+	h.given = max(h.given, given)
 	m.held[runner] = h
 	m.proposal.dirty = true
 }
--- a/stage/host/sim_test.go
+++ b/stage/host/sim_test.go
@@ -34,6 +34,7 @@
 	outage  bool
 	frozen  bool // writes are refused
 	planned bool // no runner may be released undrained
+	yields  bool // the nodes started give runners away before they have drained them
 	queue   moments
 	seq     int
 
@@ -62,6 +63,7 @@
 	until   time.Time
 	holds   map[string]*hold
 	drain   time.Duration
+	yields  bool          // gives runners away before it has drained them
 	reports []host.Action // all but calls
 }
 
@@ -130,7 +132,7 @@
 
 // start begins a process; incarnation tells it from earlier ones of the name.
 func (w *world) start(name, zone, incarnation string) *node {
-	n := &node{name: name, holds: make(map[string]*hold), drain: 300 * time.Millisecond}
+	n := &node{name: name, holds: make(map[string]*hold), drain: 300 * time.Millisecond, yields: w.yields}
 	n.member = &host.Member{
 		Region: region,
 		Self: host.Identity{
@@ -249,12 +251,18 @@
 		h := n.holds[a.Runner]
 		h.serial++
 		serial := h.serial
-		w.after(n.drain, func() {
-			if n.holds[a.Runner] == h && h.serial == serial && !n.dead {
-				h.drained = true
-				w.deliver(n, host.Drained{Runner: a.Runner})
+		give := func(e host.Event) func() {
+			return func() {
+				if n.holds[a.Runner] == h && h.serial == serial && !n.dead {
+					h.drained = true
+					w.deliver(n, e)
+				}
 			}
-		})
+		}
+		if n.yields {
+			w.after(n.drain/100, give(host.Yielded{Runner: a.Runner}))
+		}
+		w.after(n.drain, give(host.Drained{Runner: a.Runner}))
 	case host.Renewed:
 		n.until = a.Until
 	case host.Lapsed:
--- a/stage/runner/action.go
+++ b/stage/runner/action.go
@@ -70,6 +70,10 @@
 // AskReport wants a fresh Reported.
 type AskReport struct{}
 
+// Quiet says that after Releasing or Leaving no order is open that could still
+// take effect. Admitted requests may still run.
+type Quiet struct{}
+
 // Empty says that no request is waiting or admitted after Releasing or Leaving.
 type Empty struct{}
 
@@ -84,5 +88,6 @@
 func (Yield) action()      {}
 func (Cancel) action()     {}
 func (AskReport) action()  {}
+func (Quiet) action()      {}
 func (Empty) action()      {}
 func (Superseded) action() {}
--- a/stage/runner/runner.go
+++ b/stage/runner/runner.go
@@ -40,6 +40,7 @@
 
 	owned       bool
 	stopping    verdict.Code // why nothing new is admitted; empty while serving
+	quiet       bool         // Quiet was returned
 	told        bool         // Empty was returned
 	epoch       uint32
 	counter     uint32
@@ -144,7 +145,7 @@
 	r.want(now)
 	r.cancel(now)
 	r.inquire(now)
-	r.finish()
+	r.finish(now)
 }
 
 // at makes t the time of the next Tick unless an earlier one is set.
@@ -161,16 +162,27 @@
 // stop refuses what waits. The admitted requests go on.
 func (r *Runner) stop(code verdict.Code) {
 	r.stopping = code
-	r.told = false
+	r.quiet, r.told = false, false
 	for _, item := range r.queue.All() {
 		r.queue.Remove(item.ID)
 		r.refuse(item.ID, verdict.Refuse(code, "runner %s takes no new requests", r.Name))
 	}
 }
 
-// finish says once that nothing is left after a stop.
-func (r *Runner) finish() {
-	if r.stopping != "" && !r.told && len(r.jobs) == 0 && r.order == nil {
+// finish says once that no order is open after a stop, and once that nothing is left.
+func (r *Runner) finish(now time.Time) {
+	if r.stopping == "" || r.order != nil {
+		return
+	}
+	if !r.Fenced && now.Before(r.hold) {
+		r.at(r.hold)
+		return
+	}
+	if !r.quiet {
+		r.quiet = true
+		r.do(Quiet{})
+	}
+	if !r.told && len(r.jobs) == 0 {
 		r.told = true
 		r.do(Empty{})
 	}
--- a/stage/runner/tenure.go
+++ b/stage/runner/tenure.go
@@ -33,7 +33,7 @@
 
 func (r *Runner) own(now time.Time, e Owned) {
 	r.owned = true
-	r.stopping, r.told = "", false
+	r.stopping, r.quiet, r.told = "", false, false
 	inherited := e.Inherited || len(r.jobs) > 0
 	r.forget()
 	if e.Epoch != r.epoch {
