quarantine: requests that crash targets crash at most two

A request with one crash runs by claim, a conditional update of its object, so that all hosts run it once at a time; after the second it is refused for good. Without the object API a suspect is refused as not run. A claim never given back counts as a crash. Runs at a third target that were in progress at the first crash are cancelled, not bounded.

--- /dev/null
+++ b/stage/quarantine/quarantine.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jacinthstage/stage/verdict"
+)
+
+const (
+	limit     = 2               // crashes after which a request is refused for good
+	claimTime = 5 * time.Minute // longest that a claim is respected
+	callWait  = time.Second     // before a failed call is repeated
+	busyWait  = time.Second     // after which a caller may come back while another run holds the claim
+	suspected = time.Hour       // how long one crash is remembered
+	refused   = 24 * time.Hour  // how long two are
+	entries   = 4096            // suspects kept
+)
+
+// A Quarantine is one host's view of the suspects. Set Host before use, to a
+// name that no other host and no earlier incarnation of this one has.
+type Quarantine struct {
+	Host string
+
+	flying   map[string]flight // requests in progress, by id
+	suspects map[Print]*suspect
+}
+
+// A flight is one request in progress at a target.
+type flight struct {
+	print  Print
+	target string
+}
+
+// A suspect is a request with a crash to its name.
+type suspect struct {
+	crashes []string
+	expires time.Time
+
+	version uint64 // of the object, 0 where none is known
+	unread  bool   // whether the object may be newer than what is known
+	unsure  bool   // whether a call ended without a clear answer
+	dirty   bool   // whether the object lacks a crash seen here
+	calling bool   // whether a call waits for its answer
+	again   time.Time
+
+	holder, claim string    // as in the object
+	lapse         time.Time // when another host's claim counts as a crash
+	asking        string    // id of the request that waits for a claim
+	running       string    // id of the request that runs here with a claim
+	whole         bool      // whether the last run here was answered whole
+}
+
+// Clean reports whether the request has no crash to its name: it needs no Ask.
+func (q *Quarantine) Clean(p Print) bool { return q.suspects[p] == nil }
+
+// Sharing reports whether a suspect is in progress at the target. To send
+// another suspect there would leave open which of the two crashed it.
+func (q *Quarantine) Sharing(target string) bool {
+	for _, f := range q.flying {
+		if f.target == target && !q.Clean(f.print) {
+			return true
+		}
+	}
+	return false
+}
+
+// Step takes one event and returns what is to be done. It panics on an event
+// of an unknown type.
+func (q *Quarantine) Step(now time.Time, event Event) []Action {
+	switch x := event.(type) {
+	case Ask:
+		return q.ask(now, x)
+	case Sent:
+		return q.sent(x)
+	case Ended:
+		return q.ended(now, x)
+	case Crashed:
+		return q.crashed(now, x)
+	case Told:
+		return q.told(now, x)
+	case Stored:
+		return q.stored(now, x)
+	case Missing:
+		return q.missing(now, x)
+	case Conflict:
+		return q.answered(now, x.Print, time.Time{})
+	case Failed:
+		return q.failed(now, x)
+	case Tick:
+		return q.tick(now)
+	default:
+		panic(fmt.Sprintf("quarantine: unknown event %T", event))
+	}
+}
+
+func (q *Quarantine) ask(now time.Time, a Ask) []Action {
+	s := q.suspects[a.Print]
+	switch {
+	case s == nil:
+		return []Action{Allow{ID: a.ID}}
+	case len(s.crashes) >= limit:
+		return []Action{refuse(a.ID)}
+	case s.asking != "" || s.running != "" || q.runs(a.Print):
+		return []Action{busy(now, a.ID)}
+	}
+	s.asking = a.ID
+	s.unread = s.unread || s.holder != "" && s.holder != q.Host
+	return q.drive(now, a.Print)
+}
+
+func refuse(id string) Refuse {
+	return Refuse{ID: id, Err: verdict.Refuse(verdict.Suspect, "the request crashed %d targets", limit)}
+}
+
+func busy(now time.Time, id string) Refuse {
+	err := verdict.Refuse(verdict.Busy, "the request crashed a target and runs once at a time")
+	err.Again = now.Add(busyWait)
+	return Refuse{ID: id, Err: err}
+}
+
+// runs reports whether the request is in progress through this host.
+func (q *Quarantine) runs(p Print) bool {
+	for _, f := range q.flying {
+		if f.print == p {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Quarantine) sent(x Sent) []Action {
+	if q.flying == nil {
+		q.flying = map[string]flight{}
+	}
+	q.flying[x.ID] = flight{print: x.Print, target: x.Target}
+	if s := q.suspects[x.Print]; s != nil && s.running != x.ID {
+		return []Action{Cancel{ID: x.ID, Target: x.Target}}
+	}
+	return nil
+}
+
+func (q *Quarantine) ended(now time.Time, x Ended) []Action {
+	delete(q.flying, x.ID)
+	s := q.suspects[x.Print]
+	if s == nil {
+		return nil
+	}
+	if s.asking == x.ID {
+		s.asking = ""
+	}
+	if s.running == x.ID {
+		s.running, s.whole = "", x.Whole
+	}
+	return q.drive(now, x.Print)
+}
+
+// crashed gives the crash to each request in progress at the target.
+func (q *Quarantine) crashed(now time.Time, c Crashed) []Action {
+	var hit []Print
+	for id, f := range q.flying {
+		if f.target != c.Target {
+			continue
+		}
+		delete(q.flying, id)
+		hit = append(hit, f.print)
+		if s := q.suspects[f.print]; s != nil && s.running == id {
+			s.running = ""
+		}
+	}
+	slices.Sort(hit)
+	var actions []Action
+	for _, p := range slices.Compact(hit) {
+		s := q.suspect(now, p)
+		s.dirty = true
+		actions = append(actions, Tell{Print: p, Crash: c.Crash})
+		actions = append(actions, q.learn(now, p, []string{c.Crash})...)
+		actions = append(actions, q.drive(now, p)...)
+	}
+	return actions
+}
+
+func (q *Quarantine) told(now time.Time, t Told) []Action {
+	s := q.suspect(now, t.Print)
+	s.unread = true
+	return q.learn(now, t.Print, []string{t.Crash})
+}
+
+// suspect returns the entry of a print, a new one where there is none.
+func (q *Quarantine) suspect(now time.Time, p Print) *suspect {
+	if q.suspects == nil {
+		q.suspects = map[Print]*suspect{}
+	}
+	s := q.suspects[p]
+	if s == nil {
+		q.shrink()
+		s = &suspect{expires: now.Add(suspected)}
+		q.suspects[p] = s
+	}
+	return s
+}
+
+// shrink makes room for one more entry: the one that expires first goes.
+func (q *Quarantine) shrink() {
+	if len(q.suspects) < entries {
+		return
+	}
+	var first Print
+	for p, s := range q.suspects {
+		if first == "" || s.expires.Before(q.suspects[first].expires) {
+			first = p
+		}
+	}
+	delete(q.suspects, first)
+}
+
+// learn adds crashes to an entry. The first one cancels other runs of the
+// request here, the second the one with the claim as well.
+func (q *Quarantine) learn(now time.Time, p Print, crashes []string) (actions []Action) {
+	s := q.suspects[p]
+	s.crashes = merge(s.crashes, crashes)
+	until := suspected
+	if len(s.crashes) >= limit {
+		until = refused
+	}
+	if expires := now.Add(until); expires.After(s.expires) {
+		s.expires = expires
+	}
+	for id, f := range q.flying {
+		if f.print == p && (id != s.running || len(s.crashes) >= limit) {
+			actions = append(actions, Cancel{ID: id, Target: f.target})
+		}
+	}
+	if s.asking != "" && len(s.crashes) >= limit {
+		actions = append(actions, refuse(s.asking))
+		s.asking = ""
+	}
+	return actions
+}
+
+func (q *Quarantine) tick(now time.Time) (actions []Action) {
+	for p, s := range q.suspects {
+		if !now.Before(s.expires) && s.running == "" && !s.calling {
+			delete(q.suspects, p)
+			if s.version != 0 {
+				actions = append(actions, Delete{Print: p, Version: s.version})
+			}
+			continue
+		}
+		actions = append(actions, q.drive(now, p)...)
+	}
+	return actions
+}
