traffic: a later try takes over the ticket of the earlier one

Cause: two tickets of one request at one owner: control knows jobs by their id, so the end of the first would have freed the pin of the second, or the second would never have been admitted. Change: a later try cancels the earlier one at the owner and goes on with its ticket. A queue that is full for this caller is tried on the next runner, within the retry budget.

--- a/jacinthd/internal/peer/stream.go
+++ b/jacinthd/internal/peer/stream.go
@@ -35,10 +35,11 @@
 
 // follow gives up the stream when ctx ends, which tells the peer.
 func (s *Stream) follow(ctx context.Context) {
-	s.stop = context.AfterFunc(ctx, s.abandon)
+	s.stop = context.AfterFunc(ctx, s.Abandon)
 }
 
-func (s *Stream) abandon() {
+// Abandon gives up the call at once: what is being sent or received fails.
+func (s *Stream) Abandon() {
 	s.raw.CancelRead(streamGone)
 	s.raw.CancelWrite(streamGone)
 }
--- a/jacinthd/internal/traffic/forward.go
+++ b/jacinthd/internal/traffic/forward.go
@@ -98,9 +98,13 @@
 	defer s.tasks.done()
 	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
 	defer cancel()
-	q := requestOf(m)
 	to := &relay{stream: stream, want: m.Offset}
-	err := s.accept(ctx, q, m, to)
+	mine, w := s.flights.enter(m.ID, func() {
+		cancel()
+		stream.Abandon()
+	})
+	defer s.flights.leave(mine)
+	err := s.accept(ctx, mine, w, m, to)
 	if err == nil {
 		return
 	}
@@ -108,28 +112,25 @@
 	_ = to.send(peer.Refuse(err), false)
 }
 
-// accept serves a forwarded request: on the ticket held from an earlier try
-// where there is one, else on a new one.
-func (s *Server) accept(ctx context.Context, q request, m peer.Forward, to *relay) error {
-	if ctx.Err() != nil {
-		return errLate
-	}
-	if s.suspect(q) {
-		return errSuspect
-	}
-	f, w := s.flights.enter(m.ID)
-	defer s.flights.leave(m.ID, f)
-	if w != nil {
-		s.tasks.done() // that of the held ticket
-		w.to = to
-	} else {
+// accept serves a forwarded request: on the ticket w of an earlier try where
+// there is one, else on a new one.
+func (s *Server) accept(ctx context.Context, mine *flight, w *work, m peer.Forward, to *relay) error {
+	q := requestOf(m)
+	if w == nil {
+		if ctx.Err() != nil {
+			return errLate
+		}
+		if s.suspect(q) {
+			return errSuspect
+		}
 		ticket, err := s.Control.Admit(ctx, m.Runner, q.job)
 		if err != nil {
 			return errors.WithMessage(err, "traffic: admit")
 		}
 		w = s.admitted(q, ticket, to)
 	}
-	w.hold = func(w *work) bool { return s.keep(f, w, to.stream.Lost()) }
+	w.to = to
+	w.hold = func(w *work) bool { return s.keep(mine, w, to.stream.Lost()) }
 	return w.serve(ctx)
 }
 
@@ -167,11 +168,14 @@
 
 func (r *relay) end(e engine.End) error { return r.send(peer.End{Tokens: e.Tokens}, false) }
 
-// A flight is one try at a forwarded request, in progress or with its ticket held.
+// A flight is one try at a forwarded request. Its ticket outlives it where the
+// link was lost, or a later try takes over.
 type flight struct {
-	id    string
-	held  *work
-	timer *time.Timer
+	id     string
+	cancel func()
+	passed chan *work // gets the work for a later try; closed when the try has ended
+	held   *work      // without a try, until timer
+	timer  *time.Timer
 }
 
 // flights are the newest tries by request.
@@ -181,43 +185,50 @@
 }
 
 // enter makes a new try the newest and returns the work that an earlier one
-// left behind with its ticket, nil if none.
-func (f *flights) enter(id string) (*flight, *work) {
+// leaves with its ticket, nil if none. An earlier try still in progress is
+// cancelled.
+func (f *flights) enter(id string, cancel func()) (*flight, *work) {
+	mine := &flight{id: id, cancel: cancel, passed: make(chan *work, 1)}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.byID == nil {
 		f.byID = map[string]*flight{}
 	}
-	mine := &flight{id: id}
 	before := f.byID[id]
 	f.byID[id] = mine
-	if before == nil || before.held == nil {
+	if before == nil {
+		f.mu.Unlock()
 		return mine, nil
 	}
-	before.timer.Stop()
-	w := before.held
-	before.held = nil
-	return mine, w
+	if w := before.held; w != nil {
+		before.held = nil
+		before.timer.Stop()
+		f.mu.Unlock()
+		w.s.tasks.done()
+		return mine, w
+	}
+	f.mu.Unlock()
+	before.cancel()
+	return mine, <-before.passed
 }
 
-// leave forgets a try, unless its ticket is held.
-func (f *flights) leave(id string, mine *flight) {
+// leave ends a try, and forgets it unless its ticket is held.
+func (f *flights) leave(mine *flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.byID[id] == mine && mine.held == nil {
-		delete(f.byID, id)
+	close(mine.passed)
+	if f.byID[mine.id] == mine && mine.held == nil {
+		delete(f.byID, mine.id)
 	}
 }
 
 // keep decides on the ticket of a request that was sent to the engine and that
-// nobody waits for any more. A later try has a ticket of its own, so this one
-// ends without a cancel; where the link was lost, the ticket is held so that
-// the entry host can resume.
+// nobody waits for in this try any more: a later try takes it over; where the
+// link was lost, it is held so that the entry host can resume.
 func (s *Server) keep(mine *flight, w *work, lost bool) bool {
 	s.flights.mu.Lock()
 	defer s.flights.mu.Unlock()
 	if s.flights.byID[mine.id] != mine {
-		w.ticket.End(control.Served{})
+		mine.passed <- w
 		return true
 	}
 	if !lost || !time.Now().Before(w.q.job.Deadline) {
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -138,7 +138,7 @@
 	}
 	switch said(err).Code {
 	case verdict.Malformed, verdict.Unauthenticated, verdict.Forbidden, verdict.Unknown, verdict.Conflict,
-		verdict.Oversize, verdict.Invalid, verdict.Limited, verdict.Expired, verdict.Suspect:
+		verdict.Oversize, verdict.Invalid, verdict.Expired, verdict.Suspect:
 		return true
 	default:
 		return false
