--- a/stage/runner/tenure.go
+++ b/stage/runner/tenure.go
@@ -33,10 +33,12 @@
 
 func (r *Runner) own(now time.Time, e Owned) {
 	r.owned = true
-	r.stopping, r.told = "", false
+	r.stopping, r.quiet, r.told = "", false, false
 	inherited := e.Inherited || len(r.jobs) > 0
 	r.forget()
-	r.epoch, r.counter = e.Epoch, 0
+	if e.Epoch != r.epoch {
+		r.epoch, r.counter = e.Epoch, 0
+	}
 	r.tenure = tenure{lease: e.Lease}
 	r.inherit = inheritance{active: inherited, until: e.Until}
 	r.known = false
