--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -20,6 +20,7 @@
 	"jacinthstage/jacinthd/internal/engine"
 	"jacinthstage/jacinthd/internal/follow"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/plain"
 	"jacinthstage/jacinthd/internal/traffic"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/jacinthd/store/remote"
@@ -119,7 +120,18 @@
 		Publish: p.loop.Configure,
 		Log:     p.log,
 	}
+	budgets := &budget{}
 	p.traffic = &traffic.Server{
+		Plain: &plain.Handler{
+			Store:    objects,
+			Retries:  budgets,
+			Region:   s.Host.Region,
+			Log:      p.log,
+			Body:     int64(s.Limits.Body),
+			Deadline: s.Limits.Deadline,
+			Longest:  s.Limits.Longest,
+		},
+		Retries: budgets,
 		Control: p.loop,
 		Engine:  p.engines,
 		Link:    p.link,
--- a/stage/ledger/ledger_test.go
+++ b/stage/ledger/ledger_test.go
@@ -187,9 +187,9 @@
 	return actions
 }
 
-func found(state ledger.State, attempt, print string, until time.Time) ledger.Found {
+func found(state ledger.State, attempt, mark string, until time.Time) ledger.Found {
 	answer := &ledger.Answer{Status: 201, Body: []byte("kept")}
-	return ledger.Found{Version: 7, Record: ledger.Record{State: state, Attempt: attempt, Print: print, Until: until, Answer: answer}}
+	return ledger.Found{Version: 7, Record: ledger.Record{State: state, Attempt: attempt, Print: mark, Until: until, Answer: answer}}
 }
 
 func TestDecisions(t *testing.T) {
--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -126,14 +126,22 @@
 	if !at.Before(a.Deadline) {
 		return Give{Deadline}
 	}
+	if !b.Take(now, a.Service) {
+		return Give{Budget}
+	}
+	return Again{at}
+}
+
+// Take takes one retry from the budget of the service, false where it is used up.
+func (b *Budgets) Take(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(a.Service)
+	w := b.window(service)
 	if !w.room(now) {
-		return Give{Budget}
+		return false
 	}
 	w.at(now).retries++
-	return Again{at}
+	return true
 }
 
 // refuse returns why the request may not be retried at all, empty where it may.
