queue, load, runner: take turns among callers for loads

Change: start-time fair queueing of loads by caller, at the runner and at the grantor; the expected wait counts turns, not all loads; a permit that would be lost goes to whoever asks. Conclusion: the others are served, but their p95 still moves: the flood's loads evict adapters that the others use, and the store has no rate left over.

--- a/stage/load/grantor.go
+++ b/stage/load/grantor.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"jacinthstage/stage/queue"
 )
 
 // How a denied host is told to come back.
@@ -12,6 +14,10 @@
 	grace   = 200 * time.Millisecond // how long a want outlives its time to come back
 )
 
+// ahead is how many loads by weight a caller may be ahead of the least served
+// one before its loads go after those of others.
+const ahead = 1
+
 // front is how many wants come back for each permit.
 const front = 4
 
@@ -32,6 +38,7 @@
 	hosts   map[string]*member
 	places  []place
 	permits map[uint64]grant
+	levels  queue.Levels
 }
 
 type member struct {
@@ -82,6 +89,7 @@
 	g.tokens, g.filled = 0, g.ready
 	g.hosts = map[string]*member{}
 	g.permits = map[uint64]grant{}
+	g.levels = queue.Levels{}
 	g.places = make([]place, g.Places())
 	for i := range g.places {
 		g.places[i].expires = g.ready
@@ -142,11 +150,15 @@
 			rate -= g.share()
 		}
 	}
-	room := g.Burst - g.Rate*Window.Seconds() - float64(len(g.places))
-	g.tokens = min(g.tokens+rate*now.Sub(g.filled).Seconds(), room)
+	g.tokens = min(g.tokens+rate*now.Sub(g.filled).Seconds(), g.room())
 	g.filled = now
 }
 
+// room returns the most permits that can be left over.
+func (g *Grantor) room() float64 {
+	return g.Burst - g.Rate*Window.Seconds() - float64(len(g.places))
+}
+
 // reserved reports whether the place may be in use at any time of the interval.
 func (p place) reserved(from, to time.Time) bool {
 	return from.Before(p.expires) && p.bound.Before(to)
@@ -219,6 +231,7 @@
 // decide grants or denies each want of the request.
 func (g *Grantor) decide(now time.Time, m *member, q Request, r *Reply) {
 	m.merge(now, q.Wants)
+	g.levels.Rise(g.wanting(now))
 	for _, w := range q.Wants {
 		i := m.find(key{w.Runner, w.Ref})
 		if !g.grantable(now, m.wants[i]) {
@@ -229,6 +242,7 @@
 			continue
 		}
 		m.wants = slices.Delete(m.wants, i, i+1)
+		g.levels.Charge(w.Caller, w.Weight)
 		g.permit++
 		g.tokens--
 		id := g.epoch<<32 | g.permit
@@ -262,12 +276,14 @@
 }
 
 // grantable reports whether w may have a permit now. The wants that are worth
-// more and come back before the next permit go first.
+// more and come back before the next permit go first, unless permits are lost
+// meanwhile.
 func (g *Grantor) grantable(now time.Time, w want) bool {
+	if now.Before(g.ready) || g.tokens < 1 || len(g.permits) >= g.Flight-len(g.places) {
+		return false
+	}
 	next := now.Add(g.seconds(1))
-	return !now.Before(g.ready) &&
-		len(g.permits) < g.Flight-len(g.places) &&
-		float64(g.rank(now, w, next))+1 <= g.tokens
+	return g.tokens >= g.room() || float64(g.rank(now, w, next))+1 <= g.tokens
 }
 
 // seconds returns how long the store takes for n loads.
@@ -275,12 +291,33 @@
 	return time.Duration(n / g.Rate * float64(time.Second))
 }
 
+// wanting returns the callers that want a load.
+func (g *Grantor) wanting(now time.Time) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for _, m := range g.hosts {
+			for _, w := range m.wants {
+				if now.Before(w.expires) && !yield(w.Caller) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// before reports whether a goes before b: callers within their share first.
+func (g *Grantor) before(now time.Time, a, b want) bool {
+	if over := g.levels.Over(a.Caller, ahead); over != g.levels.Over(b.Caller, ahead) {
+		return !over
+	}
+	return a.worth(now) > b.worth(now)
+}
+
 // rank returns how many wants are worth more than w and come back by then.
 func (g *Grantor) rank(now time.Time, w want, then time.Time) int {
-	n, worth := 0, w.worth(now)
+	n := 0
 	for _, m := range g.hosts {
 		for _, other := range m.wants {
-			if now.Before(other.expires) && !other.again.After(then) && other.worth(now) > worth {
+			if now.Before(other.expires) && !other.again.After(then) && g.before(now, other, w) {
 				n++
 			}
 		}
--- a/stage/load/load.go
+++ b/stage/load/load.go
@@ -41,7 +41,9 @@
 type Want struct {
 	Runner  string
 	Ref     adapter.Ref
-	Waiting int // requests that it would serve
+	Waiting int    // requests that it would serve
+	Caller  string // whom the load counts for
+	Weight  int    // the caller's part when loads are short; 0 counts as 1
 }
 
 // A Request asks the grantor for permits. A holder has one open at a time, and
--- a/stage/load/load_test.go
+++ b/stage/load/load_test.go
@@ -42,7 +42,7 @@
 type host struct {
 	holder load.Holder
 	cut    bool
-	joins  time.Time // end of the cut
+	joins  time.Time                 // end of the cut
 	active map[adapter.Ref]time.Time // ends of the loads in progress
 	denied map[adapter.Ref]time.Time
 	ready  map[adapter.Ref]load.Granted // permits not used yet
--- a/stage/queue/group.go
+++ b/stage/queue/group.go
@@ -15,9 +15,14 @@
 	Priority int       // the highest
 	Deadline time.Time // the nearest
 	Oldest   time.Time // the earliest arrival
-	// Level is the least service, in tokens by weight, that a caller of the
-	// group has had.
-	Level float64
+	// Callers are the callers of the items, each once, with their weights.
+	Callers []Claim
+}
+
+// A Claim is a caller with its weight.
+type Claim struct {
+	Caller string
+	Weight int
 }
 
 // Groups returns a Group for each adapter with items, by adapter.
@@ -38,13 +43,11 @@
 func (q *Queue) group(ref adapter.Ref, items []*Item) Group {
 	g := Group{Ref: ref, Waiting: len(items)}
 	for i, item := range items {
-		level := q.callers[item.Caller].level
 		if i == 0 {
-			g.Priority, g.Deadline, g.Oldest, g.Level = item.Priority, item.Deadline, item.Arrived, level
-			continue
+			g.Priority, g.Deadline, g.Oldest = item.Priority, item.Deadline, item.Arrived
 		}
+		g.claim(item)
 		g.Priority = max(g.Priority, item.Priority)
-		g.Level = min(g.Level, level)
 		if item.Deadline.Before(g.Deadline) {
 			g.Deadline = item.Deadline
 		}
@@ -52,6 +55,15 @@
 	return g
 }
 
+func (g *Group) claim(item *Item) {
+	for _, c := range g.Callers {
+		if c.Caller == item.Caller {
+			return
+		}
+	}
+	g.Callers = append(g.Callers, Claim{Caller: item.Caller, Weight: item.Weight})
+}
+
 func sortItems(items []Item) {
 	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/stage/runner/action.go
+++ b/stage/runner/action.go
@@ -55,6 +55,8 @@
 	Ref      adapter.Ref
 	Waiting  int       // requests that the load would serve
 	Deadline time.Time // the nearest deadline among them
+	Caller   string    // the least served caller among them, which the load counts for
+	Weight   int       // the caller's
 }
 
 // Yield ends an Ask or gives a permit back.
--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -51,7 +51,7 @@
 	if f := r.failures[e.Ref]; f.final() && now.Before(f.again) {
 		return f.refusal(e.Ref)
 	}
-	late := now.Add(r.expect(e.Ref, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
+	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
 	if late <= 0 {
 		return nil
 	}
@@ -61,21 +61,10 @@
 }
 
 // expect returns how long a new request for ref waits until it is admitted.
-func (r *Runner) expect(ref adapter.Ref, priority int) time.Duration {
-	ahead, loads := 0, 0
-	for _, g := range r.queue.Groups() {
-		if g.Priority < priority {
-			continue
-		}
-		if r.table.State(g.Ref) != slot.Empty {
-			ahead += g.Waiting
-		} else if g.Ref != ref {
-			loads++
-		}
-	}
+func (r *Runner) expect(ref adapter.Ref, caller string, priority int) time.Duration {
 	wait := time.Duration(0)
 	if len(r.jobs) >= r.Batch {
-		wait = r.pace.places(ahead + 1)
+		wait = r.pace.places(r.ahead(priority) + 1)
 	}
 	switch r.table.State(ref) {
 	case slot.Resident:
@@ -83,8 +72,45 @@
 	case slot.Loading:
 		return max(wait, r.pace.loadTime())
 	default:
-		return max(wait, r.pace.loads(loads+1))
+		over := r.shares.Over(caller, ahead)
+		return max(wait, r.pace.loads(r.before(ref, caller, priority)+1, over))
+	}
+}
+
+// ahead returns how many requests wait for a place before one of priority.
+func (r *Runner) ahead(priority int) int {
+	n := 0
+	for _, g := range r.queue.Groups() {
+		if g.Priority >= priority && r.table.State(g.Ref) != slot.Empty {
+			n += g.Waiting
+		}
+	}
+	return n
+}
+
+// before returns how many loads go before one of ref that the caller is the
+// first to want: callers take turns, so of each other no more than of its own.
+func (r *Runner) before(ref adapter.Ref, caller string, priority int) int {
+	first := 0
+	loads := map[string]int{}
+	for _, g := range r.wanted() {
+		switch {
+		case g.Ref == ref || g.Priority < priority:
+		case g.Priority > priority:
+			first++
+		default:
+			loads[g.claim.Caller]++
+		}
+	}
+	turns := loads[caller] + 1
+	for other, n := range loads {
+		if other == caller {
+			first += n
+			continue
+		}
+		first += min(n, turns)
 	}
+	return first
 }
 
 // leave takes a waiting request out whose caller has gone.
@@ -105,7 +131,7 @@
 		}
 		r.queue.Remove(item.ID)
 		err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
-		err.Again = now.Add(r.expect(item.Ref, item.Priority))
+		err.Again = now.Add(r.expect(item.Ref, item.Caller, item.Priority))
 		r.refuse(item.ID, err)
 	}
 }
--- a/stage/runner/order.go
+++ b/stage/runner/order.go
@@ -78,6 +78,7 @@
 	case r.table.Free() > 0:
 		must(r.table.Load(ref))
 		r.permit.state = used
+		r.shares.Charge(r.permit.claim.Caller, r.permit.claim.Weight)
 		r.send(now, Load, ref, loadLimit)
 	default:
 		victim, ok := r.victim(now)
@@ -182,8 +183,8 @@
 	case Done:
 		must(r.table.Loaded(order.Ref))
 		delete(r.failures, order.Ref)
-		_, more := r.choose(now)
-		r.pace.load(now, order.sent, more)
+		g, more := r.choose(now)
+		r.pace.load(now, order.sent, more, more && !r.over(g))
 	case Full:
 		must(r.table.Clear(order.Ref))
 		r.fail(now, order.Ref)
--- a/stage/runner/pace.go
+++ b/stage/runner/pace.go
@@ -9,25 +9,37 @@
 // was not measured yet counts as no wait.
 type pace struct {
 	loading time.Duration // from a load's order to its answer
-	between time.Duration // between the ends of loads, while more were wanted
+	within  interval      // between loads for callers within their share
+	all     interval      // between loads for any caller
 	token   time.Duration // for each token that a request may generate
 	ends    time.Duration // between the ends of requests
-	loadEnd time.Time
 	jobEnd  time.Time
 }
 
-// load takes the end of a load; more says that another is wanted.
-func (p *pace) load(now, sent time.Time, more bool) {
-	mean(&p.loading, now.Sub(sent))
-	if !p.loadEnd.IsZero() {
-		mean(&p.between, now.Sub(p.loadEnd))
+// An interval is the mean time between two ends while more was wanted.
+type interval struct {
+	mean time.Duration
+	last time.Time // the last end, zero where no more was wanted after it
+}
+
+func (i *interval) end(now time.Time, more bool) {
+	if !i.last.IsZero() {
+		mean(&i.mean, now.Sub(i.last))
 	}
-	p.loadEnd = time.Time{}
+	i.last = time.Time{}
 	if more {
-		p.loadEnd = now
+		i.last = now
 	}
 }
 
+// load takes the end of a load: whether another is wanted, and whether one is
+// for a caller within its share.
+func (p *pace) load(now, sent time.Time, more, within bool) {
+	mean(&p.loading, now.Sub(sent))
+	p.all.end(now, more)
+	p.within.end(now, within)
+}
+
 // serve takes the end of a request; full says that all places were in use.
 func (p *pace) serve(now, admitted time.Time, tokens int, full bool) {
 	mean(&p.token, now.Sub(admitted)/time.Duration(max(tokens, 1)))
@@ -56,7 +68,12 @@
 
 func (p *pace) loadTime() time.Duration { return p.loading }
 
-// loads returns how long it takes until n loads end.
-func (p *pace) loads(n int) time.Duration {
-	return p.between*time.Duration(n-1) + p.loading
+// loads returns how long it takes until n loads end, for a caller that is over
+// its share or within it.
+func (p *pace) loads(n int, over bool) time.Duration {
+	between := p.within.mean
+	if over {
+		between = p.all.mean
+	}
+	return between*time.Duration(n-1) + p.loading
 }
--- a/stage/runner/permit.go
+++ b/stage/runner/permit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/queue"
 	"jacinthstage/stage/slot"
 	"jacinthstage/stage/verdict"
 )
@@ -12,8 +13,9 @@
 type permit struct {
 	state   permitState
 	ref     adapter.Ref
-	waiting int       // as last asked
-	before  time.Time // when a granted one lapses
+	waiting int         // as last asked
+	claim   queue.Claim // whom the load counts for
+	before  time.Time   // when a granted one lapses
 }
 
 type permitState uint8
@@ -44,8 +46,8 @@
 	if r.permit.state == asked && r.permit.waiting == g.Waiting {
 		return
 	}
-	r.permit = permit{state: asked, ref: g.Ref, waiting: g.Waiting}
-	r.do(Ask{Ref: g.Ref, Waiting: g.Waiting, Deadline: g.Deadline})
+	r.permit = permit{state: asked, ref: g.Ref, waiting: g.Waiting, claim: g.claim}
+	r.do(Ask{Ref: g.Ref, Waiting: g.Waiting, Deadline: g.Deadline, Caller: g.claim.Caller, Weight: g.claim.Weight})
 }
 
 // room reports whether a load could start. Where every slot is pinned it closes
--- a/stage/runner/policy.go
+++ b/stage/runner/policy.go
@@ -8,7 +8,52 @@
 	"jacinthstage/stage/slot"
 )
 
-type group = queue.Group
+// A group is the requests that wait for one adapter.
+type group struct {
+	queue.Group
+	claim queue.Claim // of the caller that has had the fewest loads
+	level float64     // that caller's level
+}
+
+// ahead is how many loads by weight a caller may be ahead of the least served
+// one before its loads go after those of others.
+const ahead = 1
+
+// over reports whether all the group's callers are ahead of the others.
+func (r *Runner) over(g group) bool { return r.shares.Over(g.claim.Caller, ahead) }
+
+// wanted returns the groups whose adapter is in no slot.
+func (r *Runner) wanted() []group {
+	var list []group
+	for _, g := range r.queue.Groups() {
+		if r.table.State(g.Ref) == slot.Empty {
+			list = append(list, group{Group: g})
+		}
+	}
+	r.shares.Rise(func(yield func(string) bool) {
+		for _, g := range list {
+			for _, c := range g.Callers {
+				if !yield(c.Caller) {
+					return
+				}
+			}
+		}
+	})
+	for i := range list {
+		list[i].claim, list[i].level = r.least(list[i].Callers)
+	}
+	return list
+}
+
+func (r *Runner) least(claims []queue.Claim) (queue.Claim, float64) {
+	best, level := claims[0], r.shares.Level(claims[0].Caller)
+	for _, c := range claims[1:] {
+		if l := r.shares.Level(c.Caller); l < level {
+			best, level = c, l
+		}
+	}
+	return best, level
+}
 
 // A Policy is how a runner chooses loads and evictions: Aged or Recent.
 type Policy interface{ policy() }
@@ -34,10 +79,7 @@
 func (r *Runner) choose(now time.Time) (group, bool) {
 	var best group
 	found := false
-	for _, g := range r.queue.Groups() {
-		if r.table.State(g.Ref) != slot.Empty {
-			continue
-		}
+	for _, g := range r.wanted() {
 		if until := r.blocked(g.Ref); now.Before(until) {
 			r.at(until)
 			continue
@@ -54,21 +96,21 @@
 	case Recent:
 		return a.Oldest.Before(b.Oldest)
 	case Aged, nil:
-		return worthMore(now, a, b)
+		return r.worthMore(now, a, b)
 	default:
 		panic("runner: unknown policy")
 	}
 }
 
-func worthMore(now time.Time, a, b group) bool {
+func (r *Runner) worthMore(now time.Time, a, b group) bool {
 	la, lb := now.Sub(a.Oldest) > longWait, now.Sub(b.Oldest) > longWait
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority > b.Priority
+	case r.over(a) != r.over(b):
+		return r.over(b)
 	case la != lb:
 		return la
-	case a.Level != b.Level:
-		return a.Level < b.Level
 	case a.Waiting != b.Waiting:
 		return a.Waiting > b.Waiting
 	default:
--- a/stage/runner/runner.go
+++ b/stage/runner/runner.go
@@ -66,6 +66,7 @@
 	permit   permit
 	denied   map[adapter.Ref]time.Time
 	demand   demand
+	shares   queue.Levels // loads that each caller has had
 	pace     pace
 
 	actions []Action
--- a/standin/internal/trial/world.go
+++ b/standin/internal/trial/world.go
@@ -265,7 +265,9 @@
 		w.after(Delay, func() { o.engine.order(x) })
 	case runner.Ask:
 		w.after(0, func() {
-			o.host.step(load.Asked{Want: load.Want{Runner: o.runner.Name, Ref: x.Ref, Waiting: x.Waiting}})
+			o.host.step(load.Asked{Want: load.Want{
+				Runner: o.runner.Name, Ref: x.Ref, Waiting: x.Waiting, Caller: x.Caller, Weight: x.Weight,
+			}})
 		})
 	case runner.Yield:
 		w.after(0, func() {
