--- a/jacinthd/internal/follow/follow_test.go
+++ b/jacinthd/internal/follow/follow_test.go
@@ -244,3 +244,35 @@
 		f.at(1)
 	})
 }
+
+// TestCallsInAnHour counts calls on the object API at the letter's rate of
+// 2,300 patches a day, and the bytes that the watches carry.
+func TestCallsInAnHour(t *testing.T) {
+	const changes = 2300 / 24 // patches in an hour
+	for _, hosts := range []int{1, 9, 30} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			within(t, func(t *testing.T, s *memory.Store, f *fleet) {
+				propose(t, s, 2*patch.Every+50) // so that a snapshot falls due in the hour
+				for i := range hosts {
+					defer f.start(fmt.Sprintf("entry-%d", i), s)()
+				}
+				time.Sleep(time.Minute)
+				hour := s.Counts()
+				for range changes {
+					var own memory.Counts
+					before := s.Counts()
+					propose(t, s, 1)
+					own = s.Counts()
+					hour.Reads, hour.Writes = hour.Reads+own.Reads-before.Reads, hour.Writes+own.Writes-before.Writes
+					time.Sleep(time.Hour / changes)
+				}
+				f.at(2*patch.Every + 50 + changes)
+				now := s.Counts()
+				reads, writes, watches := now.Reads-hour.Reads, now.Writes-hour.Writes, now.Watches-hour.Watches
+				t.Logf("%d hosts, %d patches in an hour: %d reads, %d writes, %d new watches", hosts, changes, reads, writes, watches)
+				require.Zero(t, watches)
+				require.LessOrEqual(t, reads, 2*hosts+10)
+			})
+		})
+	}
+}
