--- a/jacinthd/internal/control/failure_test.go
+++ b/jacinthd/internal/control/failure_test.go
@@ -152,6 +152,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		require.NoError(c.t, leaver.loop.Stop(ctx))
+		time.Sleep(100 * time.Millisecond) // the watch tells the others
 		require.NotEqual(c.t, leaver.name, c.owner("runner-1"))
 		c.traffic(20, 12, 4*time.Second)
 		f.finish(ref, "long")
--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -81,7 +81,8 @@
 	permits   permits
 	routes    map[string]*route.Table   // by service
 	routed    map[string][]route.Runner // runners that each route table was given
-	narrowing time.Time
+	narrowing time.Time                 // when adapters that fell idle are looked for next
+	gauging   time.Time                 // when the gauges are set next
 	stopping  bool
 	stopped   chan struct{}
 }
@@ -171,6 +172,7 @@
 	}
 	l.permits.tick(l)
 	l.narrow()
+	l.gauges()
 }
 
 // next returns when the next tick is due.
--- a/jacinthd/internal/control/view.go
+++ b/jacinthd/internal/control/view.go
@@ -3,16 +3,19 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"jacinthstage/stage/target"
 )
 
+// gaugePeriod is the time between two settings of the gauges.
+const gaugePeriod = time.Second
+
 // View implements Control.
 func (l *Loop) View() *View { return l.view.Load() }
 
 // publish makes a new view where something that it shows has changed.
 func (l *Loop) publish() {
-	l.gauges()
 	if !l.dirty {
 		return
 	}
@@ -34,7 +37,12 @@
 	l.paths.Store(l.chart(view))
 }
 
+// gauges sets the metrics of what the host holds, now and then.
 func (l *Loop) gauges() {
+	if l.now.Before(l.gauging) {
+		return
+	}
+	l.gauging = l.now.Add(gaugePeriod)
 	waiting, running := 0, 0
 	for _, o := range l.owned {
 		usage := o.runner.Usage()
