--- a/jacinthd/internal/traffic/bench_test.go
+++ b/jacinthd/internal/traffic/bench_test.go
@@ -17,12 +17,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"jacinthstage/jacinthd/internal/control"
 )
 
-// quick serves completions at once, each token in a write of its own.
-func quick(b *testing.B) netip.AddrPort {
+// quick serves completions, each token in a write of its own, with a pause
+// between tokens.
+func quick(b *testing.B, pause time.Duration) netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -35,6 +37,9 @@
 		for i := range c.Max {
 			_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"model\":%q,\"index\":%d,\"text\":\"token \"}\n\n", c.ID, c.Model, i)
 			_ = flush()
+			if pause > 0 {
+				time.Sleep(pause)
+			}
 		}
 		_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"model\":%q,\"done\":true,\"tokens\":%d}\n\ndata: [DONE]\n\n", c.ID, c.Model, c.Max)
 	})}
@@ -89,7 +94,7 @@
 
 var ways = []string{"direct", "own", "forwarded"}
 
-func newBench(b *testing.B, count bool) *bench {
+func newBench(b *testing.B, count bool, pause time.Duration) *bench {
 	all := &bench{}
 	all.client = &http.Transport{MaxIdleConnsPerHost: 512, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
@@ -100,7 +105,7 @@
 	}}
 	b.Cleanup(all.client.CloseIdleConnections)
 	ids := identities(b, "entry-1", "entry-2")
-	engine := quick(b)
+	engine := quick(b, pause)
 	owner := newHost(b, configuration(b), ids["entry-1"], patient)
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(b, err)
@@ -138,7 +143,7 @@
 // BenchmarkAdded measures one caller's requests of one token, the three ways in
 // turn, and what a host adds to the direct way, in microseconds.
 func BenchmarkAdded(b *testing.B) {
-	all := newBench(b, false)
+	all := newBench(b, false, 0)
 	took := map[string][]time.Duration{}
 	for b.Loop() {
 		for _, way := range ways {
@@ -164,7 +169,7 @@
 func BenchmarkRequests(b *testing.B) {
 	for _, way := range ways[1:] {
 		b.Run(way, func(b *testing.B) {
-			all := newBench(b, false)
+			all := newBench(b, false, 0)
 			b.SetParallelism((64 + runtime.GOMAXPROCS(0) - 1) / runtime.GOMAXPROCS(0))
 			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
@@ -186,7 +191,7 @@
 	for _, way := range ways {
 		for _, tokens := range []int{1, 64, 512} {
 			b.Run(fmt.Sprintf("%s/%d", way, tokens), func(b *testing.B) {
-				all := newBench(b, true)
+				all := newBench(b, true, 0)
 				require.NoError(b, all.call(way, tokens))
 				all.caller.Store(0)
 				all.link.Store(0)
@@ -203,6 +208,34 @@
 	}
 }
 
+// BenchmarkPaced measures the same for each token, where tokens come 20 ms
+// apart on so many streams at once, as from engines.
+func BenchmarkPaced(b *testing.B) {
+	const tokens, interval = 50, 20 * time.Millisecond
+	for _, way := range ways {
+		for _, streams := range []int{1, 16, 128} {
+			b.Run(fmt.Sprintf("%s/%d", way, streams), func(b *testing.B) {
+				all := newBench(b, true, interval)
+				require.NoError(b, all.call(way, 1))
+				all.caller.Store(0)
+				all.link.Store(0)
+				before := processor(b)
+				for b.Loop() {
+					var group errgroup.Group
+					for range streams {
+						group.Go(func() error { return all.call(way, tokens) })
+					}
+					require.NoError(b, group.Wait())
+				}
+				count := float64(b.N * streams * tokens)
+				b.ReportMetric(float64((processor(b)-before).Microseconds())/count, "cpu-us/token")
+				b.ReportMetric(float64(all.caller.Load())/count, "caller-bytes/token")
+				b.ReportMetric(float64(all.link.Load())/count, "link-bytes/token")
+			})
+		}
+	}
+}
+
 // processor returns the processor time that the process has used.
 func processor(b *testing.B) time.Duration {
 	var usage syscall.Rusage
