--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -39,12 +39,10 @@
 
 	calls  calls
 	holder lease.Holder
-	// admitted says that Renewed holds: the lease is valid, the host is a
-	// member, and the table was read after the last lapse.
+	// admitted says that Renewed holds: the lease is valid and the host a member.
 	admitted bool
-	revived  time.Time // when the lease was first renewed after the last lapse
-	checked  bool      // the table was read since then
-	stale    bool      // what this host was told to own may differ from the table
+	awake    bool // the lease was renewed since it last lapsed
+	stale    bool // what this host was told to own may differ from the table
 	final    bool
 
 	known   bool // the table, or its absence, was read
@@ -69,9 +67,18 @@
 	epoch   uint32
 	handing bool // told to hand over
 	to      string
-	drained bool
+	given   gift
 }
 
+// A gift is how far this host has stopped its use of a runner.
+type gift uint8
+
+const (
+	kept    gift = iota
+	yielded      // no order is open, but requests may run
+	drained      // nothing runs
+)
+
 func (m *Member) terms() lease.Terms { return m.Terms.Fill() }
 
 func (m *Member) timeout() time.Duration {
@@ -153,7 +160,9 @@
 	case Runners:
 		m.configure(e)
 	case Drained:
-		m.drain(e.Runner)
+		m.give(e.Runner, drained)
+	case Yielded:
+		m.give(e.Runner, yielded)
 	default:
 		panic(fmt.Sprintf("host: event %T", event))
 	}
@@ -228,17 +237,15 @@
 		m.emit(Renewed{Until: a.Until})
 		return
 	}
-	if m.revived.IsZero() {
-		m.revived = m.now
+	if !m.awake {
+		m.awake = true
 		m.watch.steady = m.now.Add(m.terms().Term)
-		m.refresh = m.now
+		m.proposal.dirty = true
 	}
-	m.proposal.dirty = true
 }
 
 func (m *Member) lapsed() {
-	m.checked = false
-	m.revived = time.Time{}
+	m.awake = false
 	m.suspend()
 }
 
