--- a/stage/quarantine/event.go
+++ b/stage/quarantine/event.go
@@ -28,9 +28,14 @@
 	Whole bool
 }
 
-// Crashed says that the process of a target ended. Crash is the id, made of
-// the target's name and incarnation.
-type Crashed struct{ Target, Crash string }
+// Crashed says that the process of a target ended with the request in
+// progress; ID is empty where another host ran it. Crash is the crash's id,
+// made of the target's name and incarnation or of what else tells it from others.
+type Crashed struct {
+	Print Print
+	ID    string
+	Crash string
+}
 
 // Told says that a peer saw the request in progress at a crash.
 type Told struct {
--- a/stage/quarantine/quarantine.go
+++ b/stage/quarantine/quarantine.go
@@ -55,6 +55,24 @@
 // Clean reports whether the request has no crash to its name: it needs no Ask.
 func (q *Quarantine) Clean(p Print) bool { return q.suspects[p] == nil }
 
+// Refused reports whether the request is refused for good.
+func (q *Quarantine) Refused(p Print) bool {
+	s := q.suspects[p]
+	return s != nil && len(s.crashes) >= limit
+}
+
+// Known returns the suspects whose objects are known, so that a listing that
+// begins later and lacks one says that it is gone.
+func (q *Quarantine) Known() []Print {
+	var known []Print
+	for p, s := range q.suspects {
+		if s.version != 0 {
+			known = append(known, p)
+		}
+	}
+	return known
+}
+
 // Sharing reports whether a suspect is in progress at the target. To send
 // another suspect there would leave open which of the two crashed it.
 func (q *Quarantine) Sharing(target string) bool {
@@ -156,29 +174,20 @@
 	return q.drive(now, x.Print)
 }
 
-// crashed gives the crash to each request in progress at the target.
+// crashed gives the request one more crash, unless this one is known.
 func (q *Quarantine) crashed(now time.Time, c Crashed) []Action {
-	var hit []Print
-	for id, f := range q.flying {
-		if f.target != c.Target {
-			continue
-		}
-		delete(q.flying, id)
-		hit = append(hit, f.print)
-		if s := q.suspects[f.print]; s != nil && s.running == id {
-			s.running = ""
-		}
+	delete(q.flying, c.ID)
+	s := q.suspect(now, c.Print)
+	if s.running == c.ID {
+		s.running = ""
 	}
-	slices.Sort(hit)
-	var actions []Action
-	for _, p := range slices.Compact(hit) {
-		s := q.suspect(now, p)
-		s.dirty = true
-		actions = append(actions, Tell{Print: p, Crash: c.Crash})
-		actions = append(actions, q.learn(now, p, []string{c.Crash})...)
-		actions = append(actions, q.drive(now, p)...)
+	if slices.Contains(s.crashes, c.Crash) {
+		return q.drive(now, c.Print)
 	}
-	return actions
+	s.dirty = true
+	actions := q.learn(now, c.Print, []string{c.Crash})
+	actions = append(actions, Tell{Print: c.Print, Crash: c.Crash})
+	return append(actions, q.drive(now, c.Print)...)
 }
 
 func (q *Quarantine) told(now time.Time, t Told) []Action {
--- a/stage/quarantine/quarantine_test.go
+++ b/stage/quarantine/quarantine_test.go
@@ -146,7 +146,7 @@
 	delete(w.running, id)
 	if w.poison {
 		w.crashed[target] = true
-		w.step(host, quarantine.Crashed{Target: target, Crash: target})
+		w.step(host, quarantine.Crashed{Print: w.print, ID: id, Crash: target})
 		return
 	}
 	w.step(host, quarantine.Ended{Print: w.print, ID: id, Whole: true})
