--- a/jacinthd/internal/follow/follow_test.go
+++ b/jacinthd/internal/follow/follow_test.go
@@ -84,14 +84,17 @@
 
 // propose accepts n patches, each of which puts one caller.
 func propose(t *testing.T, s store.Store, n int) uint64 {
-	var number uint64
+	config, err := archive.Read(t.Context(), s)
+	require.NoError(t, err)
+	number := config.Version
 	for range n {
-		config, err := archive.Read(t.Context(), s)
-		require.NoError(t, err)
-		number = config.Version + 1
+		number++
 		name := fmt.Sprintf("c%d", number)
-		require.NoError(t, archive.Propose(t.Context(), s, patch.Patch{Number: number, Base: config.Version, ID: name, Author: "ann", Reason: "test",
-			Changes: []patch.Change{patch.PutCaller{Caller: caller.Caller{Name: name}}}}))
+		data, err := patch.Patch{Number: number, Base: number - 1, ID: name, Author: "ann", Reason: "test",
+			Changes: []patch.Change{patch.PutCaller{Caller: caller.Caller{Name: name}}}}.MarshalCBOR()
+		require.NoError(t, err)
+		_, err = s.Create(t.Context(), archive.Key(number), data)
+		require.NoError(t, err)
 	}
 	return number
 }
--- a/jacinthd/store/memory/watch.go
+++ b/jacinthd/store/memory/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"strings"
 	"time"
 
@@ -59,8 +60,9 @@
 		return nil, 0, nil, nil
 	}
 	var events []store.Change
-	for _, e := range s.history {
-		if e.revision > revision && strings.HasPrefix(e.key, prefix) {
+	behind := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > revision })
+	for _, e := range s.history[behind:] {
+		if strings.HasPrefix(e.key, prefix) {
 			events = append(events, e.change)
 		}
 	}
