runner, route: one weight between short stalls and full batches

Cause: the two sites weigh load stalls and batch efficiency differently. Change: with the weight, an idle engine waits up to 2 s for half a batch, a popular adapter takes more of a runner before it gets another home, and up to a quarter of the runners are homes of none and take only what the others can't.

--- a/stage/route/route.go
+++ b/stage/route/route.go
@@ -65,6 +65,7 @@
 // snapshots between two changes of the runners share one.
 type ring struct {
 	near    []*cell
+	core    []*cell // those of near that are homes; the others take what these can't
 	far     []*cell
 	cells   map[string]*cell
 	orders  sync.Map // adapter.Ref to *order
@@ -124,7 +125,10 @@
 		}
 	}
 	hash := xxhash.Sum64String(ref.Name + "@" + ref.Version)
-	o := &order{near: ranked(r.near, hash, n), far: ranked(r.far, hash, distant)}
+	o := &order{near: ranked(r.core, hash, n), far: ranked(r.far, hash, distant)}
+	if more := n - len(o.near); more > 0 || len(r.core) < len(r.near) {
+		o.near = r.spare(o.near, hash, n)
+	}
 	if r.ordered.Add(1) > kept {
 		r.orders.Clear()
 		r.ordered.Store(0)
@@ -133,6 +137,36 @@
 	return o
 }
 
+// spare replaces the last Spare of n runners by those that are no homes.
+func (r *ring) spare(homes []*cell, hash uint64, n int) []*cell {
+	homes = homes[:min(len(homes), max(1, n-Spare))]
+	for _, c := range ranked(r.near, hash, len(r.near)) {
+		if len(homes) == n {
+			break
+		}
+		if !slices.Contains(homes, c) && !slices.Contains(r.core, c) {
+			homes = append(homes, c)
+		}
+	}
+	for _, c := range ranked(r.core, hash, len(r.core)) {
+		if len(homes) < n && !slices.Contains(homes, c) {
+			homes = append(homes, c)
+		}
+	}
+	return homes
+}
+
+// concentrated is the part of the runners that are no homes at weight 1.
+const concentrated = 0.25
+
+// core returns the runners that are homes: the fewer the higher the weight.
+func core(near []*cell, weight float64) []*cell {
+	n := len(near) - int(concentrated*weight*float64(len(near)))
+	all := slices.Clone(near)
+	slices.SortFunc(all, func(a, b *cell) int { return cmp.Compare(a.hash, b.hash) })
+	return all[:n]
+}
+
 func (s *Snapshot) width(ref adapter.Ref) int { return max(1, s.widths[ref]) }
 
 // ranked returns the n cells with the highest rendezvous weight for hash.
--- a/stage/route/table.go
+++ b/stage/route/table.go
@@ -62,10 +62,18 @@
 			next.far = append(next.far, c)
 		}
 	}
+	next.core = core(next.near, t.weight())
 	t.ring = next
 	t.publish()
 }
 
+func (t *Table) weight() float64 {
+	if h, ok := t.Policy.(Homes); ok {
+		return h.Weight
+	}
+	return 0
+}
+
 // Snapshot returns the current snapshot, never nil.
 func (t *Table) Snapshot() *Snapshot {
 	if t.current == nil {
@@ -154,10 +162,7 @@
 
 // share returns the part of a runner's places that one adapter is meant to take.
 func (t *Table) share() float64 {
-	if h, ok := t.Policy.(Homes); ok {
-		return homeShare + (1-homeShare)*h.Weight
-	}
-	return homeShare
+	return homeShare + (1-homeShare)*t.weight()
 }
 
 func (t *Table) resize(ref adapter.Ref, width int) bool {
--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -147,6 +147,10 @@
 		return
 	}
 	open := r.open()
+	if until := r.gather(open); now.Before(until) {
+		r.at(until)
+		return
+	}
 	for len(r.jobs) < r.Batch {
 		item, ok := r.queue.Next(open)
 		if !ok {
@@ -157,6 +161,38 @@
 	}
 }
 
+// How a policy with weight 1 gathers requests before an idle engine starts; a
+// smaller weight asks for as much less.
+const (
+	gatherWait = 2 * time.Second
+	gatherPart = 0.5 // of the engine's places
+)
+
+// gather returns until when an idle engine waits for more requests, so that it
+// starts with a fuller batch.
+func (r *Runner) gather(open []adapter.Ref) time.Time {
+	aged, ok := r.Policy.(Aged)
+	if !ok || aged.Weight <= 0 || len(r.jobs) > 0 {
+		return time.Time{}
+	}
+	waiting := 0
+	var until time.Time
+	for _, ref := range open {
+		g := r.queue.Group(ref)
+		if g.Waiting == 0 {
+			continue
+		}
+		waiting += g.Waiting
+		if end := g.Oldest.Add(time.Duration(aged.Weight * float64(gatherWait))); until.IsZero() || end.Before(until) {
+			until = end
+		}
+	}
+	if float64(waiting) >= aged.Weight*gatherPart*float64(r.Batch) {
+		return time.Time{}
+	}
+	return until
+}
+
 // open returns the resident adapters that admit requests.
 func (r *Runner) open() []adapter.Ref {
 	refs := r.table.In(slot.Resident)
--- a/stage/slot/table_test.go
+++ b/stage/slot/table_test.go
@@ -62,7 +62,7 @@
 }
 
 // do does one operation on both tables and returns whether each allowed it.
-func do(op int, t *slot.Table, n *naive, ref adapter.Ref, id string) (real, plain bool) {
+func do(op int, t *slot.Table, n *naive, ref adapter.Ref, id string) (got, plain bool) {
 	switch op {
 	case 0:
 		_, present := n.states[ref]
