--- a/stage/queue/group.go
+++ b/stage/queue/group.go
@@ -15,6 +15,7 @@
 	Priority int       // the highest
 	Deadline time.Time // the nearest
 	Oldest   time.Time // the earliest arrival
+	Stalled  bool      // an item waited for its adapter
 	// Callers are the callers of the items, each once, with their weights.
 	Callers []Claim
 }
@@ -47,6 +48,7 @@
 			g.Priority, g.Deadline, g.Oldest = item.Priority, item.Deadline, item.Arrived
 		}
 		g.claim(item)
+		g.Stalled = g.Stalled || !item.Resident
 		g.Priority = max(g.Priority, item.Priority)
 		if item.Deadline.Before(g.Deadline) {
 			g.Deadline = item.Deadline
--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -169,7 +169,7 @@
 )
 
 // gather returns until when an idle engine waits for more requests, so that it
-// starts with a fuller batch.
+// starts with a fuller batch. It starts at once for one that has waited for a load.
 func (r *Runner) gather(open []adapter.Ref) time.Time {
 	aged, ok := r.Policy.(Aged)
 	if !ok || aged.Weight <= 0 || len(r.jobs) > 0 {
@@ -182,6 +182,9 @@
 		if g.Waiting == 0 {
 			continue
 		}
+		if g.Stalled {
+			return time.Time{}
+		}
 		waiting += g.Waiting
 		if end := g.Oldest.Add(time.Duration(aged.Weight * float64(gatherWait))); until.IsZero() || end.Before(until) {
 			until = end
