control, process: a stopping host tells the new owners before it ends

Cause: the message that a former owner has drained was cut by the end of the process; a new owner of an unfenced runner then waits for the latest deadline. Change: Settle waits until nothing is left on runners given up and the new owners were told; plain services' records are waited for too.

--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -83,6 +83,8 @@
 	routed    map[string][]route.Runner // runners that each route table was given
 	narrowing time.Time                 // when adapters that fell idle are looked for next
 	gauging   time.Time                 // when the gauges are set next
+	telling   int                       // new owners that are being told of a drain
+	settling  []chan struct{}           // waits of Settle
 	stopping  bool
 	stopped   chan struct{}
 }
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -141,6 +141,7 @@
 		return
 	}
 	delete(l.former, o)
+	defer l.settled()
 	row, ok := l.tables[l.Region].Row(o.target.Name)
 	if !ok || row.Owner == "" || row.Owner == l.Self.Name {
 		return
@@ -150,7 +151,9 @@
 		return
 	}
 	message := peer.Drained{Runner: o.target.Name, Epoch: uint64(o.epoch)}
+	l.telling++
 	go func() {
+		defer l.post(told{})
 		ctx, cancel := context.WithTimeout(l.ctx, tellTimeout)
 		defer cancel()
 		if _, err := l.Link.Call(ctx, owner.Peer, owner.Name, message); err != nil {
@@ -159,6 +162,32 @@
 	}()
 }
 
+// Settle returns once no request is left on any runner that this host gave up,
+// and the new owners were told, or ctx ended.
+func (l *Loop) Settle(ctx context.Context) error {
+	done := make(chan struct{})
+	l.post(settle{done})
+	select {
+	case <-done:
+		return nil
+	case <-l.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// settled ends the waits of Settle where nothing is left.
+func (l *Loop) settled() {
+	if len(l.former) > 0 || l.telling > 0 {
+		return
+	}
+	for _, done := range l.settling {
+		close(done)
+	}
+	l.settling = nil
+}
+
 // inherit takes in that an earlier owner has drained a runner.
 func (l *Loop) inherit(d drained) {
 	o := l.owned[d.runner]
--- a/jacinthd/internal/control/post.go
+++ b/jacinthd/internal/control/post.go
@@ -94,6 +94,12 @@
 	ref     adapter.Ref
 }
 
+// told says that a new owner was told of a drain, or could not be.
+type told struct{}
+
+// settle closes done once no request is left on runners that were given up.
+type settle struct{ done chan struct{} }
+
 // stop starts a planned stop.
 type stop struct{}
 
@@ -112,6 +118,8 @@
 func (wanted) post()     {}
 func (permitted) post()  {}
 func (observed) post()   {}
+func (told) post()       {}
+func (settle) post()     {}
 func (stop) post()       {}
 
 // holder is a post that holds the control goroutine; tests pause a host by one.
@@ -152,6 +160,12 @@
 		l.permits.step(l, load.Replied{Reply: p.reply})
 	case observed:
 		l.observe(p)
+	case told:
+		l.telling--
+		l.settled()
+	case settle:
+		l.settling = append(l.settling, p.done)
+		l.settled()
 	case holder:
 		p.hold()
 	case stop:
--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -53,6 +53,7 @@
 	loop     *control.Loop
 	follower *follow.Follower
 	traffic  *traffic.Server
+	plain    *plain.Handler
 	stopping atomic.Bool
 }
 
@@ -121,16 +122,17 @@
 		Log:     p.log,
 	}
 	budgets := &budget{}
+	p.plain = &plain.Handler{
+		Store:    objects,
+		Retries:  budgets,
+		Region:   s.Host.Region,
+		Log:      p.log,
+		Body:     int64(s.Limits.Body),
+		Deadline: s.Limits.Deadline,
+		Longest:  s.Limits.Longest,
+	}
 	p.traffic = &traffic.Server{
-		Plain: &plain.Handler{
-			Store:    objects,
-			Retries:  budgets,
-			Region:   s.Host.Region,
-			Log:      p.log,
-			Body:     int64(s.Limits.Body),
-			Deadline: s.Limits.Deadline,
-			Longest:  s.Limits.Longest,
-		},
+		Plain:   p.plain,
 		Retries: budgets,
 		Control: p.loop,
 		Engine:  p.engines,
@@ -188,6 +190,10 @@
 	if err := p.traffic.Shutdown(ctx); err != nil {
 		p.log.Error("host: requests cut", zap.Error(err))
 	}
+	p.plain.Wait()
+	if err := p.loop.Settle(ctx); err != nil {
+		p.log.Error("host: new owners not told", zap.Error(err))
+	}
 	p.log.Info("host: stopped")
 }
 
