runner: closed slots open again, and a known request can be resumed

(2) a request that arrived again by an ID that the runner knew got no answer at all. Change: closed slots reopen where no load needs them; a request of an earlier owner or with a broken connection is admitted at once by its ID, another refused. Before: TestClosedSlotOpensAgain and TestResumeIsAdmittedAtOnce fail.

--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -16,7 +16,8 @@
 		r.refuse(e.ID, verdict.Refuse(verdict.Unavailable, "runner %s takes no new requests", r.Name))
 		return
 	}
-	if r.jobs[e.ID] != nil || r.queue.Has(e.ID) {
+	if r.queue.Has(e.ID) || r.jobs[e.ID] != nil {
+		r.again(now, e)
 		return
 	}
 	r.demand.hit(now, e.Ref)
@@ -161,6 +162,21 @@
 	}
 }
 
+// again takes a request whose ID is known. One that nobody waits for any more,
+// since its connection broke or another owner admitted it, is resumed: it has
+// its pin. Another is refused.
+func (r *Runner) again(now time.Time, e Arrived) {
+	j := r.jobs[e.ID]
+	before := r.bound(now)
+	if j == nil || !j.foreign && !j.lost || j.ref != e.Ref || !now.Before(before) {
+		r.refuse(e.ID, verdict.Refuse(verdict.Conflict, "request %s is in progress", e.ID))
+		return
+	}
+	j.foreign, j.lost, j.need = false, false, 0
+	j.admitted, j.tokens = now, e.Tokens
+	r.do(Admit{ID: e.ID, Before: before, Resident: true})
+}
+
 // How a policy with weight 1 gathers requests before an idle engine starts; a
 // smaller weight asks for as much less.
 const (
--- /dev/null
+++ b/stage/runner/closing_test.go
@@ -0,0 +1,147 @@
+package runner_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/runner"
+)
+
+// A desk drives one runner by hand, with an engine that does at once what it is told.
+type desk struct {
+	r        runner.Runner
+	now      time.Time
+	highest  uint64
+	resident []adapter.Ref
+	running  []string // on the first resident adapter
+	admitted []string
+	refused  []string
+	events   []runner.Event
+}
+
+func newDesk(slots int) *desk {
+	d := &desk{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	d.r = runner.Runner{Name: "r", Slots: slots, Batch: 16, Fenced: true}
+	d.step(runner.Owned{Epoch: 1, Lease: d.now.Add(time.Hour)})
+	return d
+}
+
+// step gives the runner an event and then the engine's answers to what it does.
+func (d *desk) step(e runner.Event) {
+	d.events = append(d.events, e)
+	for len(d.events) > 0 {
+		next := d.events[0]
+		d.events = d.events[1:]
+		for _, action := range d.r.Step(d.now, next) {
+			d.act(action)
+		}
+	}
+}
+
+func (d *desk) act(action runner.Action) {
+	switch a := action.(type) {
+	case runner.Admit:
+		d.admitted = append(d.admitted, a.ID)
+	case runner.Refuse:
+		d.refused = append(d.refused, a.ID)
+	case runner.Order:
+		d.order(a)
+	case runner.Ask:
+		d.events = append(d.events, runner.Granted{Ref: a.Ref, Before: d.now.Add(time.Second)})
+	case runner.AskReport:
+		d.events = append(d.events, d.report())
+	}
+}
+
+func (d *desk) order(o runner.Order) {
+	switch o.Kind {
+	case runner.Load:
+		d.resident = append(d.resident, o.Ref)
+	case runner.Unload:
+		d.resident = slices.DeleteFunc(d.resident, func(ref adapter.Ref) bool { return ref == o.Ref })
+	case runner.Fence:
+	}
+	d.highest = o.Number
+	d.events = append(d.events, runner.Answered{Number: o.Number, Answer: runner.Done, Highest: o.Number, Incarnation: "i"})
+}
+
+func (d *desk) report() runner.Reported {
+	rep := runner.Report{Number: d.highest, Made: d.now, Incarnation: "i"}
+	for i, ref := range d.resident {
+		occupied := runner.Occupied{Ref: ref}
+		if i == 0 {
+			occupied.Requests = d.running
+		}
+		rep.Slots = append(rep.Slots, occupied)
+	}
+	return runner.Reported{Report: rep}
+}
+
+// pass lets time pass in small steps.
+func (d *desk) pass(span time.Duration) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.now = d.now.Add(10 * time.Millisecond)
+		d.step(runner.Tick{})
+	}
+}
+
+func (d *desk) arrive(id, name string) {
+	d.step(runner.Arrived{ID: id, Ref: adapter.Ref{Name: name, Version: "1"}, Caller: "c", Deadline: d.now.Add(time.Minute), Tokens: 1})
+}
+
+// A slot that was closed for a load admits again once nobody waits for the load.
+func TestClosedSlotOpensAgain(t *testing.T) {
+	d := newDesk(1)
+	d.pass(100 * time.Millisecond)
+	d.arrive("a1", "a")
+	d.pass(time.Second)
+	require.Equal(t, []string{"a1"}, d.admitted)
+	d.arrive("b1", "b")
+	d.pass(5 * time.Second)
+	d.arrive("a2", "a")
+	d.pass(time.Second)
+	require.Equal(t, []string{"a1"}, d.admitted, "the slot drains for b")
+	d.step(runner.Gone{ID: "b1"})
+	d.pass(time.Second)
+	require.Equal(t, []string{"a1", "a2"}, d.admitted)
+}
+
+// A request that a report showed, or whose connection broke, can be taken up
+// again by its ID: it has its pin already.
+func TestResumeIsAdmittedAtOnce(t *testing.T) {
+	t.Run("lost", func(t *testing.T) {
+		d := newDesk(1)
+		d.pass(100 * time.Millisecond)
+		d.arrive("a1", "a")
+		d.pass(time.Second)
+		d.running = []string{"a1"}
+		d.step(runner.Ended{ID: "a1", Outcome: runner.Lost})
+		d.arrive("a1", "a")
+		require.Equal(t, []string{"a1", "a1"}, d.admitted)
+		d.running = nil
+		d.step(runner.Ended{ID: "a1", Outcome: runner.Served})
+		require.Zero(t, d.r.Usage().Running)
+	})
+	t.Run("of an earlier owner", func(t *testing.T) {
+		d := &desk{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), resident: []adapter.Ref{{Name: "a", Version: "1"}}}
+		d.r = runner.Runner{Name: "r", Slots: 1, Batch: 16, Fenced: true}
+		d.running = []string{"a1"}
+		d.step(runner.Owned{Epoch: 2, Inherited: true, Until: d.now.Add(time.Minute), Lease: d.now.Add(time.Hour)})
+		d.pass(100 * time.Millisecond)
+		d.arrive("a1", "a")
+		require.Equal(t, []string{"a1"}, d.admitted)
+	})
+	t.Run("in progress", func(t *testing.T) {
+		d := newDesk(1)
+		d.pass(100 * time.Millisecond)
+		d.arrive("a1", "a")
+		d.pass(time.Second)
+		d.arrive("a1", "a")
+		require.Equal(t, []string{"a1"}, d.admitted)
+		require.Equal(t, []string{"a1"}, d.refused)
+	})
+}
--- a/stage/runner/permit.go
+++ b/stage/runner/permit.go
@@ -34,6 +34,7 @@
 	}
 	g, ok := r.choose(now)
 	if !ok {
+		r.reopen(now)
 		r.drop(false)
 		return
 	}
@@ -53,16 +54,26 @@
 // room reports whether a load could start. Where every slot is pinned it closes
 // the one that is worth least, so that it drains.
 func (r *Runner) room(now time.Time, g group) bool {
-	if r.table.Free() > 0 {
+	victim, ok := r.victim(now)
+	if r.table.Free() > 0 || ok && !r.closing[victim] {
+		r.reopen(now)
 		return true
 	}
-	if _, ok := r.victim(now); ok {
+	if ok {
 		return true
 	}
 	r.drain(now, g)
 	return false
 }
 
+// reopen lets closed slots admit again: no load needs them.
+func (r *Runner) reopen(now time.Time) {
+	if len(r.closing) > 0 {
+		clear(r.closing)
+		r.at(now)
+	}
+}
+
 // drop ends the Ask or gives the permit back.
 func (r *Runner) drop(spent bool) {
 	if r.permit.state != none {
