runner: refuse a request that has waited two fifths of its time for a load

Cause: over the store's rate, requests waited until near their deadline: the number of loads is the store's, so a longer queue only serves other requests later. Change: a request whose adapter is in no slot is refused once it has waited 0.4 of the time to its deadline, or at once where it would have to.

--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -51,7 +51,8 @@
 	if f := r.failures[e.Ref]; f.final() && now.Before(f.again) {
 		return f.refusal(e.Ref)
 	}
-	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
+	item := queue.Item{Ref: e.Ref, Deadline: e.Deadline, Tokens: e.Tokens, Arrived: now}
+	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority)).Sub(r.latest(item))
 	if late <= 0 {
 		return nil
 	}
@@ -124,7 +125,7 @@
 // if they were admitted now.
 func (r *Runner) expire(now time.Time) {
 	for _, item := range r.queue.All() {
-		latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+		latest := r.latest(item)
 		if now.Before(latest) {
 			r.at(latest)
 			continue
@@ -136,6 +137,29 @@
 	}
 }
 
+// stallPart is the part of the time between a request's arrival and its deadline
+// that it may wait for a load. Longer waits only move the loads to other
+// requests: their number is the store's.
+const stallPart = 0.4
+
+// latest returns when a waiting request is refused.
+func (r *Runner) latest(item queue.Item) time.Time {
+	latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+	if r.recent() || r.table.State(item.Ref) != slot.Empty {
+		return latest
+	}
+	patience := time.Duration(stallPart * float64(item.Deadline.Sub(item.Arrived)))
+	if t := item.Arrived.Add(patience); t.Before(latest) {
+		return t
+	}
+	return latest
+}
+
+func (r *Runner) recent() bool {
+	_, ok := r.Policy.(Recent)
+	return ok
+}
+
 // admit sends waiting requests to adapters that are resident, while the engine
 // has places.
 func (r *Runner) admit(now time.Time) {
