--- /dev/null
+++ b/jacinthd/internal/traffic/path.go
@@ -0,0 +1,252 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/control"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/verdict"
+)
+
+// resumePause is the pause between tries at resuming.
+const resumePause = 100 * time.Millisecond
+
+// completions answers POST /v1/completions.
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	s.tasks.add()
+	defer s.tasks.done()
+	defer s.present.Add(-1)
+	if s.present.Add(1) > int64(s.limits.Requests) {
+		s.meters.answered(errCrowded)
+		fail(w, errCrowded)
+		return
+	}
+	q, streamed, err := s.read(w, r)
+	if err != nil {
+		s.meters.answered(err)
+		fail(w, err)
+		return
+	}
+	base := newBase(w, q, s.limits.Stuck, &s.meters)
+	var to answer = &whole{base: base}
+	if streamed {
+		to = &stream{base: base}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.job.Deadline)
+	defer cancel()
+	err = s.serve(ctx, q, to)
+	if r.Context().Err() != nil {
+		err = errGone
+	}
+	s.meters.answered(err)
+	if err != nil && !errors.Is(err, errGone) {
+		s.log.Info("traffic: request failed", zap.String("id", q.job.ID), zap.Stringer("ref", q.job.Ref), zap.Error(err))
+		to.fail(err)
+	}
+}
+
+// serve tries runners until one has answered or no further try is allowed.
+func (s *Server) serve(ctx context.Context, q request, to answer) error {
+	if s.suspect(q) {
+		return errSuspect
+	}
+	a := &attempts{s: s, q: q, to: to, tried: map[control.Candidate]bool{}, last: errNoTarget}
+	for a.more() {
+		if err := a.step(ctx); err == nil {
+			s.succeeded(q)
+			return nil
+		}
+		if a.over(ctx) {
+			break
+		}
+		to.restart()
+	}
+	return marked(a.last, a.maybe)
+}
+
+// attempts are the tries at one request so far.
+type attempts struct {
+	s     *Server
+	q     request
+	to    answer
+	tried map[control.Candidate]bool
+	at    control.Candidate // of the last try
+	last  error             // of the last try
+	maybe bool              // a try may have run
+	// resumed says that the last try was one at resuming, after which there is none.
+	resumed bool
+}
+
+// more reports whether there is something to try, and for a retry takes the
+// leave. Where no runner is left, a lost link may still be found again.
+func (a *attempts) more() bool {
+	_, ok := a.pick()
+	if len(a.tried) == 0 {
+		return ok
+	}
+	return (ok || lost(a.last)) && a.s.retry(a.q)
+}
+
+// step makes one try. An answer that has started can only be resumed.
+func (a *attempts) step(ctx context.Context) error {
+	c, ok := a.pick()
+	if ok {
+		a.tried[c], a.at = true, c
+		a.last = a.s.try(ctx, a.q, c, a.to)
+	}
+	if a.last != nil && (a.to.started() || !ok) {
+		a.resumed = true
+		a.last = a.s.resume(ctx, a.q, a.at, a.to, a.last)
+	}
+	return a.last
+}
+
+// over reports whether no further try is of use after a failed one.
+func (a *attempts) over(ctx context.Context) bool {
+	a.maybe = a.maybe || verdict.Of(a.last) != verdict.NotRun
+	switch {
+	case ctx.Err() != nil:
+		a.last = errLate
+		return true
+	case a.s.suspect(a.q):
+		a.last = errSuspect
+		return true
+	default:
+		return a.resumed || a.to.started() || final(a.last)
+	}
+}
+
+// pick returns the best candidate not yet tried.
+func (a *attempts) pick() (control.Candidate, bool) {
+	for _, c := range a.s.Control.Route(a.q.job) {
+		if !a.tried[c] {
+			return c, true
+		}
+	}
+	return control.Candidate{}, false
+}
+
+// final reports whether err is the same on every runner.
+func final(err error) bool {
+	if errors.Is(err, errGone) {
+		return true
+	}
+	switch said(err).Code {
+	case verdict.Malformed, verdict.Unauthenticated, verdict.Forbidden, verdict.Unknown, verdict.Conflict,
+		verdict.Oversize, verdict.Invalid, verdict.Expired, verdict.Suspect:
+		return true
+	default:
+		return false
+	}
+}
+
+// try sends the request to one runner, from the answer's next token on.
+func (s *Server) try(ctx context.Context, q request, c control.Candidate, to sink) error {
+	if c.Here {
+		return s.own(ctx, q, c.Runner, to)
+	}
+	if c.Far && s.Far != nil && !s.Far.AllowN(time.Now(), worth(q)) {
+		return errFar
+	}
+	return s.forward(ctx, q, c, to)
+}
+
+const (
+	// callBytes and tokenBytes are about what a forwarded request and each of
+	// its tokens put on the link, in bytes.
+	callBytes  = 400
+	tokenBytes = 64
+)
+
+// worth returns about how many bytes a request puts on the link at most.
+func worth(q request) int { return callBytes + len(q.prompt) + tokenBytes*q.job.Tokens }
+
+// resume goes on with an answer that broke after its first byte, where it
+// began. It tries again for as long as the runner may still be reached through
+// its owner of that time.
+func (s *Server) resume(ctx context.Context, q request, c control.Candidate, to answer, err error) error {
+	until := time.Now().Add(s.limits.Resume)
+	next := to.next()
+	for ctx.Err() == nil && resumable(err) && time.Now().Before(until) {
+		s.meters.resumes.Inc()
+		s.log.Info("traffic: answer broke, resuming", zap.String("id", q.job.ID), zap.Int("offset", to.next()), zap.Error(err))
+		pause(ctx, resumePause)
+		owner, ok := s.owner(q, c.Runner)
+		if !ok {
+			continue
+		}
+		if err = s.try(ctx, q, owner, to); err == nil {
+			return nil
+		}
+		if to.next() > next {
+			next = to.next()
+			until = time.Now().Add(s.limits.Resume)
+		}
+	}
+	// The answer has begun, so whatever the last try says, it ran.
+	e := *said(err)
+	e.Verdict = verdict.MayHaveRun
+	return &e
+}
+
+// resumable reports whether the answer may go on elsewhere: the link failed, or
+// the owner did not take the request. An owner that says that the engine lost
+// the request is right.
+func resumable(err error) bool {
+	return lost(err) || verdict.Of(err) == verdict.NotRun && !final(err)
+}
+
+// lost reports whether the link to the owner failed with the request in progress.
+func lost(err error) bool {
+	var link *peer.Fault
+	return errors.As(err, &link)
+}
+
+// owner returns the candidate for a runner as ownership is now.
+func (s *Server) owner(q request, runner string) (control.Candidate, bool) {
+	for _, c := range s.Control.Route(q.job) {
+		if c.Runner == runner {
+			return c, true
+		}
+	}
+	return control.Candidate{}, false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) retry(q request) bool {
+	ok := s.Retries == nil || s.Retries.Retry(q.job.Service)
+	if ok {
+		s.meters.retries.Inc()
+	}
+	return ok
+}
+
+func (s *Server) succeeded(q request) {
+	if s.Retries != nil {
+		s.Retries.Succeeded(q.job.Service)
+	}
+}
+
+func (s *Server) suspect(q request) bool {
+	return s.Suspects != nil && s.Suspects.Refused(q.print)
+}
+
+// crashed records that a request was in progress on a runner that crashed.
+func (s *Server) crashed(q request, runner string) {
+	if s.Suspects != nil {
+		s.Suspects.Crashed(q.print, runner+"/"+q.job.ID)
+	}
+}
--- /dev/null
+++ b/stage/runner/admit.go
@@ -0,0 +1,222 @@
+package runner
+
+import (
+	"time"
+
+	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/queue"
+	"jacinthstage/stage/slot"
+	"jacinthstage/stage/verdict"
+)
+
+// arrive takes a request into the queue, or refuses it where it can't be
+// served in time.
+func (r *Runner) arrive(now time.Time, e Arrived) {
+	if !r.owned || r.stopping != "" {
+		r.refuse(e.ID, verdict.Refuse(verdict.Unavailable, "runner %s takes no new requests", r.Name))
+		return
+	}
+	if r.jobs[e.ID] != nil || r.queue.Has(e.ID) {
+		return
+	}
+	r.demand.hit(now, e.Ref)
+	if err := r.hopeless(now, e); err != nil {
+		r.refuse(e.ID, err)
+		return
+	}
+	out, full := r.queue.Push(queue.Item{
+		ID:       e.ID,
+		Ref:      e.Ref,
+		Caller:   e.Caller,
+		Weight:   e.Weight,
+		Priority: e.Priority,
+		Deadline: e.Deadline,
+		Tokens:   e.Tokens,
+		Arrived:  now,
+		Resident: r.table.State(e.Ref) == slot.Resident,
+	})
+	if full {
+		err := verdict.Refuse(verdict.Limited, "runner %s: the queue is full", r.Name)
+		err.Again = now.Add(r.pace.places(r.queue.Len()))
+		r.refuse(out.ID, err)
+	}
+}
+
+// hopeless returns the refusal of a request that can't be complete before its
+// deadline, as far as the measured rates tell, nil for any other.
+func (r *Runner) hopeless(now time.Time, e Arrived) *verdict.Error {
+	if !now.Before(e.Deadline) {
+		return verdict.Refuse(verdict.Expired, "the deadline has passed")
+	}
+	if f := r.failures[e.Ref]; f.final() && now.Before(f.again) {
+		return f.refusal(e.Ref)
+	}
+	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
+	if late <= 0 {
+		return nil
+	}
+	err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
+	err.Again = now.Add(late)
+	return err
+}
+
+// expect returns how long a new request for ref waits until it is admitted.
+func (r *Runner) expect(ref adapter.Ref, caller string, priority int) time.Duration {
+	wait := time.Duration(0)
+	if len(r.jobs) >= r.Batch {
+		wait = r.pace.places(r.ahead(priority) + 1)
+	}
+	switch r.table.State(ref) {
+	case slot.Resident:
+		return wait
+	case slot.Loading:
+		return max(wait, r.pace.loadTime())
+	default:
+		over := r.shares.Over(caller, ahead)
+		return max(wait, r.pace.loads(r.before(ref, caller, priority)+1, over))
+	}
+}
+
+// ahead returns how many requests wait for a place before one of priority.
+func (r *Runner) ahead(priority int) int {
+	n := 0
+	for _, g := range r.queue.Groups() {
+		if g.Priority >= priority && r.table.State(g.Ref) != slot.Empty {
+			n += g.Waiting
+		}
+	}
+	return n
+}
+
+// before returns how many loads go before one of ref that the caller is the
+// first to want: callers take turns, so of each other no more than of its own.
+func (r *Runner) before(ref adapter.Ref, caller string, priority int) int {
+	first := 0
+	loads := map[string]int{}
+	for _, g := range r.wanted() {
+		switch {
+		case g.Ref == ref || g.Priority < priority:
+		case g.Priority > priority:
+			first++
+		default:
+			loads[g.claim.Caller]++
+		}
+	}
+	turns := loads[caller] + 1
+	for other, n := range loads {
+		if other == caller {
+			first += n
+			continue
+		}
+		first += min(n, turns)
+	}
+	return first
+}
+
+// leave takes a waiting request out whose caller has gone.
+func (r *Runner) leave(e Gone) {
+	if _, ok := r.queue.Remove(e.ID); ok {
+		r.refuse(e.ID, verdict.Refuse(verdict.Expired, "the caller has gone"))
+	}
+}
+
+// expire refuses the waiting requests that would end after their deadline even
+// if they were admitted now.
+func (r *Runner) expire(now time.Time) {
+	for _, item := range r.queue.All() {
+		latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+		if now.Before(latest) {
+			r.at(latest)
+			continue
+		}
+		r.queue.Remove(item.ID)
+		err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
+		err.Again = now.Add(r.expect(item.Ref, item.Caller, item.Priority))
+		r.refuse(item.ID, err)
+	}
+}
+
+// admit sends waiting requests to adapters that are resident, while the engine
+// has places.
+func (r *Runner) admit(now time.Time) {
+	if !r.known || r.stopping != "" {
+		return
+	}
+	before := r.bound(now)
+	if !now.Before(before) {
+		return
+	}
+	open := r.open()
+	if until := r.gather(open); now.Before(until) {
+		r.at(until)
+		return
+	}
+	for len(r.jobs) < r.Batch {
+		item, ok := r.queue.Next(open)
+		if !ok {
+			return
+		}
+		r.queue.Serve(item.ID)
+		r.start(now, before, item)
+	}
+}
+
+// How a policy with weight 1 gathers requests before an idle engine starts; a
+// smaller weight asks for as much less.
+const (
+	gatherWait = 250 * time.Millisecond
+	gatherPart = 0.5 // of the engine's places
+)
+
+// gather returns until when an idle engine waits for more requests, so that it
+// starts with a fuller batch. It starts at once for one that has waited for a load.
+func (r *Runner) gather(open []adapter.Ref) time.Time {
+	aged, ok := r.Policy.(Aged)
+	if !ok || aged.Weight <= 0 || len(r.jobs) > 0 {
+		return time.Time{}
+	}
+	waiting := 0
+	var until time.Time
+	for _, ref := range open {
+		g := r.queue.Group(ref)
+		if g.Waiting == 0 {
+			continue
+		}
+		if g.Stalled {
+			return time.Time{}
+		}
+		waiting += g.Waiting
+		if end := g.Oldest.Add(time.Duration(aged.Weight * float64(gatherWait))); until.IsZero() || end.Before(until) {
+			until = end
+		}
+	}
+	if float64(waiting) >= aged.Weight*gatherPart*float64(r.Batch) {
+		return time.Time{}
+	}
+	return until
+}
+
+// open returns the resident adapters that admit requests.
+func (r *Runner) open() []adapter.Ref {
+	refs := r.table.In(slot.Resident)
+	if len(r.closing) == 0 {
+		return refs
+	}
+	open := refs[:0]
+	for _, ref := range refs {
+		if !r.closing[ref] {
+			open = append(open, ref)
+		}
+	}
+	return open
+}
+
+func (r *Runner) start(now, before time.Time, item queue.Item) {
+	must(r.table.Pin(item.Ref, item.ID))
+	r.jobs[item.ID] = &job{id: item.ID, ref: item.Ref, tokens: item.Tokens, admitted: now}
+	a := Admit{ID: item.ID, Before: before, Resident: item.Resident}
+	if !item.Resident {
+		a.Stall = now.Sub(item.Arrived)
+	}
+	r.do(a)
+}
