load, control: go on loading, and serve engines without fencing, in an outage

Cause: in an outage of the object API the grantor stopped with its lease and places lasted 30 s, so loads stopped (288 of 1,200 requests refused in 2 min); engines that ignore fencing numbers were not served at all once the lease had lapsed (1,200 of 1,200 refused), although such a runner moves only when the platform's list shows its owner as gone. Ruled out: letting the grantor go on past its lease while its holders confirm it (a new grantor may know none of them, so the store's rate could be passed); leaving the rule for lapsed leases as it was for all engines. Change: places last 10 min; a lapse alone no longer stops an engine without fencing, a pause of the process does until the next renewal. Cost: the place of a host that ended is free again after 10 min, not 30 s.

--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -25,6 +25,8 @@
 	burst = 64
 	// idle is the longest time without a tick.
 	idle = time.Second
+	// pauseLimit is the time between two ticks that counts as a pause of the process.
+	pauseLimit = 2 * idle
 )
 
 // An Engines is what the control goroutine asks of engines: *engine.Client.
@@ -71,6 +73,7 @@
 	ctx       context.Context
 	dirty     bool
 	member    host.Member
+	paused    bool      // the process stood still since the lease was last renewed
 	lease     time.Time // end of this host's lease as last renewed
 	tables    map[string]host.Table
 	config    *patch.Config
@@ -137,7 +140,13 @@
 // wake takes the time and gives the ticks that are due before anything else is
 // handled: after a pause the lease must be found lapsed before a job is admitted.
 func (l *Loop) wake() {
+	former := l.now
 	l.now = time.Now()
+	if l.now.Sub(former) > pauseLimit {
+		l.Log.Warn("host: was paused", zap.Duration("span", l.now.Sub(former)))
+		l.paused = true
+		l.lapse()
+	}
 	l.tick()
 }
 
--- a/jacinthd/internal/control/membership.go
+++ b/jacinthd/internal/control/membership.go
@@ -50,13 +50,14 @@
 		l.handover(a)
 	case host.Renewed:
 		l.lease = a.Until
+		l.paused = false
 		l.permits.renew(l)
 		l.eachRunner(runner.Renewed{Lease: a.Until})
 	case host.Lapsed:
 		l.Log.Info("lease: lapsed")
 		l.lease = l.now
 		l.permits.renew(l)
-		l.eachRunner(runner.Lapsed{})
+		l.lapse()
 	case host.Members:
 		l.tables[l.Region] = a.Table
 		l.permits.elect(l)
@@ -72,6 +73,18 @@
 	}
 }
 
+// lapse tells the runners that the lease can't be relied on. An engine that
+// ignores fencing numbers goes to another host only once the platform's list
+// shows this one as gone, so a lapse alone, as in an outage of the object API,
+// leaves it served; after a pause this host can't know.
+func (l *Loop) lapse() {
+	for _, o := range l.owned {
+		if o.runner.Fenced || l.paused {
+			l.runnerStep(o, runner.Lapsed{})
+		}
+	}
+}
+
 // halt tells Stop that the membership has ended.
 func (l *Loop) halt() {
 	select {
@@ -253,7 +266,7 @@
 	case !o.handing:
 		l.Log.Info("target: came back", zap.String("runner", p.Name))
 		l.runnerStep(o, runner.Owned{Epoch: o.epoch, Until: l.now.Add(l.Longest), Lease: l.lease})
-		if !l.now.Before(l.lease) {
+		if !l.now.Before(l.lease) && (o.runner.Fenced || l.paused) {
 			l.runnerStep(o, runner.Lapsed{})
 		}
 	}
--- a/stage/load/load.go
+++ b/stage/load/load.go
@@ -34,7 +34,7 @@
 	// Silence is how long a holder waits for the grantor before it uses its place.
 	Silence = 2 * time.Second
 	// Tenure is how long a place lasts unless a reply renews it.
-	Tenure = 30 * time.Second
+	Tenure = 10 * time.Minute
 )
 
 // A Want is a load that a host has requests waiting for.
