--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"maps"
 	"sync"
 	"time"
 
@@ -77,8 +78,10 @@
 	Evictions   int            `json:"evictions"` // all unloads of resident adapters
 	Requests    []string       `json:"requests"`  // ids in progress
 	Steps       int            `json:"steps"`
-	Filled      int            `json:"filled"` // sum over steps of places in use
-	Ran         map[string]int `json:"ran"`    // times each id was started
+	Filled      int            `json:"filled"`  // sum over steps of places in use
+	Ran         map[string]int `json:"ran"`     // times each id was started
+	Marks       map[string]int `json:"marks"`   // times each marked prompt was started
+	Started     int            `json:"started"` // requests started
 }
 
 // Incarnation returns the name of this run of the engine.
@@ -94,12 +97,17 @@
 	counts := e.counts
 	counts.Incarnation = e.Incarnation()
 	counts.Requests = []string{}
-	counts.Ran = map[string]int{}
-	for id, times := range e.counts.Ran {
-		counts.Ran[id] = times
-	}
+	counts.Ran, counts.Marks = copied(e.counts.Ran), copied(e.counts.Marks)
 	for _, r := range append(append([]*request{}, e.running...), e.queue...) {
 		counts.Requests = append(counts.Requests, r.ID)
 	}
 	return counts
 }
+
+// copied returns a copy of counts that is never nil.
+func copied(counts map[string]int) map[string]int {
+	if counts == nil {
+		return map[string]int{}
+	}
+	return maps.Clone(counts)
+}
--- a/standin/internal/engine/request.go
+++ b/standin/internal/engine/request.go
@@ -68,9 +68,13 @@
 		return nil, ErrFull
 	}
 	if e.requests == nil {
-		e.requests, e.counts.Ran = map[string]*request{}, map[string]int{}
+		e.requests, e.counts.Ran, e.counts.Marks = map[string]*request{}, map[string]int{}, map[string]int{}
 	}
+	e.counts.Started++
 	e.counts.Ran[c.ID]++
+	if mark := text.Mark(c.Prompt); mark != "" {
+		e.counts.Marks[mark]++
+	}
 	if strings.Contains(c.Prompt, text.Crash) {
 		e.Crash()
 	}
--- a/standin/internal/load/issue.go
+++ b/standin/internal/load/issue.go
@@ -45,15 +45,22 @@
 func (t *Tool) call(ctx context.Context, i plan.Issuance) outcome {
 	t.tally.sent()
 	return t.tries(ctx, func(host netip.AddrPort) outcome {
-		answer, last := t.post(ctx, host, "/service/"+t.Service+"/certificate", i.Key, i.Body)
-		if last != nil {
-			return last
-		}
-		defer func() { _ = answer.Body.Close() }()
-		body, err := io.ReadAll(answer.Body)
-		if err != nil {
-			return cut{}
-		}
-		return answered{stall: -1, body: string(body)}
+		last := t.certificate(ctx, host, i)
+		t.proof.issuance(i.Key, last)
+		return last
 	})
 }
+
+// certificate sends an issuance once.
+func (t *Tool) certificate(ctx context.Context, host netip.AddrPort, i plan.Issuance) outcome {
+	answer, last := t.post(ctx, host, "/service/"+t.Service+"/certificate", i.Key, i.Body)
+	if last != nil {
+		return last
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return cut{}
+	}
+	return answered{stall: -1, body: string(body)}
+}
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -53,6 +53,7 @@
 	draw   *rand.Rand
 	down   map[netip.AddrPort]time.Time // hosts to avoid until
 	tally  tally
+	proof  proof
 }
 
 // Run sends all requests, waits for their ends and returns the report. It
@@ -68,6 +69,7 @@
 		}
 		t.Plan.Models = models
 	}
+	t.proof.seed = t.Plan.Seed
 	before, err := t.usage(ctx)
 	if err != nil {
 		return Report{}, err
@@ -80,7 +82,9 @@
 	if err != nil {
 		return Report{}, err
 	}
-	return t.tally.report(before, after), nil
+	report := t.tally.report(before, after)
+	report.RanRefused, report.Unran = t.proof.check(before, after)
+	return report, nil
 }
 
 // send starts each request at its time, whether or not earlier ones have ended.
--- a/standin/internal/load/load_test.go
+++ b/standin/internal/load/load_test.go
@@ -117,13 +117,9 @@
 	}
 }
 
-// planned returns the one request that tool sends.
-func planned(stream bool) ask {
-	p := tool().Plan
-	p.Stream = 1
-	request, _, _ := plan.New(p).Next()
-	c := request.(plan.Completion)
-	return ask{Model: c.Model, Prompt: c.Prompt, Tokens: c.Tokens, Stream: stream}
+// misnamed answers rightly in the name of another model.
+func misnamed(w http.ResponseWriter, a ask) {
+	say(strings.Replace(whole(a), `"a@1"`, `"b@1"`, 1))(w, a)
 }
 
 func TestClassesOfAnswers(t *testing.T) {
@@ -140,8 +136,8 @@
 		{"other model, stream", func(w http.ResponseWriter, a ask) { a.Model = "b@1"; answer(w, a) }, 1, load.Report{Wrong: 1}},
 		{"other prompt", func(w http.ResponseWriter, a ask) { a.Prompt = "q"; answer(w, a) }, 0, load.Report{Wrong: 1}},
 		{"other prompt, stream", func(w http.ResponseWriter, a ask) { a.Prompt = "q"; answer(w, a) }, 1, load.Report{Wrong: 1}},
-		{"named another model", say(strings.Replace(whole(planned(false)), `"a@1"`, `"b@1"`, 1)), 0, load.Report{Wrong: 1}},
-		{"named another model, stream", say(strings.Replace(whole(planned(true)), `"a@1"`, `"b@1"`, 1)), 1, load.Report{Wrong: 1}},
+		{"named another model", misnamed, 0, load.Report{Wrong: 1}},
+		{"named another model, stream", misnamed, 1, load.Report{Wrong: 1}},
 		{"no end", func(w http.ResponseWriter, a ask) { say(tokens(a, a.Tokens))(w, a) }, 1, load.Report{Lost: 1, Resent: 3}},
 		{"a token missing", func(w http.ResponseWriter, a ask) { say(tokens(a, a.Tokens-1)+end(a))(w, a) }, 1, load.Report{Wrong: 1}},
 		{"twice", func(w http.ResponseWriter, a ask) { say(whole(a)+whole(a))(w, a) }, 0, load.Report{Doubled: 1}},
@@ -253,3 +249,51 @@
 	require.InDelta(t, 0.5, got.Fill, 0.001)
 	require.False(t, got.Good())
 }
+
+func TestVerdictsAgainstWhatRan(t *testing.T) {
+	run := func(w http.ResponseWriter, r *http.Request, to http.Handler) {
+		to.ServeHTTP(httptest.NewRecorder(), r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":{"code":"busy","verdict":"notrun"}}`))
+	}
+	e := &engine.Engine{Slots: 1, Batch: 2, Token: time.Millisecond}
+	e.Fetch = func(context.Context, string) error { return nil }
+	_, err := e.Order(t.Context(), engine.Order{Kind: "load", Adapter: "a@1"})
+	require.NoError(t, err)
+	issues := &registry.Registry{}
+	for _, c := range []struct {
+		name       string
+		serve      http.HandlerFunc
+		issue      float64
+		ranRefused int
+		unran      int
+	}{
+		{"completion refused", func(w http.ResponseWriter, r *http.Request) { run(w, r, http.NotFoundHandler()) }, 0, 0, 0},
+		{"completion refused that ran", func(w http.ResponseWriter, r *http.Request) {
+			var a ask
+			_ = json.NewDecoder(r.Body).Decode(&a)
+			body, _ := json.Marshal(engine.Completion{ID: a.Prompt, Model: a.Model, Prompt: a.Prompt, Tokens: a.Tokens})
+			run(w, httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(string(body))), e.Handler())
+		}, 0, 1, 0},
+		{"completion answered that did not run", (&host{serve: func(w http.ResponseWriter, a ask) { say(whole(a))(w, a) }}).ServeHTTP, 0, 0, 1},
+		{"issuance refused", func(w http.ResponseWriter, r *http.Request) { run(w, r, http.NotFoundHandler()) }, 1, 0, 0},
+		{"issuance refused that ran", func(w http.ResponseWriter, r *http.Request) {
+			r.URL.Path = strings.TrimPrefix(r.URL.Path, "/service/registry")
+			run(w, r, issues.Handler())
+		}, 1, 1, 0},
+		{"issuance answered that did not run", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }, 1, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tool := tool(address(t, c.serve))
+			tool.Runners = []netip.AddrPort{address(t, e.Handler())}
+			tool.Registries = []netip.AddrPort{address(t, issues.Handler())}
+			tool.Plan.Issue, tool.Tries = c.issue, 1
+			tool.Plan.Seed = uint64(len(c.name))
+			got, err := tool.Run(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, c.ranRefused, got.RanRefused)
+			require.Equal(t, c.unran, got.Unran)
+			require.Equal(t, c.ranRefused+c.unran == 0, got.Good())
+		})
+	}
+}
--- a/standin/internal/load/try.go
+++ b/standin/internal/load/try.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthstage/standin/internal/plan"
+	"jacinthstage/standin/internal/text"
 )
 
 // An outcome is how one try ended: answered, refused, failed, wrong, doubled,
@@ -56,6 +57,17 @@
 
 // complete carries a completion to its end.
 func (t *Tool) complete(ctx context.Context, c plan.Completion) outcome {
+	return t.tries(ctx, func(host netip.AddrPort) outcome {
+		marked, mark := c, t.proof.mark()
+		marked.Prompt = text.Marked(mark, c.Prompt)
+		last := t.try(ctx, host, marked)
+		t.proof.completion(mark, last)
+		return last
+	})
+}
+
+// try sends a completion once.
+func (t *Tool) try(ctx context.Context, host netip.AddrPort, c plan.Completion) outcome {
 	body, err := json.Marshal(struct {
 		Model  string `json:"model"`
 		Prompt string `json:"prompt"`
@@ -65,18 +77,16 @@
 	if err != nil {
 		return failed{}
 	}
-	return t.tries(ctx, func(host netip.AddrPort) outcome {
-		start := time.Now()
-		answer, last := t.post(ctx, host, "/v1/completions", "", string(body))
-		if last != nil {
-			return last
-		}
-		defer func() { _ = answer.Body.Close() }()
-		if c.Stream {
-			return t.stream(answer.Body, c, start)
-		}
-		return whole(answer.Body, c)
-	})
+	start := time.Now()
+	answer, last := t.post(ctx, host, "/v1/completions", "", string(body))
+	if last != nil {
+		return last
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if c.Stream {
+		return t.stream(answer.Body, c, start)
+	}
+	return whole(answer.Body, c)
 }
 
 // tries sends a request again for as long as that may help.
--- a/standin/internal/load/usage.go
+++ b/standin/internal/load/usage.go
@@ -13,10 +13,12 @@
 	engines map[string]engine.Counts // by incarnation
 	places  map[string]int           // size of the batch, by incarnation
 	calls   map[string]int           // times that each key ran
+	// registries says that calls were read.
+	registries bool
 }
 
 func (t *Tool) usage(ctx context.Context) (usage, error) {
-	u := usage{engines: map[string]engine.Counts{}, places: map[string]int{}, calls: map[string]int{}}
+	u := usage{engines: map[string]engine.Counts{}, places: map[string]int{}, calls: map[string]int{}, registries: len(t.Registries) > 0}
 	for _, address := range t.Runners {
 		if err := t.engine(ctx, u, address); err != nil {
 			return u, err
@@ -48,6 +50,16 @@
 	return nil
 }
 
+// same reports whether the engines are the ones that they were before.
+func (u usage) same(before usage) bool {
+	for name := range u.engines {
+		if _, ok := before.engines[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // add puts what the targets counted since before into r.
 func (u usage) add(r *Report, before usage) {
 	filled, places := 0, 0
--- a/standin/internal/text/text.go
+++ b/standin/internal/text/text.go
@@ -13,6 +13,23 @@
 // Crash is the mark in a prompt that ends the runner's process.
 const Crash = "!crash"
 
+// markStart begins a prompt that carries a mark.
+const markStart = "mark "
+
+// Marked returns prompt with a mark, a word, in front, so that an engine can
+// count how often the prompt ran.
+func Marked(mark, prompt string) string { return markStart + mark + " " + prompt }
+
+// Mark returns the mark that prompt carries, empty where it has none.
+func Mark(prompt string) string {
+	rest, ok := strings.CutPrefix(prompt, markStart)
+	if !ok {
+		return ""
+	}
+	mark, _, _ := strings.Cut(rest, " ")
+	return mark
+}
+
 // Token returns token index of the answer of model (name@version) to prompt.
 func Token(model, prompt string, index int) string {
 	var d xxhash.Digest
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&loadCommand{}, "load")
 	subcommands.Register(&readyCommand{}, "load")
 	subcommands.Register(&markCommand{}, "stand-ins")
+	subcommands.Register(&servedCommand{}, "load")
 	subcommands.Register(&trialCommand{}, "measurements")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
