plain: a refusal waits for its record to be freed

A call that no target took was refused as not run while the write that frees its record still went on, so a caller who came back at once met its own record and was told 409, may have run. TestTargetThatRefusesConnections failed so once under load. TestRefusedCallMayComeBackAtOnce: 409 before, 201 after.

--- a/jacinthd/internal/plain/once.go
+++ b/jacinthd/internal/plain/once.go
@@ -71,6 +71,7 @@
 	case ledger.Reply:
 		s.reply(a)
 	case ledger.Refuse:
+		s.settle()
 		fail(s.w, a.Err)
 	default:
 		panic(fmt.Sprintf("plain: unknown action %T", action))
@@ -167,16 +168,23 @@
 // that begins with the call to pass.
 func (s *single) until() time.Time { return time.Now().Add(s.h.Deadline) }
 
+// settle returns once the outcome is written or that takes long, so that a
+// caller who comes back at once finds it.
+func (s *single) settle() {
+	if s.saved == nil {
+		return
+	}
+	timer := time.NewTimer(s.h.Settle)
+	defer timer.Stop()
+	select {
+	case <-s.saved:
+	case <-timer.C:
+	}
+}
+
 // reply answers the caller, once the outcome is written or that takes long.
 func (s *single) reply(a ledger.Reply) {
-	if s.saved != nil {
-		timer := time.NewTimer(s.h.Settle)
-		defer timer.Stop()
-		select {
-		case <-s.saved:
-		case <-timer.C:
-		}
-	}
+	s.settle()
 	if !a.Stored {
 		s.succeeded()
 	}
--- a/jacinthd/internal/plain/plain_test.go
+++ b/jacinthd/internal/plain/plain_test.go
@@ -231,6 +231,15 @@
 	}
 }
 
+func TestRefusedCallMayComeBackAtOnce(t *testing.T) {
+	b, objects := newBackend(t, nil), &memory.Store{}
+	none := host(t, &plain.Handler{Store: objects}, closed(t))
+	url := host(t, &plain.Handler{Store: objects}, b.target())
+	objects.Fault(memory.Faults{Slow: 50 * time.Millisecond})
+	require.Equal(t, 503, call(t, "POST", none+"/charge", "k", "fee").status)
+	require.Equal(t, 201, call(t, "POST", url+"/charge", "k", "fee").status)
+}
+
 // TestKeyThroughTwoHostsAtOnce sends each key through both hosts at the same
 // time, with lost answers of writes, and compares with the set of keys.
 func TestKeyThroughTwoHostsAtOnce(t *testing.T) {
