ledger, plain: records of calls expire and are swept

Records were never deleted. A claim costs a read a minute and host; ranges by key with jitter would list everything on every host. Deletes are conditional, so two sweepers do no harm and the claim may rest on clocks.

--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -53,6 +53,7 @@
 	loop     *control.Loop
 	follower *follow.Follower
 	traffic  *traffic.Server
+	sweeper  *plain.Sweeper
 	stopping atomic.Bool
 }
 
@@ -120,6 +121,7 @@
 		Publish: p.loop.Configure,
 		Log:     p.log,
 	}
+	p.sweeper = &plain.Sweeper{Store: objects, Host: s.Host.Name, Log: p.log}
 	budgets := &budget{}
 	p.traffic = &traffic.Server{
 		Plain: &plain.Handler{
@@ -154,6 +156,7 @@
 	admin := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(p.log)}
 	group.Go(func() error { p.loop.Run(run); return nil })
 	group.Go(func() error { return ended(p.follower.Run(run)) })
+	group.Go(func() error { p.sweeper.Run(run); return nil })
 	group.Go(func() error { return p.link.Serve(run, p.serve) })
 	group.Go(func() error { return p.traffic.Serve(p.caller) })
 	group.Go(func() error { return served(admin.Serve(p.admin)) })
--- a/stage/ledger/ledger.go
+++ b/stage/ledger/ledger.go
@@ -18,6 +18,10 @@
 //	Begin -> Create -> Written -> Send -> Answered -> Store -> Reply
 //
 // and each step has its ways out, all of which end in Reply or Refuse.
+//
+// A record is kept for Retention after its call's deadline, by which the call
+// has been sent or never will be. Then a sweep deletes it; a Claim says which
+// host sweeps. Two that sweep at once do no harm, as each delete is conditional.
 package ledger
 
 import (
@@ -144,7 +148,7 @@
 	switch e := event.(type) {
 	case Begin:
 		c.begin = e
-		c.record = Record{State: Sent, Attempt: e.Attempt, Print: e.Print, Until: e.Deadline}
+		c.record = Record{State: Sent, Attempt: e.Attempt, Print: e.Print, Until: e.Deadline, Expires: e.Deadline.Add(Retention)}
 		return c.write()
 	case Written:
 		c.version = e.Version
--- a/stage/ledger/ledger_test.go
+++ b/stage/ledger/ledger_test.go
@@ -193,7 +193,7 @@
 }
 
 func TestDecisions(t *testing.T) {
-	mine := ledger.Record{State: ledger.Sent, Attempt: "mine", Print: "p", Until: start.Add(time.Second)}
+	mine := ledger.Record{State: ledger.Sent, Attempt: "mine", Print: "p", Until: start.Add(time.Second), Expires: start.Add(time.Second + ledger.Retention)}
 	second := mine
 	second.Attempt = "mine/1"
 	for _, c := range []struct {
@@ -266,3 +266,45 @@
 	require.NotEqual(t, ledger.Key("a", "bc", "d"), ledger.Key("ab", "c", "d"))
 	require.NotEqual(t, ledger.Print("POST", "/a", "", []byte("b")), ledger.Print("POST", "/ab", "", nil))
 }
+
+func TestExpiry(t *testing.T) {
+	until := start.Add(time.Minute)
+	for _, c := range []struct {
+		name   string
+		record ledger.Record
+		now    time.Time
+		want   bool
+	}{
+		{"new", ledger.Record{Until: until, Expires: until.Add(ledger.Retention)}, start, false},
+		{"after the deadline", ledger.Record{Until: until, Expires: until.Add(ledger.Retention)}, until.Add(ledger.Retention - 1), false},
+		{"after the retention", ledger.Record{Until: until, Expires: until.Add(ledger.Retention)}, until.Add(ledger.Retention), true},
+		{"without an expiry", ledger.Record{Until: until}, until.Add(ledger.Retention - 1), false},
+		{"without an expiry, after the retention", ledger.Record{Until: until}, until.Add(ledger.Retention), true},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, c.record.Expired(c.now)) })
+	}
+}
+
+func TestClaims(t *testing.T) {
+	held := ledger.Claim{Host: "a", Until: start.Add(time.Minute), After: "call/7"}
+	for _, c := range []struct {
+		name string
+		old  ledger.Claim
+		host string
+		now  time.Time
+		want bool
+	}{
+		{"none yet", ledger.Claim{}, "a", start, true},
+		{"another's", held, "b", start, false},
+		{"its own", held, "a", start, true},
+		{"another's that lapsed", held, "b", start.Add(time.Minute), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			claim, ok := c.old.Take(c.now, c.host)
+			require.Equal(t, c.want, ok)
+			if ok {
+				require.Equal(t, ledger.Claim{Host: c.host, Until: c.now.Add(ledger.ClaimTime), After: c.old.After}, claim)
+			}
+		})
+	}
+}
--- a/stage/ledger/record.go
+++ b/stage/ledger/record.go
@@ -15,6 +15,13 @@
 // Encoded it fits into an object.
 const MaxAnswer = 512 << 10
 
+// Prefix begins the key of each record.
+const Prefix = "call/"
+
+// Retention is how long a record is kept after its call's deadline. A key that
+// a caller uses again later is a new call.
+const Retention = 24 * time.Hour
+
 // A State is what a record says of its call.
 type State string
 
@@ -31,6 +38,7 @@
 	Attempt string    `json:"attempt"`          // who may send the call
 	Print   string    `json:"print"`            // fingerprint of method, path and body
 	Until   time.Time `json:"until"`            // deadline of the attempt
+	Expires time.Time `json:"expires"`          // when it may be deleted
 	Answer  *Answer   `json:"answer,omitempty"` // where Done
 }
 
@@ -42,6 +50,15 @@
 	Large  bool        `json:"large,omitempty"` // the body was too long to be kept
 }
 
+// Expired reports whether the record may be deleted. A record written before
+// there was an expiry has the one that its deadline gives.
+func (r Record) Expired(now time.Time) bool {
+	if r.Expires.IsZero() {
+		return !now.Before(r.Until.Add(Retention))
+	}
+	return !now.Before(r.Expires)
+}
+
 // Kept returns the answer as a record keeps it: without a body over MaxAnswer.
 func (a Answer) Kept() Answer {
 	if len(a.Body) > MaxAnswer {
@@ -64,7 +81,7 @@
 }
 
 // Key returns the key of the object for a caller's idempotency key at a service.
-func Key(caller, service, key string) string { return "call/" + digest(caller, service, key) }
+func Key(caller, service, key string) string { return Prefix + digest(caller, service, key) }
 
 // Print returns the fingerprint of a call; two calls with one key must have the same.
 func Print(method, path, query string, body []byte) string {
