--- a/jacinthd/internal/plain/plain_test.go
+++ b/jacinthd/internal/plain/plain_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/internal/plain"
+	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/ledger"
@@ -231,11 +232,18 @@
 	}
 }
 
+// A late store takes a while until an update takes effect.
+type late struct{ *memory.Store }
+
+func (s late) Update(ctx context.Context, key string, version uint64, value []byte) (store.Object, error) {
+	time.Sleep(200 * time.Millisecond)
+	return s.Store.Update(ctx, key, version, value)
+}
+
 func TestRefusedCallMayComeBackAtOnce(t *testing.T) {
-	b, objects := newBackend(t, nil), &memory.Store{}
+	b, objects := newBackend(t, nil), late{&memory.Store{}}
 	none := host(t, &plain.Handler{Store: objects}, closed(t))
 	url := host(t, &plain.Handler{Store: objects}, b.target())
-	objects.Fault(memory.Faults{Slow: 50 * time.Millisecond})
 	require.Equal(t, 503, call(t, "POST", none+"/charge", "k", "fee").status)
 	require.Equal(t, 201, call(t, "POST", url+"/charge", "k", "fee").status)
 }
