--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -54,6 +54,7 @@
 	follower *follow.Follower
 	traffic  *traffic.Server
 	sweeper  *plain.Sweeper
+	plain    *plain.Handler
 	stopping atomic.Bool
 }
 
@@ -123,16 +124,17 @@
 	}
 	p.sweeper = &plain.Sweeper{Store: objects, Host: s.Host.Name, Log: p.log}
 	budgets := &budget{}
+	p.plain = &plain.Handler{
+		Store:    objects,
+		Retries:  budgets,
+		Region:   s.Host.Region,
+		Log:      p.log,
+		Body:     int64(s.Limits.Body),
+		Deadline: s.Limits.Deadline,
+		Longest:  s.Limits.Longest,
+	}
 	p.traffic = &traffic.Server{
-		Plain: &plain.Handler{
-			Store:    objects,
-			Retries:  budgets,
-			Region:   s.Host.Region,
-			Log:      p.log,
-			Body:     int64(s.Limits.Body),
-			Deadline: s.Limits.Deadline,
-			Longest:  s.Limits.Longest,
-		},
+		Plain:   p.plain,
 		Retries: budgets,
 		Control: p.loop,
 		Engine:  p.engines,
@@ -191,6 +193,10 @@
 	if err := p.traffic.Shutdown(ctx); err != nil {
 		p.log.Error("host: requests cut", zap.Error(err))
 	}
+	p.plain.Wait()
+	if err := p.loop.Settle(ctx); err != nil {
+		p.log.Error("host: new owners not told", zap.Error(err))
+	}
 	p.log.Info("host: stopped")
 }
 
