--- a/jacinthd/internal/plain/once.go
+++ b/jacinthd/internal/plain/once.go
@@ -5,15 +5,14 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/answer"
 	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/ledger"
-	"jacinthstage/stage/verdict"
 )
 
 // storePause is the pause between two tries at writing a call's outcome.
@@ -72,7 +71,7 @@
 		s.reply(a)
 	case ledger.Refuse:
 		s.settle()
-		fail(s.w, a.Err)
+		answer.Fail(s.w, a.Err)
 	default:
 		panic(fmt.Sprintf("plain: unknown action %T", action))
 	}
@@ -121,7 +120,7 @@
 // try sends the call to a target and reads its answer, as much as can be kept.
 func (s *single) try(ctx context.Context, at int) ledger.Event {
 	t := s.targets[at]
-	answer, err := s.send(ctx, s.h.single, t)
+	got, err := s.send(ctx, s.h.single, t)
 	if errors.Is(err, errNotSent) {
 		s.h.Log.Info("plain: target "+t.Name+" can't be reached", zap.Error(err))
 		return ledger.NotSent{}
@@ -129,13 +128,13 @@
 	if err != nil {
 		return s.broken(ctx, t.Name, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, ledger.MaxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(got, ledger.MaxAnswer+1))
 	if err != nil {
-		answer.close()
+		got.close()
 		return s.broken(ctx, t.Name, err)
 	}
-	s.rest = answer
-	return ledger.Answered{Answer: ledger.Answer{Status: answer.StatusCode, Header: passed(answer.Header), Body: body}}
+	s.rest = got
+	return ledger.Answered{Answer: ledger.Answer{Status: got.StatusCode, Header: passed(got.Header), Body: body}}
 }
 
 func (s *single) broken(ctx context.Context, name string, err error) ledger.Event {
@@ -194,12 +193,3 @@
 		s.pass(s.rest)
 	}
 }
-
-// fail answers with an error.
-func fail(w http.ResponseWriter, err error) {
-	var e *verdict.Error
-	if !errors.As(err, &e) {
-		e = &verdict.Error{Code: verdict.Broken, Message: "the call failed"}
-	}
-	refuse(w, e, time.Now())
-}
--- a/jacinthd/internal/plain/repeat.go
+++ b/jacinthd/internal/plain/repeat.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/answer"
 	"jacinthstage/stage/verdict"
 )
 
@@ -18,12 +19,12 @@
 		if i > 0 && !c.retry() {
 			break
 		}
-		answer, err := c.send(ctx, c.h.pooled, t)
+		got, err := c.send(ctx, c.h.pooled, t)
 		if err == nil {
 			c.succeeded()
-			defer answer.close()
-			c.head(answer.Header, answer.StatusCode)
-			c.pass(answer)
+			defer got.close()
+			c.head(got.Header, got.StatusCode)
+			c.pass(got)
 			return
 		}
 		c.h.Log.Info("plain: target "+t.Name+" failed", zap.Error(err))
@@ -33,7 +34,7 @@
 			break
 		}
 	}
-	fail(c.w, last)
+	answer.Fail(c.w, last)
 }
 
 // failed returns the error of a call that no target has answered.
