traffic, suspect, process: the quarantine of crashing requests is in force

Cause: suspect.Guard was used by no program, and crashes were named by the request, so that each host counted its own. Change: the owner asks for leave before it sends (Enter, Leave, CrashedRun); a crash is named runner/incarnation and travels with the refusal; peer.Suspect tells the members of all regions; runs of a request that became a suspect are cancelled; two suspects never share a target; a bystander of two crashes is excused once their causes are known (docs/decisions/suspects.md). Conclusion: one crashing request through three entry hosts and two owners ends two engines, and a bystander is served and cleared.

--- a/jacinthd/internal/control/routing.go
+++ b/jacinthd/internal/control/routing.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
 
 	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/host"
 	"jacinthstage/stage/route"
 	"jacinthstage/stage/service"
 )
@@ -23,6 +25,7 @@
 	services   map[string]*route.Snapshot
 	candidates map[string]routed
 	regions    map[string]string // of each member of any region
+	peers      []host.Identity   // the members of all regions but this host, by name
 }
 
 // A routed is a runner that takes work.
@@ -95,8 +98,12 @@
 	for region, table := range l.tables {
 		for _, member := range table.Members {
 			p.regions[member.Name] = region
+			if member.Name != l.Self.Name {
+				p.peers = append(p.peers, member)
+			}
 		}
 	}
+	slices.SortFunc(p.peers, func(a, b host.Identity) int { return cmp.Compare(a.Name, b.Name) })
 	for name, targets := range view.Targets {
 		if _, ok := view.Config.Services[name].Kind().(*service.Engine); !ok {
 			continue
--- a/jacinthd/internal/control/view.go
+++ b/jacinthd/internal/control/view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthstage/stage/host"
 	"jacinthstage/stage/target"
 )
 
@@ -81,3 +82,7 @@
 
 // RegionOf returns the region that a host is a member of, empty where none is known.
 func (l *Loop) RegionOf(name string) string { return l.paths.Load().regions[name] }
+
+// Peers returns the other hosts that are members of any region, by name. The
+// slice must not be changed.
+func (l *Loop) Peers() []host.Identity { return l.paths.Load().peers }
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -168,7 +168,9 @@
 		whole = m.Reply.Rate >= 0 &&
 			!slices.ContainsFunc(m.Reply.Grants, func(g load.Grant) bool { return !valid(g.Ref) }) &&
 			!slices.ContainsFunc(m.Reply.Denials, func(d load.Denial) bool { return !valid(d.Ref) })
-	case Admission, End, Done, Drained, Config, Patches, Suspect:
+	case Suspect:
+		whole = m.Print != "" && m.Crash != ""
+	case Admission, End, Done, Drained, Config, Patches:
 	default:
 		return errors.Errorf("peer: no check for %T", m)
 	}
--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -27,7 +27,7 @@
 		peer.Admission{Waiting: 1, Running: 2, Resident: true, Stall: time.Second},
 		peer.Token{Index: 3, Text: "t"},
 		peer.End{Tokens: 4},
-		peer.Refusal{Verdict: verdict.NotRun, Code: verdict.Busy, Text: "full", Again: noon, Crash: true},
+		peer.Refusal{Verdict: verdict.NotRun, Code: verdict.Busy, Text: "full", Again: noon, Crash: "r/one"},
 		peer.Refusal{},
 		peer.Done{},
 		peer.Drained{Runner: "r", Epoch: 3},
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -57,8 +57,9 @@
 	Code    verdict.Code    `cbor:"2,keyasint"`
 	Text    string          `cbor:"3,keyasint"`
 	Again   time.Time       `cbor:"4,keyasint,omitzero"` // when coming back may help
-	// Crash says that the runner's process ended with the request in progress.
-	Crash bool `cbor:"5,keyasint,omitempty"`
+	// Crash, where set, says that the runner's process ended with the request in
+	// progress, and names that crash as Suspect does.
+	Crash string `cbor:"5,keyasint,omitempty"`
 }
 
 // Done answers a call that has nothing else to say.
--- a/jacinthd/internal/peer/stream.go
+++ b/jacinthd/internal/peer/stream.go
@@ -67,8 +67,8 @@
 		return m, nil
 	}
 	said := &verdict.Error{Verdict: refusal.Verdict, Code: refusal.Code, Message: refusal.Text, Again: refusal.Again}
-	if refusal.Crash {
-		return nil, &Crash{Err: said}
+	if refusal.Crash != "" {
+		return nil, &Crash{Name: refusal.Crash, Err: said}
 	}
 	return nil, said
 }
@@ -124,8 +124,11 @@
 }
 
 // A Crash is the refusal of a request whose runner's process ended with it in
-// progress.
-type Crash struct{ Err *verdict.Error }
+// progress. Name is the crash's, the same on every host.
+type Crash struct {
+	Name string
+	Err  *verdict.Error
+}
 
 // Error returns the refusal's text.
 func (c *Crash) Error() string { return c.Err.Error() }
@@ -135,8 +138,11 @@
 
 // Refuse returns the Refusal that tells a peer err.
 func Refuse(err error) Refusal {
+	refusal := Refusal{Code: verdict.Broken, Text: "the request failed"}
 	var crash *Crash
-	refusal := Refusal{Code: verdict.Broken, Text: "the request failed", Crash: errors.As(err, &crash)}
+	if errors.As(err, &crash) {
+		refusal.Crash = crash.Name
+	}
 	var said *verdict.Error
 	if errors.As(err, &said) {
 		refusal.Verdict, refusal.Code, refusal.Text, refusal.Again = said.Verdict, said.Code, said.Message, said.Again
--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -21,6 +21,7 @@
 	"jacinthstage/jacinthd/internal/follow"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/internal/plain"
+	"jacinthstage/jacinthd/internal/suspect"
 	"jacinthstage/jacinthd/internal/traffic"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/jacinthd/store/remote"
@@ -52,6 +53,7 @@
 	engines  *engine.Client
 	loop     *control.Loop
 	follower *follow.Follower
+	guard    *suspect.Guard
 	traffic  *traffic.Server
 	plain    *plain.Handler
 	stopping atomic.Bool
@@ -131,19 +133,27 @@
 		Deadline: s.Limits.Deadline,
 		Longest:  s.Limits.Longest,
 	}
+	p.guard = &suspect.Guard{
+		Host:  s.Host.Name + "/" + p.loop.Self.Incarnation,
+		Store: objects,
+		Tell:  p.tell,
+		Log:   p.log,
+	}
 	p.traffic = &traffic.Server{
-		Plain:   p.plain,
-		Retries: budgets,
-		Control: p.loop,
-		Engine:  p.engines,
-		Link:    p.link,
-		Log:     p.log,
+		Plain:    p.plain,
+		Retries:  budgets,
+		Suspects: p.guard,
+		Control:  p.loop,
+		Engine:   p.engines,
+		Link:     p.link,
+		Log:      p.log,
 		Limits: traffic.Limits{
 			Body:     int64(s.Limits.Body),
 			Deadline: s.Limits.Deadline,
 			Longest:  s.Limits.Longest,
 		},
 	}
+	p.guard.Cancel = func(id, _ string) { p.traffic.CancelRun(id) }
 	return nil
 }
 
@@ -156,6 +166,7 @@
 	admin := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(p.log)}
 	group.Go(func() error { p.loop.Run(run); return nil })
 	group.Go(func() error { return ended(p.follower.Run(run)) })
+	group.Go(func() error { return ended(p.guard.Run(run)) })
 	group.Go(func() error { return p.link.Serve(run, p.serve) })
 	group.Go(func() error { return p.traffic.Serve(p.caller) })
 	group.Go(func() error { return served(admin.Serve(p.admin)) })
--- a/jacinthd/internal/suspect/guard.go
+++ b/jacinthd/internal/suspect/guard.go
@@ -115,8 +115,7 @@
 		if err != nil {
 			return err
 		}
-		g.step(quarantine.Sent{Print: p, ID: id, Target: target})
-		return nil
+		return g.alone(p, id, target)
 	case <-ctx.Done():
 		g.mu.Lock()
 		delete(g.waiting, id)
@@ -126,6 +125,25 @@
 	}
 }
 
+// alone notes the sending of a suspect, unless another one is in progress at
+// the target: a crash would leave open which of them was its cause.
+func (g *Guard) alone(p quarantine.Print, id, target string) error {
+	g.mu.Lock()
+	if g.core.Sharing(target) {
+		g.mu.Unlock()
+		g.step(quarantine.Ended{Print: p, ID: id})
+		err := verdict.Refuse(verdict.Busy, "another request that crashed a target runs there")
+		err.Again = time.Now().Add(tick)
+		return err
+	}
+	actions := g.core.Step(time.Now(), quarantine.Sent{Print: p, ID: id, Target: target})
+	g.mu.Unlock()
+	for _, a := range actions {
+		g.act(a)
+	}
+	return nil
+}
+
 // Leave says that a request runs no more; whole, that it was answered whole.
 func (g *Guard) Leave(key, id string, whole bool) {
 	g.step(quarantine.Ended{Print: quarantine.Print(key), ID: id, Whole: whole})
--- a/jacinthd/internal/suspect/guard_test.go
+++ b/jacinthd/internal/suspect/guard_test.go
@@ -142,3 +142,21 @@
 		require.NoError(t, g.Enter(t.Context(), request, "2", "runner"), "the claim was given back")
 	})
 }
+
+func TestSuspectsShareNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s memory.Store
+		g := hosts(t, &s, 1)[0]
+		other := string(quarantine.Of("carrier", []byte("other")))
+		g.Crashed(request, "a")
+		g.Crashed(other, "a")
+		time.Sleep(time.Second)
+		require.NoError(t, g.Enter(t.Context(), request, "1", "runner"))
+		require.Equal(t, verdict.Busy, code(t, g.Enter(t.Context(), other, "2", "runner")))
+		require.NoError(t, g.Enter(t.Context(), other, "3", "another"))
+		g.Leave(other, "3", false)
+		g.Leave(request, "1", true)
+		time.Sleep(time.Second)
+		require.NoError(t, g.Enter(t.Context(), other, "4", "runner"))
+	})
+}
--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -401,6 +401,12 @@
 	s.crashes[fingerprint][crash] = true
 }
 
+func (s *suspects) Enter(context.Context, string, string, string) error { return nil }
+
+func (s *suspects) Leave(string, string, bool) {}
+
+func (s *suspects) CrashedRun(fingerprint, _, crash string) { s.Crashed(fingerprint, crash) }
+
 // A request that crashes each engine that runs it, sent again and again.
 func TestCrashingRequestMeetsTwoEngines(t *testing.T) {
 	set := func(h *host) { h.Suspects = &suspects{crashes: map[string]map[string]bool{}} }
--- a/jacinthd/internal/traffic/fake_test.go
+++ b/jacinthd/internal/traffic/fake_test.go
@@ -59,6 +59,9 @@
 	// last, calls are served as they should be.
 	steps []step
 	deny  string // the code that completions are refused with
+	// prompts gives the behaviour of prompts, before steps.
+	prompts map[string]step
+	down    bool // crashed by end
 }
 
 func newEngine(t testing.TB, steps ...step) *fakeEngine {
@@ -78,9 +81,10 @@
 
 func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
 	var b struct {
-		ID, Model string
-		Max       int `json:"max_tokens"`
-		Offset    int
+		ID, Model, Prompt string
+
+		Max    int `json:"max_tokens"`
+		Offset int
 	}
 	_ = json.NewDecoder(r.Body).Decode(&b)
 	e.mu.Lock()
@@ -88,6 +92,9 @@
 	if e.tries < len(e.steps) && e.steps[e.tries] != nil {
 		behaviour = e.steps[e.tries]
 	}
+	if e.prompts[b.Prompt] != nil {
+		behaviour = e.prompts[b.Prompt]
+	}
 	e.tries++
 	deny, gone := e.deny, b.Offset > 0 && (e.ran[b.ID] == 0 || e.ended[b.ID])
 	if deny == "" && !gone && e.ran[b.ID] == 0 {
--- a/jacinthd/internal/traffic/forward.go
+++ b/jacinthd/internal/traffic/forward.go
@@ -28,7 +28,7 @@
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			s.blame(q, c, err)
+			s.blame(q, err)
 			return err
 		}
 		last, err := s.receive(q, c, m, to, stream.More())
@@ -65,10 +65,10 @@
 }
 
 // blame records a crash that the owner tells of.
-func (s *Server) blame(q request, c control.Candidate, err error) {
+func (s *Server) blame(q request, err error) {
 	var crash *peer.Crash
-	if errors.As(err, &crash) {
-		s.crashed(q, c.Runner)
+	if errors.As(err, &crash) && s.Suspects != nil {
+		s.Suspects.Crashed(q.print, crash.Name)
 	}
 }
 
@@ -257,6 +257,6 @@
 		w.cancel()
 		return
 	}
-	w.ticket.End(control.Lost{})
+	w.end(control.Lost{})
 	s.tasks.done()
 }
--- a/jacinthd/internal/traffic/owner.go
+++ b/jacinthd/internal/traffic/owner.go
@@ -47,17 +47,19 @@
 	// hold, where set, may take over the ticket of a request that was sent and
 	// that nobody waits for; it reports whether it did.
 	hold func(*work) bool
+	// run names this run for Suspects; empty before it has leave.
+	run string
 }
 
 // serve sends the request to the engine, hands its answer on and ends the ticket.
 func (w *work) serve(ctx context.Context) error {
-	err := w.run(ctx)
+	err := w.watched(ctx)
 	w.settle(err)
 	return err
 }
 
-// run returns nil once the whole answer was handed on.
-func (w *work) run(ctx context.Context) error {
+// answer returns nil once the whole answer was handed on.
+func (w *work) answer(ctx context.Context) error {
 	if err := w.to.admitted(w.ticket.Hint, w.ticket.Stall); err != nil {
 		return err
 	}
@@ -69,7 +71,7 @@
 		next := w.to.next()
 		err := w.stream(ctx)
 		if err != nil && ctx.Err() != nil {
-			return w.verdict(errLate)
+			return w.verdict(over(ctx))
 		}
 		if err == nil || !w.broke(err) {
 			return w.verdict(err)
@@ -106,7 +108,9 @@
 func (w *work) fresh(ctx context.Context) error {
 	now := time.Now()
 	switch {
-	case ctx.Err() != nil || !now.Before(w.q.job.Deadline):
+	case ctx.Err() != nil:
+		return over(ctx)
+	case !now.Before(w.q.job.Deadline):
 		return errLate
 	case !w.sent && !w.ticket.Before.IsZero() && !now.Before(w.ticket.Before):
 		return verdict.Refuse(verdict.Unavailable, "the leave to use the runner lapsed")
@@ -176,8 +180,11 @@
 func (w *work) crash(cause error) error {
 	w.s.log.Warn("traffic: runner "+w.ticket.Target.Name+" crashed", zap.String("id", w.q.job.ID), zap.Error(cause))
 	w.s.Control.Crashed(w.ticket.Target.Name, []string{w.q.job.ID})
-	w.s.crashed(w.q, w.ticket.Target.Name)
-	return &peer.Crash{Err: &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the engine crashed with the request in progress"}}
+	name := w.crashName()
+	if w.s.Suspects != nil {
+		w.s.Suspects.CrashedRun(w.q.print, w.run, name)
+	}
+	return &peer.Crash{Name: name, Err: &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.Broken, Message: "the engine crashed with the request in progress"}}
 }
 
 // verdict returns err with the verdict of all that this host did: a refusal
@@ -196,11 +203,11 @@
 	reason := engine.ReasonOf(err)
 	switch {
 	case err == nil:
-		w.ticket.End(control.Served{})
+		w.end(control.Served{})
 	case !w.sent:
-		w.ticket.End(control.Refused{Absent: reason == engine.Absent})
+		w.end(control.Refused{Absent: reason == engine.Absent})
 	case errors.As(err, &crash):
-		w.ticket.End(control.Lost{})
+		w.end(control.Lost{})
 	case w.hold != nil && w.hold(w):
 	default:
 		w.s.tasks.add()
@@ -214,10 +221,10 @@
 	for range cancelTries {
 		_, err := w.s.Engine.Cancel(context.Background(), w.ticket.Target.Address, w.q.job.ID)
 		if err == nil {
-			w.ticket.End(control.Cancelled{})
+			w.end(control.Cancelled{})
 			return
 		}
 		w.s.log.Info("traffic: cancel not confirmed", zap.String("id", w.q.job.ID), zap.Error(err))
 	}
-	w.ticket.End(control.Lost{})
+	w.end(control.Lost{})
 }
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -243,10 +243,3 @@
 func (s *Server) suspect(q request) bool {
 	return s.Suspects != nil && s.Suspects.Refused(q.print)
 }
-
-// crashed records that a request was in progress on a runner that crashed.
-func (s *Server) crashed(q request, runner string) {
-	if s.Suspects != nil {
-		s.Suspects.Crashed(q.print, runner+"/"+q.job.ID)
-	}
-}
--- a/jacinthd/internal/traffic/server.go
+++ b/jacinthd/internal/traffic/server.go
@@ -62,8 +62,16 @@
 type Suspects interface {
 	// Refused reports whether a request with this fingerprint is to be refused.
 	Refused(fingerprint string) bool
-	// Crashed records a crash. The same crash may be recorded by several hosts
-	// and several times; its name tells that it is the same.
+	// Enter asks for leave to run a request on a runner; id names the run. Its
+	// error is a *verdict.Error with NotRun. Where it is nil, Leave follows.
+	Enter(ctx context.Context, fingerprint, id, runner string) error
+	// Leave says that a run has ended; whole, that it was answered whole.
+	Leave(fingerprint, id string, whole bool)
+	// CrashedRun records that a run was in progress at a crash.
+	CrashedRun(fingerprint, id, crash string)
+	// Crashed records a crash of which another host told. The same crash may be
+	// recorded by several hosts and several times; its name tells that it is the
+	// same.
 	Crashed(fingerprint, crash string)
 }
 
@@ -123,6 +131,7 @@
 	server *http.Server
 
 	flights flights
+	runs    runs
 	tasks   tasks
 	// present counts the completions of callers in progress.
 	present atomic.Int64
--- a/stage/quarantine/claim.go
+++ b/stage/quarantine/claim.go
@@ -21,7 +21,7 @@
 		return q.write(p, s, s.running)
 	case s.asking != "":
 		return q.decide(now, p, s)
-	case mine && s.whole && len(s.crashes) < limit:
+	case mine && s.whole && !q.Refused(p):
 		s.calling = true
 		return []Action{Delete{Print: p, Version: s.version}}
 	case mine:
--- a/stage/quarantine/print.go
+++ b/stage/quarantine/print.go
@@ -3,7 +3,9 @@
 // A request is known by its Print, a hash of its caller and body. A request in
 // progress when its target's process ends has one crash to its name; a crash
 // has an id, the same on every host, so that it counts once. After the second
-// crash the request is refused for good. Between the first and the second it
+// crash the request is refused for good, unless each of its crashes has another
+// cause: a request with two crashes, of which one has no other such request.
+// Between the first and the second, and where it is excused, it
 // runs only with a claim, so that all hosts together run it once at a time:
 // a claim is a conditional update of the object suspect/PRINT, and without the
 // object API there is none, so the request is refused as not run. A request
@@ -83,10 +85,10 @@
 	return r, nil
 }
 
-// merge returns the ids of both, sorted, no more than the limit.
+// merge returns the ids of both, sorted, no more than are kept.
 func merge(a, b []string) []string {
 	all := slices.Concat(a, b)
 	slices.Sort(all)
 	all = slices.Compact(all)
-	return all[:min(len(all), limit)]
+	return all[:min(len(all), kept)]
 }
--- a/stage/quarantine/quarantine.go
+++ b/stage/quarantine/quarantine.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	limit     = 2               // crashes after which a request is refused for good
+	limit     = 2               // crashes after which a request is refused for good, unless excused
+	kept      = 4               // crashes kept of one request; at so many nothing excuses it
 	claimTime = 5 * time.Minute // longest that a claim is respected
 	callWait  = time.Second     // before a failed call is repeated
 	busyWait  = time.Second     // after which a caller may come back while another run holds the claim
@@ -58,7 +59,7 @@
 // Refused reports whether the request is refused for good.
 func (q *Quarantine) Refused(p Print) bool {
 	s := q.suspects[p]
-	return s != nil && len(s.crashes) >= limit
+	return s != nil && len(s.crashes) >= limit && !q.excused(p)
 }
 
 // Known returns the suspects whose objects are known, so that a listing that
@@ -118,7 +119,7 @@
 	switch {
 	case s == nil:
 		return []Action{Allow{ID: a.ID}}
-	case len(s.crashes) >= limit:
+	case q.Refused(a.Print):
 		return []Action{refuse(a.ID)}
 	case s.asking != "" || s.running != "" || q.runs(a.Print):
 		return []Action{busy(now, a.ID)}
@@ -230,18 +231,19 @@
 	s := q.suspects[p]
 	s.crashes = merge(s.crashes, crashes)
 	until := suspected
-	if len(s.crashes) >= limit {
+	final := q.Refused(p)
+	if final {
 		until = refused
 	}
 	if expires := now.Add(until); expires.After(s.expires) {
 		s.expires = expires
 	}
 	for id, f := range q.flying {
-		if f.print == p && (id != s.running || len(s.crashes) >= limit) {
+		if f.print == p && (id != s.running || final) {
 			actions = append(actions, Cancel{ID: id, Target: f.target})
 		}
 	}
-	if s.asking != "" && len(s.crashes) >= limit {
+	if s.asking != "" && final {
 		actions = append(actions, refuse(s.asking))
 		s.asking = ""
 	}
--- a/stage/quarantine/quarantine_test.go
+++ b/stage/quarantine/quarantine_test.go
@@ -312,3 +312,39 @@
 	q.Step(start.Add(2*time.Hour), quarantine.Tick{})
 	require.True(t, q.Clean(quarantine.Of("c", []byte("4199"))))
 }
+
+// TestExcused tells of crashes in the order of the list; each has the requests
+// that were in progress at it.
+func TestExcused(t *testing.T) {
+	cases := []struct {
+		name    string
+		crashes []string // requests, a letter each
+		refused string
+	}{
+		{"once", []string{"ab"}, ""},
+		{"twice", []string{"ab", "a"}, "a"},
+		{"bystander of one", []string{"ab", "bc"}, "b"},
+		{"bystander of two", []string{"ab", "bc", "c", "a"}, "ac"},
+		{"one cause is known", []string{"ab", "bc", "c"}, "bc"},
+		{"always together", []string{"ab", "ab"}, "ab"},
+		{"bystander's third", []string{"ab", "bc", "c", "a", "b"}, "abc"},
+		{"two of two pairs", []string{"ab", "bc", "ca"}, "abc"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := &quarantine.Quarantine{Host: "h"}
+			for i, requests := range c.crashes {
+				for _, r := range requests {
+					q.Step(start, quarantine.Told{Print: quarantine.Print(r), Crash: fmt.Sprint("r/", i)})
+				}
+			}
+			refused := ""
+			for _, r := range "abc" {
+				if q.Refused(quarantine.Print(r)) {
+					refused += string(r)
+				}
+			}
+			require.Equal(t, c.refused, refused)
+		})
+	}
+}
