--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -16,7 +16,8 @@
 		r.refuse(e.ID, verdict.Refuse(verdict.Unavailable, "runner %s takes no new requests", r.Name))
 		return
 	}
-	if r.jobs[e.ID] != nil || r.queue.Has(e.ID) {
+	if r.queue.Has(e.ID) || r.jobs[e.ID] != nil {
+		r.again(now, e)
 		return
 	}
 	r.demand.hit(now, e.Ref)
@@ -51,7 +52,8 @@
 	if f := r.failures[e.Ref]; f.final() && now.Before(f.again) {
 		return f.refusal(e.Ref)
 	}
-	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority) + r.pace.service(e.Tokens)).Sub(e.Deadline)
+	item := queue.Item{Ref: e.Ref, Deadline: e.Deadline, Tokens: e.Tokens, Arrived: now}
+	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority)).Sub(r.latest(item))
 	if late <= 0 {
 		return nil
 	}
@@ -124,7 +126,7 @@
 // if they were admitted now.
 func (r *Runner) expire(now time.Time) {
 	for _, item := range r.queue.All() {
-		latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+		latest := r.latest(item)
 		if now.Before(latest) {
 			r.at(latest)
 			continue
@@ -136,6 +138,29 @@
 	}
 }
 
+// stallPart is the part of the time between a request's arrival and its deadline
+// that it may wait for a load. Longer waits only move the loads to other
+// requests: their number is the store's.
+const stallPart = 0.4
+
+// latest returns when a waiting request is refused.
+func (r *Runner) latest(item queue.Item) time.Time {
+	latest := item.Deadline.Add(-r.pace.service(item.Tokens))
+	if r.recent() || r.table.State(item.Ref) != slot.Empty {
+		return latest
+	}
+	patience := time.Duration(stallPart * float64(item.Deadline.Sub(item.Arrived)))
+	if t := item.Arrived.Add(patience); t.Before(latest) {
+		return t
+	}
+	return latest
+}
+
+func (r *Runner) recent() bool {
+	_, ok := r.Policy.(Recent)
+	return ok
+}
+
 // admit sends waiting requests to adapters that are resident, while the engine
 // has places.
 func (r *Runner) admit(now time.Time) {
@@ -161,6 +186,21 @@
 	}
 }
 
+// again takes a request whose ID is known. One that nobody waits for any more,
+// since its connection broke or another owner admitted it, is resumed: it has
+// its pin. Another is refused.
+func (r *Runner) again(now time.Time, e Arrived) {
+	j := r.jobs[e.ID]
+	before := r.bound(now)
+	if j == nil || !j.foreign && !j.lost || j.ref != e.Ref || !now.Before(before) {
+		r.refuse(e.ID, verdict.Refuse(verdict.Conflict, "request %s is in progress", e.ID))
+		return
+	}
+	j.foreign, j.lost, j.need = false, false, 0
+	j.admitted, j.tokens = now, e.Tokens
+	r.do(Admit{ID: e.ID, Before: before, Resident: true})
+}
+
 // How a policy with weight 1 gathers requests before an idle engine starts; a
 // smaller weight asks for as much less.
 const (
