--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -39,12 +39,9 @@
 
 	calls  calls
 	holder lease.Holder
-	// admitted says that Renewed holds: the lease is valid, the host is a
-	// member, and the table was read after the last lapse.
+	// admitted says that Renewed holds: the lease is valid and the host a member.
 	admitted bool
-	revived  time.Time // when the lease was first renewed after the last lapse
-	checked  bool      // the table was read since then
-	stale    bool      // what this host was told to own may differ from the table
+	stale    bool // what this host was told to own may differ from the table
 	final    bool
 
 	known   bool // the table, or its absence, was read
@@ -69,9 +66,18 @@
 	epoch   uint32
 	handing bool // told to hand over
 	to      string
-	drained bool
+	given   gift
 }
 
+// A gift is how far this host has stopped its use of a runner.
+type gift uint8
+
+const (
+	kept    gift = iota
+	yielded      // no order is open, but requests may run
+	drained      // nothing runs
+)
+
 func (m *Member) terms() lease.Terms { return m.Terms.Fill() }
 
 func (m *Member) timeout() time.Duration {
@@ -153,7 +159,9 @@
 	case Runners:
 		m.configure(e)
 	case Drained:
-		m.drain(e.Runner)
+		m.give(e.Runner, drained)
+	case Yielded:
+		m.give(e.Runner, yielded)
 	default:
 		panic(fmt.Sprintf("host: event %T", event))
 	}
@@ -209,7 +217,7 @@
 		case lease.Renewed:
 			m.renewed(a)
 		case lease.Lapsed:
-			m.lapsed()
+			m.suspend()
 		case lease.Replaced:
 			m.replaced()
 		case lease.Ended:
@@ -228,20 +236,9 @@
 		m.emit(Renewed{Until: a.Until})
 		return
 	}
-	if m.revived.IsZero() {
-		m.revived = m.now
-		m.watch.steady = m.now.Add(m.terms().Term)
-		m.refresh = m.now
-	}
 	m.proposal.dirty = true
 }
 
-func (m *Member) lapsed() {
-	m.checked = false
-	m.revived = time.Time{}
-	m.suspend()
-}
-
 // suspend tells once that Renewed no longer holds.
 func (m *Member) suspend() {
 	if m.admitted {
--- a/stage/host/sim_test.go
+++ b/stage/host/sim_test.go
@@ -27,13 +27,16 @@
 
 // world runs Members against a naive object store on one made-up clock.
 type world struct {
-	t      require.TestingT
-	now    time.Time
-	rand   *rand.Rand
-	noise  noise
-	outage bool
-	queue  moments
-	seq    int
+	t       require.TestingT
+	now     time.Time
+	rand    *rand.Rand
+	noise   noise
+	outage  bool
+	frozen  bool // writes are refused
+	planned bool // no runner may be released undrained
+	yields  bool // the nodes started give runners away before they have drained them
+	queue   moments
+	seq     int
 
 	objects map[string]host.Object
 	nodes   map[string]*node
@@ -43,6 +46,8 @@
 	serial  int // of the names of new hosts
 	reads   int
 	writes  int
+	deletes int
+	puts    int // of the table, whether they took effect or not
 	tables  int // writes of the table that took effect
 }
 
@@ -58,6 +63,8 @@
 	until   time.Time
 	holds   map[string]*hold
 	drain   time.Duration
+	yields  bool          // gives runners away before it has drained them
+	mute    bool          // its deletes get lost
 	reports []host.Action // all but calls
 }
 
@@ -126,7 +133,7 @@
 
 // start begins a process; incarnation tells it from earlier ones of the name.
 func (w *world) start(name, zone, incarnation string) *node {
-	n := &node{name: name, holds: make(map[string]*hold), drain: 300 * time.Millisecond}
+	n := &node{name: name, holds: make(map[string]*hold), drain: 300 * time.Millisecond, yields: w.yields}
 	n.member = &host.Member{
 		Region: region,
 		Self: host.Identity{
@@ -220,9 +227,16 @@
 		w.call(n, a.Call, func() host.Event { return host.Listed{Call: a.Call, Objects: w.list(a.Prefix)} })
 	case host.Put:
 		w.writes++
+		if a.Key == host.Key(region) {
+			w.puts++
+		}
 		w.call(n, a.Call, func() host.Event { return w.put(a) })
 	case host.Delete:
 		w.writes++
+		w.deletes++
+		if n.mute {
+			return
+		}
 		w.call(n, a.Call, func() host.Event { return w.remove(a) })
 	default:
 		n.reports = append(n.reports, a)
@@ -235,17 +249,24 @@
 	case host.Acquire:
 		w.acquire(n, a)
 	case host.Release:
+		require.True(w.t, !w.planned || n.holds[a.Runner].drained, "%s cut off %s", a.Runner, n.name)
 		delete(n.holds, a.Runner)
 	case host.Handover:
 		h := n.holds[a.Runner]
 		h.serial++
 		serial := h.serial
-		w.after(n.drain, func() {
-			if n.holds[a.Runner] == h && h.serial == serial && !n.dead && !n.paused {
-				h.drained = true
-				w.deliver(n, host.Drained{Runner: a.Runner})
+		give := func(e host.Event) func() {
+			return func() {
+				if n.holds[a.Runner] == h && h.serial == serial && !n.dead {
+					h.drained = true
+					w.deliver(n, e)
+				}
 			}
-		})
+		}
+		if n.yields {
+			w.after(n.drain/100, give(host.Yielded{Runner: a.Runner}))
+		}
+		w.after(n.drain, give(host.Drained{Runner: a.Runner}))
 	case host.Renewed:
 		n.until = a.Until
 	case host.Lapsed:
@@ -342,6 +363,9 @@
 }
 
 func (w *world) put(a host.Put) host.Event {
+	if w.frozen {
+		return host.Failed{Call: a.Call, Cause: lease.Unavailable}
+	}
 	if w.objects[a.Key].Version != a.Version {
 		return host.Failed{Call: a.Call, Cause: lease.Conflict}
 	}
@@ -361,6 +385,7 @@
 func (w *world) grows(o host.Object) {
 	former, next := w.table(), decode(w.t, o.Value)
 	require.GreaterOrEqual(w.t, next.Top, former.Top)
+	require.GreaterOrEqual(w.t, next.Config, former.Config)
 	for _, row := range next.Rows {
 		before, ok := former.Row(row.Runner)
 		if !ok {
@@ -384,6 +409,9 @@
 }
 
 func (w *world) remove(a host.Delete) host.Event {
+	if w.frozen {
+		return host.Failed{Call: a.Call, Cause: lease.Unavailable}
+	}
 	if o, ok := w.objects[a.Key]; !ok || o.Version != a.Version {
 		return host.Failed{Call: a.Call, Cause: lease.Conflict}
 	}
