traffic: requests of a lost host need no retry budget

Cause: in the demo 24 requests failed as mayhaverun after the kill of a host: all that it had in progress needed a second try at once, and the budget (10 and a tenth of recent successes) was spent. Ruled out: a larger budget, which would let a failing service be asked twice as often. Before: TestLostHostNeedsNoBudget fails. After: passes.

--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -183,8 +183,17 @@
 	return stream, nil
 }
 
+// An Unreached says that a host could not be reached: nothing was sent.
+type Unreached struct{ Err *verdict.Error }
+
+// Error returns the refusal's text.
+func (u *Unreached) Error() string { return "peer: " + u.Err.Error() }
+
+// Unwrap returns the refusal.
+func (u *Unreached) Unwrap() error { return u.Err }
+
 func refuse(cause error, name string) error {
-	return errors.WithMessage(verdict.Refuse(verdict.Unavailable, "host %s can't be reached: %v", name, cause), "peer")
+	return &Unreached{verdict.Refuse(verdict.Unavailable, "host %s can't be reached: %v", name, cause)}
 }
 
 func (l *Link) peer(addr netip.AddrPort, name string) *peer {
--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -459,3 +459,23 @@
 	two, _ := second.total()
 	require.Zero(t, one+two)
 }
+
+// The loss of a host takes all requests that it had in progress at once, far
+// more than a budget allows: they go to other runners all the same.
+func TestLostHostNeedsNoBudget(t *testing.T) {
+	ids := identities(t, "entry-1", "entry-2")
+	reached := make(chan struct{}, 2)
+	first, second := newEngine(t, at(0, gate(reached, nil))), newEngine(t)
+	entry := newHost(t, configuration(t), ids["entry-1"], func(h *host) { h.Retries = spent{} })
+	owner, link := newMuted(t, configuration(t), ids["entry-2"], patient)
+	entry.route(owner.there("r1", first), entry.here("r2", second))
+	wait := later(t, entry, asWhole)
+	<-reached
+	link.drop.Store(true)
+	text, whole := words(t, wait())
+	require.Equal(t, all, text)
+	require.True(t, whole)
+	text, whole = words(t, post(t, entry, asWhole)) // now the host can't be reached
+	require.Equal(t, all, text)
+	require.True(t, whole)
+}
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -83,13 +83,15 @@
 }
 
 // more reports whether there is something to try, and for a retry takes the
-// leave. Where no runner is left, a lost link may still be found again.
+// leave. Where no runner is left, a lost link may still be found again. A host
+// that was lost needs no leave: what it had in progress goes elsewhere at once,
+// and a request tries each runner once at most.
 func (a *attempts) more() bool {
 	_, ok := a.pick()
 	if len(a.tried) == 0 {
 		return ok
 	}
-	return (ok || lost(a.last)) && a.s.retry(a.q)
+	return lost(a.last) || ok && (unreached(a.last) || a.s.retry(a.q))
 }
 
 // step makes one try. An answer that has started can only be resumed.
@@ -207,6 +209,12 @@
 	return errors.As(err, &link)
 }
 
+// unreached reports whether err says that a host could not be reached.
+func unreached(err error) bool {
+	var u *peer.Unreached
+	return errors.As(err, &u)
+}
+
 // owner returns the candidate for a runner as ownership is now.
 func (s *Server) owner(q request, runner string) (control.Candidate, bool) {
 	for _, c := range s.Control.Route(q.job) {
