--- a/jacinthd/internal/follow/follow.go
+++ b/jacinthd/internal/follow/follow.go
@@ -38,6 +38,8 @@
 type Peers interface {
 	// Share asks the peer for patches or a part of a snapshot.
 	Share(ctx context.Context, peer string, ask Ask) (Share, error)
+	// Tell tells the peer that version is in force here.
+	Tell(ctx context.Context, peer string, version uint64) error
 }
 
 // A Follower follows the configuration for one host. Set the exported fields
@@ -47,25 +49,29 @@
 	Seeds   []string // peers to ask where the object API can't be read
 	Store   store.Store
 	Peers   Peers               // nil where there are none
+	Ring    func() []string     // peers to tell the version in force; nil tells none
 	Publish func(*patch.Config) // called by one goroutine with each configuration in force
 	Log     *zap.Logger         // nil logs nothing
 
 	once   sync.Once
 	events chan patch.Event
 	reread chan struct{}
-	asks   chan func(*patch.Log) // questions to the log, run by its goroutine
-	newest atomic.Uint64         // newest patch applied, for the reader
-	force  atomic.Uint64         // version in force
-	group  sync.WaitGroup        // goroutines that Run waits for
-	saving atomic.Bool
-	asking atomic.Bool
-	shares shares
+	// changed says that another version is in force.
+	changed chan struct{}
+	asks    chan func(*patch.Log) // questions to the log, run by its goroutine
+	newest  atomic.Uint64         // newest patch applied, for the reader
+	force   atomic.Uint64         // version in force
+	group   sync.WaitGroup        // goroutines that Run waits for
+	saving  atomic.Bool
+	asking  atomic.Bool
+	shares  shares
 }
 
 func (f *Follower) init() {
 	f.once.Do(func() {
 		f.events = make(chan patch.Event, queue)
 		f.reread = make(chan struct{}, 1)
+		f.changed = make(chan struct{}, 1)
 		f.asks = make(chan func(*patch.Log))
 		if f.Log == nil {
 			f.Log = zap.NewNop()
@@ -92,6 +98,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.group.Go(func() { f.read(ctx) })
+	if f.Peers != nil && f.Ring != nil {
+		f.group.Go(func() { f.announce(ctx) })
+	}
 	log := patch.Log{Host: f.Host}
 	ticks := time.NewTicker(tick)
 	defer ticks.Stop()
@@ -122,6 +131,10 @@
 		f.force.Store(x.Config.Version)
 		f.Log.Info(fmt.Sprintf("config: version %d in force", x.Config.Version))
 		f.Publish(x.Config)
+		select {
+		case f.changed <- struct{}{}:
+		default:
+		}
 	case patch.Void:
 		f.Log.Error(fmt.Sprintf("config: patch %d changes nothing", x.Number), zap.Error(x.Err))
 	case patch.Clash:
--- a/jacinthd/internal/follow/follow_test.go
+++ b/jacinthd/internal/follow/follow_test.go
@@ -30,6 +30,7 @@
 	hosts   map[string]*follow.Follower
 	highest map[string]uint64
 	cut     bool // whether peers don't reach each other
+	tell    bool // whether hosts that start now tell their versions
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -47,9 +48,45 @@
 	return host.Serve(ctx, ask)
 }
 
+// ring returns what a host's Ring is.
+func (f *fleet) ring(name string) func() []string {
+	if !f.tell {
+		return nil
+	}
+	return func() []string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		var others []string
+		for other := range f.hosts {
+			if other != name {
+				others = append(others, other)
+			}
+		}
+		return follow.Ring(name, others)
+	}
+}
+
+// A speaker is the fleet as one of its hosts reaches it.
+type speaker struct {
+	*fleet
+	name string
+}
+
+// Tell implements follow.Peers.
+func (f speaker) Tell(_ context.Context, peer string, version uint64) error {
+	f.mu.Lock()
+	host, cut := f.hosts[peer], f.cut
+	f.mu.Unlock()
+	if host == nil || cut {
+		return errors.New("no such peer")
+	}
+	host.Told(f.name, version)
+	return nil
+}
+
 // start runs a host, in place of an earlier one of that name, and returns what stops it.
 func (f *fleet) start(name string, s store.Store, seeds ...string) func() {
-	host := &follow.Follower{Host: name, Seeds: seeds, Store: s, Peers: f, Publish: func(c *patch.Config) {
+	host := &follow.Follower{Host: name, Seeds: seeds, Store: s, Peers: speaker{f, name}, Ring: f.ring(name), Publish: func(c *patch.Config) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.GreaterOrEqual(f.t, c.Version, f.highest[name], "%s went back", name)
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -27,8 +27,8 @@
 // kinds are the messages by their kind on the wire. Kinds are only added.
 var kinds = []Message{
 	Forward{}, Admission{}, Token{}, End{}, Refusal{}, Done{},
-	Drained{}, Config{}, Patches{}, Suspect{},
-	Want{}, Permits{},
+	Drained{}, Config{}, Ask{}, Suspect{},
+	Want{}, Permits{}, Share{},
 }
 
 var numbers = func() map[reflect.Type]byte {
@@ -170,7 +170,11 @@
 			!slices.ContainsFunc(m.Reply.Denials, func(d load.Denial) bool { return !valid(d.Ref) })
 	case Suspect:
 		whole = m.Print != "" && m.Crash != ""
-	case Admission, End, Done, Drained, Config, Patches:
+	case Ask:
+		whole = m.Part >= 0
+	case Share:
+		whole = m.Version > 0 && !slices.ContainsFunc(m.Patches, func(p Patch) bool { return p.Number == 0 || len(p.Data) == 0 })
+	case Admission, End, Done, Drained, Config:
 	default:
 		return errors.Errorf("peer: no check for %T", m)
 	}
--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -32,7 +32,11 @@
 		peer.Done{},
 		peer.Drained{Runner: "r", Epoch: 3},
 		peer.Config{Version: 9},
-		peer.Patches{Version: 9, Patches: [][]byte{{1}, {2}}},
+		peer.Ask{After: 9},
+		peer.Ask{Snapshot: 200, Part: 3},
+		peer.Share{Version: 9, Patches: []peer.Patch{{Number: 8, Data: []byte{1}}, {Number: 9, Data: []byte{2}}}},
+		peer.Share{Version: 300, Snapshot: 300, Manifest: []byte{3}},
+		peer.Share{Version: 300, Snapshot: 300, Part: []byte{4}},
 		peer.Want{Request: load.Request{Host: "entry-1/a", Epoch: 2, Sequence: 3, Held: []uint64{7}, Wants: []load.Want{{Runner: "r", Ref: fees}}}},
 		peer.Permits{Reply: load.Reply{Epoch: 2, Number: 4, Grants: []load.Grant{{Permit: 7, Runner: "r", Ref: fees}}, Rate: 1.5}},
 		peer.Suspect{Print: "f", Crash: "r/i"},
@@ -88,6 +92,20 @@
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(readers*peer.MaxMessage/4))
 }
 
+// What lacks a field is neither sent nor taken in.
+func TestLackingMessages(t *testing.T) {
+	for _, m := range []peer.Message{
+		peer.Ask{Part: -1},
+		peer.Share{},
+		peer.Share{Version: 9, Patches: []peer.Patch{{Data: []byte{1}}}},
+		peer.Share{Version: 9, Patches: []peer.Patch{{Number: 9}}},
+		peer.Suspect{Crash: "r/i"},
+		peer.Suspect{Print: "f"},
+	} {
+		require.ErrorContains(t, peer.Write(io.Discard, m), "lacks", "%#v", m)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	for _, m := range messages() {
 		var wire bytes.Buffer
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -73,16 +73,34 @@
 }
 
 // Config says which configuration version is in force at the sender. The
-// answer is Patches.
+// answer is Done.
 type Config struct {
 	Version uint64 `cbor:"1,keyasint"`
 }
 
-// Patches hands on the patches behind the version that Config named, as they
-// stand in the object API.
-type Patches struct {
-	Version uint64   `cbor:"1,keyasint"` // in force at the sender
-	Patches [][]byte `cbor:"2,keyasint,omitempty"`
+// Ask asks for the patches behind After or, while Snapshot isn't zero, for one
+// part of that snapshot. The answer is Share, or a Refusal.
+type Ask struct {
+	After    uint64 `cbor:"1,keyasint,omitempty"`
+	Snapshot uint64 `cbor:"2,keyasint,omitempty"`
+	Part     int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Share answers Ask with patches as they stand in the object API, with the
+// manifest of a snapshot, or with a part of one.
+type Share struct {
+	Version  uint64  `cbor:"1,keyasint"` // in force at the sender
+	Patches  []Patch `cbor:"2,keyasint,omitempty"`
+	Snapshot uint64  `cbor:"3,keyasint,omitempty"`
+	Manifest []byte  `cbor:"4,keyasint,omitempty"`
+	Part     []byte  `cbor:"5,keyasint,omitempty"`
+}
+
+// Patch is one accepted patch.
+type Patch struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Data   []byte
 }
 
 // Suspect says that a request was in progress when a target crashed. The
@@ -100,5 +118,6 @@
 func (Done) message()      {}
 func (Drained) message()   {}
 func (Config) message()    {}
-func (Patches) message()   {}
+func (Ask) message()       {}
+func (Share) message()     {}
 func (Suspect) message()   {}
--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -119,7 +119,10 @@
 	p.loop.Start()
 	p.follower = &follow.Follower{
 		Host:    s.Host.Name,
+		Seeds:   p.seeds(),
 		Store:   objects,
+		Peers:   follow.Link{Link: p.link, Find: p.find},
+		Ring:    p.ring,
 		Publish: p.loop.Configure,
 		Log:     p.log,
 	}
--- a/jacinthd/internal/process/serve.go
+++ b/jacinthd/internal/process/serve.go
@@ -20,6 +20,8 @@
 	case peer.Drained:
 		p.loop.Drained(m.Runner, uint32(m.Epoch))
 		p.answer(name, stream, peer.Done{})
+	case peer.Config, peer.Ask:
+		p.answer(name, stream, p.follower.Answer(ctx, name, m))
 	case peer.Suspect:
 		p.guard.Told(m.Print, m.Crash)
 		p.answer(name, stream, peer.Done{})
--- a/jacinthd/settings/read.go
+++ b/jacinthd/settings/read.go
@@ -152,7 +152,7 @@
 		{section: "keys", key: "authority", store: pemFile(folder, &s.Keys.Authority)},
 		{section: "keys", key: "certificate", store: pemFile(folder, &s.Keys.Certificate)},
 		{section: "keys", key: "key", store: pemFile(folder, &s.Keys.Key)},
-		{section: "peers", key: "seeds", optional: true, store: addresses(&s.Peers.Seeds)},
+		{section: "peers", key: "seeds", optional: true, store: seeds(&s.Peers.Seeds)},
 		{section: "limits", key: "body", fallback: "1048576", store: whole(&s.Limits.Body, 1, mostBody)},
 		{section: "limits", key: "prompt", fallback: "262144", store: whole(&s.Limits.Prompt, 1, mostBody)},
 		{section: "limits", key: "queue", fallback: "256", store: whole(&s.Limits.Queue, 1, mostQueue)},
--- a/jacinthd/settings/settings.go
+++ b/jacinthd/settings/settings.go
@@ -56,7 +56,14 @@
 
 // Peers names hosts to ask for the configuration when the object API can't be read.
 type Peers struct {
-	Seeds []netip.AddrPort
+	Seeds []Seed
+}
+
+// A Seed is a host by its name, as in its certificate, and its address for
+// other hosts.
+type Seed struct {
+	Name    string
+	Address netip.AddrPort
 }
 
 // Limits bound what one request and all requests may use.
--- a/jacinthd/settings/settings_test.go
+++ b/jacinthd/settings/settings_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestRead(t *testing.T) {
-	dir, file := folder(t, least+"[peers]\nseeds = 127.0.0.1:1, [::1]:2\n[log]\nlevel = debug\nformat = console\n")
+	dir, file := folder(t, least+"[peers]\nseeds = entry-2=127.0.0.1:1, entry-3=[::1]:2\n[log]\nlevel = debug\nformat = console\n")
 	got, err := settings.Read(file)
 	require.NoError(t, err)
 	require.Equal(t, settings.Settings{
@@ -56,7 +56,7 @@
 		Listen:   settings.Listen{Caller: netip.MustParseAddrPort("127.0.0.1:8001"), Peer: netip.MustParseAddrPort("127.0.0.1:8002"), Admin: netip.MustParseAddrPort("127.0.0.1:8003")},
 		Platform: settings.Platform{Address: "http://127.0.0.1:9000"},
 		Keys:     settings.Keys{Authority: filepath.Join(dir, "authority.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")},
-		Peers:    settings.Peers{Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("[::1]:2")}},
+		Peers:    settings.Peers{Seeds: []settings.Seed{{Name: "entry-2", Address: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "entry-3", Address: netip.MustParseAddrPort("[::1]:2")}}},
 		Limits:   settings.Limits{Body: 1 << 20, Prompt: 1 << 18, Queue: 256, Deadline: 30 * time.Second, Longest: 2 * time.Minute},
 		Lease:    settings.Lease{Time: 10 * time.Second, Renewal: 3 * time.Second},
 		Load:     settings.Load{Rate: 4, Flight: 8},
@@ -81,7 +81,11 @@
 		{"port zero", replace("127.0.0.1:8002", "127.0.0.1:0"), `listen.peer: "127.0.0.1:0" is not IP:PORT`},
 		{"address taken", replace("127.0.0.1:8003", "127.0.0.1:8001"), "listen.admin: the same as listen.caller"},
 		{"bad platform", replace("http://127.0.0.1:9000", "https://platform"), `platform.address: "https://platform" is not http://IP:PORT`},
-		{"bad seed", least + "[peers]\nseeds = 127.0.0.1:1,x\n", `peers.seeds: "x" is not IP:PORT`},
+		{"bad seed", least + "[peers]\nseeds = a=127.0.0.1:1,x\n", `peers.seeds: "x" is not NAME=IP:PORT`},
+		{"seed without a name", least + "[peers]\nseeds = 127.0.0.1:1\n", `peers.seeds: "127.0.0.1:1" is not NAME=IP:PORT`},
+		{"seed without an address", least + "[peers]\nseeds = a=b\n", `peers.seeds: "a=b" is not NAME=IP:PORT`},
+		{"bad seed name", least + "[peers]\nseeds = A=127.0.0.1:1\n", `peers.seeds: "A=127.0.0.1:1" is not NAME=IP:PORT`},
+		{"seed twice", least + "[peers]\nseeds = a=127.0.0.1:1, a=127.0.0.1:2\n", `peers.seeds: a is given twice`},
 		{"missing file", replace("key = host.key", "key = none.key"), "keys.key: DIR/none.key: no such file or directory"},
 		{"not a key file", replace("key = host.key", "key = text"), "keys.key: DIR/text: not a PEM file"},
 		{"a folder", replace("key = host.key", "key = ."), "keys.key: DIR: not a PEM file"},
--- a/jacinthd/settings/value.go
+++ b/jacinthd/settings/value.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -61,15 +62,20 @@
 	}
 }
 
-func addresses(into *[]netip.AddrPort) func(string) error {
+func seeds(into *[]Seed) func(string) error {
 	return func(text string) error {
-		var out []netip.AddrPort
+		var out []Seed
 		for _, part := range strings.Split(text, ",") {
-			var a netip.AddrPort
-			if err := address(&a)(strings.TrimSpace(part)); err != nil {
-				return err
+			part = strings.TrimSpace(part)
+			host, at, _ := strings.Cut(part, "=")
+			var s Seed
+			if word(&s.Name)(host) != nil || address(&s.Address)(at) != nil {
+				return errors.Errorf("%q is not NAME=IP:PORT", part)
 			}
-			out = append(out, a)
+			if slices.ContainsFunc(out, func(o Seed) bool { return o.Name == s.Name }) {
+				return errors.Errorf("%s is given twice", s.Name)
+			}
+			out = append(out, s)
 		}
 		*into = out
 		return nil
