lease, command: the version in force on each host

Cause: an operator could not see whether a patch is in force everywhere. Change: lease.Value has Config, written with each renewal once the membership sets it (it does not yet); values of 7 elements are still read. jacinthctl hosts has a column with it, and the lowest version of each region; its -json is now an object of hosts and regions. Conclusion: the scripts show versions 4, 3 and none with their lowest ones.

--- a/jacinthctl/internal/command/hosts.go
+++ b/jacinthctl/internal/command/hosts.go
@@ -8,6 +8,8 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -24,8 +26,9 @@
 func (*hostsCommand) Usage() string {
 	return `hosts -platform URL:
   Show each host that has a lease or stands in the platform's list: region,
-  availability zone, peer address, state in the list (which lags), and the
-  number of runners that it owns.
+  availability zone, peer address, state in the list (which lags), the number
+  of runners that it owns, and the configuration version in force at its last
+  renewal. Then the lowest of these versions in each region.
 `
 }
 
@@ -43,6 +46,20 @@
 	State   string         `json:"state"` // in the platform's list, empty where it isn't listed
 	Leased  bool           `json:"leased"`
 	Runners int            `json:"runners"`
+	Config  uint64         `json:"config"` // version in force at the last renewal, 0 where none is known
+}
+
+// A regionRow is the hosts with a lease in one region.
+type regionRow struct {
+	Region string `json:"region"`
+	Hosts  int    `json:"hosts"`
+	Config uint64 `json:"config"` // lowest version in force
+}
+
+// A hostsAnswer is all hosts and regions.
+type hostsAnswer struct {
+	Hosts   []hostRow   `json:"hosts"`
+	Regions []regionRow `json:"regions"`
 }
 
 func (c *hostsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -59,14 +76,44 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	return c.print(rows, func(w io.Writer) {
-		fmt.Fprintln(w, "NAME\tREGION\tZONE\tPEER\tSTATE\tLEASED\tRUNNERS")
-		for _, r := range rows {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\n", r.Name, dash(r.Region), dash(r.Zone), address(r.Peer), dash(r.State), r.Leased, r.Runners)
+	answer := hostsAnswer{Hosts: rows, Regions: regionRows(rows)}
+	return c.print(answer, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tREGION\tZONE\tPEER\tSTATE\tLEASED\tRUNNERS\tCONFIG")
+		for _, r := range answer.Hosts {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\n", r.Name, dash(r.Region), dash(r.Zone), address(r.Peer), dash(r.State), r.Leased, r.Runners, number(r.Config))
+		}
+		fmt.Fprintln(w, "\nREGION\tHOSTS\tCONFIG")
+		for _, r := range answer.Regions {
+			fmt.Fprintf(w, "%s\t%d\t%s\n", r.Region, r.Hosts, number(r.Config))
 		}
 	})
 }
 
+// regionRows returns the regions of the hosts with a lease, by name.
+func regionRows(hosts []hostRow) []regionRow {
+	regions := []regionRow{}
+	for _, h := range hosts {
+		if !h.Leased {
+			continue
+		}
+		at, ok := slices.BinarySearchFunc(regions, h.Region, func(r regionRow, name string) int { return strings.Compare(r.Region, name) })
+		if !ok {
+			regions = slices.Insert(regions, at, regionRow{Region: h.Region, Config: h.Config})
+		}
+		regions[at].Hosts++
+		regions[at].Config = min(regions[at].Config, h.Config)
+	}
+	return regions
+}
+
+// number returns a version, a dash for 0.
+func number(version uint64) string {
+	if version == 0 {
+		return dash("")
+	}
+	return strconv.FormatUint(version, 10)
+}
+
 func hostRows(ctx context.Context, s store.Store) ([]hostRow, error) {
 	held, err := leases(ctx, s)
 	if err != nil {
@@ -88,7 +135,7 @@
 	}
 	rows := []hostRow{}
 	for _, l := range held {
-		rows = append(rows, hostRow{Name: l.Name, Region: l.Region, Zone: l.Zone, Peer: l.Peer, State: listed[l.Name], Leased: true, Runners: owned[l.Name]})
+		rows = append(rows, hostRow{Name: l.Name, Region: l.Region, Zone: l.Zone, Peer: l.Peer, State: listed[l.Name], Leased: true, Runners: owned[l.Name], Config: l.Config})
 		delete(listed, l.Name)
 	}
 	for _, name := range slices.Sorted(maps.Keys(listed)) {
--- a/jacinthctl/internal/command/script_test.go
+++ b/jacinthctl/internal/command/script_test.go
@@ -59,12 +59,19 @@
 func fleet(ts *testscript.TestScript, _ bool, _ []string) {
 	s := ts.Value(platformKey{}).(*memory.Store)
 	peer := netip.MustParseAddrPort("127.0.0.1:8002")
-	value := lease.Value{Name: "entry-1", Incarnation: "i1", Life: 1, Region: "south", Zone: "south-a", Peer: peer, Sequence: 9}
+	value := lease.Value{Name: "entry-1", Incarnation: "i1", Life: 1, Region: "south", Zone: "south-a", Peer: peer, Sequence: 9, Config: 4}
 	table := host.Table{Top: 7, Config: 1, Members: []host.Identity{{Name: "entry-1", Incarnation: "i1", Life: 1, Peer: peer, Zone: "south-a"}},
 		Rows:  []host.Row{{Runner: "runner-1", Zone: "south-a", Owner: "entry-1", Epoch: 7, From: "entry-2", Prior: 3}},
 		Grant: host.Grant{Owner: "entry-1", Epoch: 5}}
 	_, err := s.Create(context.Background(), lease.Key("south", "entry-1"), value.Encode())
 	ts.Check(err)
+	behind, late := value, value
+	behind.Name, behind.Config = "entry-3", 3
+	late.Name, late.Region, late.Config = "entry-4", "north", 0
+	for _, v := range []lease.Value{behind, late} {
+		_, err := s.Create(context.Background(), lease.Key(v.Region, v.Name), v.Encode())
+		ts.Check(err)
+	}
 	_, err = s.Create(context.Background(), host.Key("south"), table.Encode())
 	ts.Check(err)
 	s.Present(store.Presence{Name: "entry-1", State: "live", Kind: "host"})
--- a/stage/lease/holder_test.go
+++ b/stage/lease/holder_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -148,3 +149,20 @@
 		})
 	}
 }
+
+// A lease object that an earlier process wrote lacks Config.
+func TestDecodeEarlierValue(t *testing.T) {
+	v := lease.Value{Name: "entry-1", Incarnation: "i", Life: 2, Region: "south", Zone: "a", Peer: netip.MustParseAddrPort("[::1]:1"), Sequence: 300}
+	data := v.Encode()
+	got, err := lease.Decode(append([]byte{data[0] - 1}, data[1:len(data)-1]...))
+	require.NoError(t, err)
+	require.Equal(t, v, got)
+	v.Config = 9
+	got, err = lease.Decode(v.Encode())
+	require.NoError(t, err)
+	require.Equal(t, v, got)
+	for _, bad := range [][]byte{nil, {0x86}, {0x87}, data[:len(data)-1]} {
+		_, err := lease.Decode(bad)
+		require.Error(t, err)
+	}
+}
--- a/stage/lease/value.go
+++ b/stage/lease/value.go
@@ -40,8 +40,18 @@
 	Peer netip.AddrPort
 	// Sequence grows with each renewal.
 	Sequence uint64
+	// Config is the configuration version in force on the host at that renewal,
+	// 0 where none was.
+	Config uint64
 }
 
+// elements is the number of elements of a Value as written; earliest is that of
+// the first ones, which lack Config.
+const (
+	elements = 8
+	earliest = 7
+)
+
 const prefix = "lease/"
 
 // Prefix returns the prefix of the keys of all leases of a region.
@@ -67,12 +77,22 @@
 // Decode reads an object's value. It fails on what Encode can't have made.
 func Decode(data []byte) (Value, error) {
 	var v Value
-	if err := cbor.Unmarshal(data, &v); err != nil {
+	if err := cbor.Unmarshal(whole(data), &v); err != nil {
 		return Value{}, errors.Wrap(err, "lease: decode")
 	}
 	return v, nil
 }
 
+// whole returns the data of a Value that lacks Config with a 0 for it, other
+// data as it is: an array's length stands in its first byte.
+func whole(data []byte) []byte {
+	const array, zero = 0x80, 0x00
+	if len(data) == 0 || data[0] != array|earliest {
+		return data
+	}
+	return append([]byte{array | elements}, append(data[1:len(data):len(data)], zero)...)
+}
+
 // Same reports whether both values are of the same life of the same process.
 func (v Value) Same(other Value) bool {
 	return v.Name == other.Name && v.Incarnation == other.Incarnation && v.Life == other.Life
