settings, process: metrics of traffic, limits.requests and limits.far

Cause: the Collectors of traffic were in no registry, and Far and Limits.Requests could not be set. Process registers the metrics (by build; no test of process reads /metrics yet).

--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -142,6 +142,12 @@
 		Tell:  p.tell,
 		Log:   p.log,
 	}
+	limits := traffic.Limits{
+		Body:     int64(s.Limits.Body),
+		Requests: s.Limits.Requests,
+		Deadline: s.Limits.Deadline,
+		Longest:  s.Limits.Longest,
+	}
 	p.traffic = &traffic.Server{
 		Plain:    p.plain,
 		Retries:  budgets,
@@ -150,12 +156,10 @@
 		Engine:   p.engines,
 		Link:     p.link,
 		Log:      p.log,
-		Limits: traffic.Limits{
-			Body:     int64(s.Limits.Body),
-			Deadline: s.Limits.Deadline,
-			Longest:  s.Limits.Longest,
-		},
+		Far:      traffic.FarLimit(s.Limits.Far, limits),
+		Limits:   limits,
 	}
+	p.registry.MustRegister(p.traffic.Collectors()...)
 	p.guard.Cancel = func(id, _ string) { p.traffic.CancelRun(id) }
 	return nil
 }
--- a/jacinthd/internal/traffic/failure_test.go
+++ b/jacinthd/internal/traffic/failure_test.go
@@ -14,6 +14,7 @@
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/traffic"
 	"jacinthstage/stage/adapter"
 )
 
@@ -240,6 +241,16 @@
 	require.Equal(t, 1, ran)
 }
 
+func TestFarLimit(t *testing.T) {
+	require.Nil(t, traffic.FarLimit(0, traffic.Limits{}))
+	limits := traffic.Limits{Body: 1000, Tokens: 10}
+	for bytes, burst := range map[int]int{1: 400 + 1000 + 10*64, 5000: 5000} {
+		far := traffic.FarLimit(bytes, limits)
+		require.Equal(t, burst, far.Burst())
+		require.Equal(t, rate.Limit(bytes), far.Limit())
+	}
+}
+
 func TestDeadlinePassesOnTheEngine(t *testing.T) {
 	for _, body := range []string{asWhole, asStream} {
 		eachPath(t, patient, func(t *testing.T, entry, owner *host, place func(*fakeEngine) control.Candidate) {
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/peer"
@@ -163,6 +164,18 @@
 	tokenBytes = 64
 )
 
+// FarLimit returns a limiter for Server.Far of so many bytes a second, which a
+// single request of the largest kind that limits allow never exceeds; nil where
+// bytes is 0.
+func FarLimit(bytes int, limits Limits) *rate.Limiter {
+	if bytes <= 0 {
+		return nil
+	}
+	limits = limits.filled()
+	largest := callBytes + int(limits.Body) + tokenBytes*limits.Tokens
+	return rate.NewLimiter(rate.Limit(bytes), max(bytes, largest))
+}
+
 // worth returns about how many bytes a request puts on the link at most.
 func worth(q request) int { return callBytes + len(q.prompt) + tokenBytes*q.job.Tokens }
 
--- a/jacinthd/settings/read.go
+++ b/jacinthd/settings/read.go
@@ -128,15 +128,17 @@
 
 // The ranges of keys with numbers and times.
 const (
-	mostBody    = 64 << 20 // bytes
-	mostQueue   = 1 << 16  // requests
-	leastTime   = 100 * time.Millisecond
-	mostTime    = time.Hour
-	leastLease  = time.Second
-	mostLease   = 5 * time.Minute
-	mostRate    = 10000 // loads a second
-	mostFlight  = 10000 // loads in flight
-	mostKeyFile = 1 << 20
+	mostBody     = 64 << 20 // bytes
+	mostQueue    = 1 << 16  // requests
+	mostRequests = 1 << 16  // completions
+	mostFar      = 1 << 30  // bytes a second
+	leastTime    = 100 * time.Millisecond
+	mostTime     = time.Hour
+	leastLease   = time.Second
+	mostLease    = 5 * time.Minute
+	mostRate     = 10000 // loads a second
+	mostFlight   = 10000 // loads in flight
+	mostKeyFile  = 1 << 20
 )
 
 // fields returns every key of the file, with its check. Files are found from folder.
@@ -156,6 +158,8 @@
 		{section: "limits", key: "body", fallback: "1048576", store: whole(&s.Limits.Body, 1, mostBody)},
 		{section: "limits", key: "prompt", fallback: "262144", store: whole(&s.Limits.Prompt, 1, mostBody)},
 		{section: "limits", key: "queue", fallback: "256", store: whole(&s.Limits.Queue, 1, mostQueue)},
+		{section: "limits", key: "requests", fallback: "2048", store: whole(&s.Limits.Requests, 1, mostRequests)},
+		{section: "limits", key: "far", fallback: "0", store: whole(&s.Limits.Far, 0, mostFar)},
 		{section: "limits", key: "deadline", fallback: "30s", store: duration(&s.Limits.Deadline, leastTime, mostTime)},
 		{section: "limits", key: "longest", fallback: "2m", store: duration(&s.Limits.Longest, leastTime, mostTime)},
 		{section: "lease", key: "time", fallback: "10s", store: duration(&s.Lease.Time, leastLease, mostLease)},
--- a/jacinthd/settings/settings.go
+++ b/jacinthd/settings/settings.go
@@ -71,6 +71,8 @@
 	Body     int           // bytes of a request's body
 	Prompt   int           // bytes of a prompt
 	Queue    int           // requests waiting for one runner
+	Requests int           // completions of callers in progress on this host
+	Far      int           // bytes a second that requests to other regions may be worth; 0 sets no limit
 	Deadline time.Duration // from arrival, where the caller gives none
 	Longest  time.Duration // from arrival, the latest that a caller may give
 }
--- a/jacinthd/settings/settings_test.go
+++ b/jacinthd/settings/settings_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestRead(t *testing.T) {
-	dir, file := folder(t, least+"[peers]\nseeds = entry-2=127.0.0.1:1, entry-3=[::1]:2\n[log]\nlevel = debug\nformat = console\n")
+	dir, file := folder(t, least+"[peers]\nseeds = entry-2=127.0.0.1:1, entry-3=[::1]:2\n[limits]\nfar = 5000\n[log]\nlevel = debug\nformat = console\n")
 	got, err := settings.Read(file)
 	require.NoError(t, err)
 	require.Equal(t, settings.Settings{
@@ -57,7 +57,7 @@
 		Platform: settings.Platform{Address: "http://127.0.0.1:9000"},
 		Keys:     settings.Keys{Authority: filepath.Join(dir, "authority.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")},
 		Peers:    settings.Peers{Seeds: []settings.Seed{{Name: "entry-2", Address: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "entry-3", Address: netip.MustParseAddrPort("[::1]:2")}}},
-		Limits:   settings.Limits{Body: 1 << 20, Prompt: 1 << 18, Queue: 256, Deadline: 30 * time.Second, Longest: 2 * time.Minute},
+		Limits:   settings.Limits{Body: 1 << 20, Prompt: 1 << 18, Queue: 256, Requests: 2048, Far: 5000, Deadline: 30 * time.Second, Longest: 2 * time.Minute},
 		Lease:    settings.Lease{Time: 10 * time.Second, Renewal: 3 * time.Second},
 		Load:     settings.Load{Rate: 4, Flight: 8},
 		Policy:   settings.Policy{Kind: settings.Homes, Weight: 0.5},
@@ -94,6 +94,8 @@
 		{"out of range", least + "flight = 0\n", "load.flight: 0 is out of range 1 to 10000"},
 		{"not a time", least + "[lease]\ntime = 10\n", `lease.time: "10" is not a time such as 500ms, 30s or 2m`},
 		{"rare renewals", least + "[lease]\nrenewal = 4s\n", "lease.renewal: over a third of lease.time 10s"},
+		{"no requests", least + "[limits]\nrequests = 0\n", "limits.requests: 0 is out of range 1 to 65536"},
+		{"negative far", least + "[limits]\nfar = -1\n", "limits.far: -1 is out of range 0 to 1073741824"},
 		{"deadline too late", least + "[limits]\ndeadline = 3m\n", "limits.deadline: over limits.longest"},
 		{"prompt over body", least + "[limits]\nbody = 1000\n", "limits.prompt: over limits.body"},
 		{"no such policy", least + "[policy]\nkind = best\n", `policy.kind: "best" is none of homes, least, random`},
