traffic: the list of models is made from an index by caller

Cause: each list went through all adapters of the configuration. Tried: with an index that is never renewed TestModelsLikeConfig fails.

--- a/jacinthd/internal/traffic/request.go
+++ b/jacinthd/internal/traffic/request.go
@@ -205,28 +205,6 @@
 	return hex.EncodeToString(hash.Sum(nil)[:printBytes])
 }
 
-// models answers with what the caller may use.
-func (s *Server) models(w http.ResponseWriter, r *http.Request) {
-	view, who, err := s.authenticate(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-	}
-	list := struct {
-		Object string  `json:"object"`
-		Data   []model `json:"data"`
-	}{Object: "list", Data: []model{}}
-	for _, ref := range view.Config.Models(who.Name) {
-		list.Data = append(list.Data, model{ID: ref.String(), Object: "model"})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
-}
-
 // service hands a call on to Plain where a rule allows it.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	view, who, err := s.authenticate(r)
--- a/jacinthd/internal/traffic/server.go
+++ b/jacinthd/internal/traffic/server.go
@@ -132,6 +132,7 @@
 
 	flights flights
 	runs    runs
+	shelf   shelf
 	tasks   tasks
 	// present counts the completions of callers in progress.
 	present atomic.Int64
