--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -120,7 +120,10 @@
 	p.loop.Start()
 	p.follower = &follow.Follower{
 		Host:    s.Host.Name,
+		Seeds:   p.seeds(),
 		Store:   objects,
+		Peers:   follow.Link{Link: p.link, Find: p.find},
+		Ring:    p.ring,
 		Publish: p.loop.Configure,
 		Log:     p.log,
 	}
@@ -141,6 +144,12 @@
 		Tell:  p.tell,
 		Log:   p.log,
 	}
+	limits := traffic.Limits{
+		Body:     int64(s.Limits.Body),
+		Requests: s.Limits.Requests,
+		Deadline: s.Limits.Deadline,
+		Longest:  s.Limits.Longest,
+	}
 	p.traffic = &traffic.Server{
 		Plain:    p.plain,
 		Retries:  budgets,
@@ -149,12 +158,10 @@
 		Engine:   p.engines,
 		Link:     p.link,
 		Log:      p.log,
-		Limits: traffic.Limits{
-			Body:     int64(s.Limits.Body),
-			Deadline: s.Limits.Deadline,
-			Longest:  s.Limits.Longest,
-		},
+		Far:      traffic.FarLimit(s.Limits.Far, limits),
+		Limits:   limits,
 	}
+	p.registry.MustRegister(p.traffic.Collectors()...)
 	p.guard.Cancel = func(id, _ string) { p.traffic.CancelRun(id) }
 	return nil
 }
