--- a/stage/host/answer.go
+++ b/stage/host/answer.go
@@ -128,7 +128,7 @@
 	case ownLease:
 		m.lease(lease.Failed{Cause: cause})
 	case readTable:
-		m.refresh = m.now.Add(m.terms().Retry)
+		m.refresh = m.now.Add(m.terms().Renewal/2 + m.jitter(m.terms().Renewal/2))
 	case putTable, listWrite:
 		m.defeated(c)
 	default:
--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -174,6 +174,7 @@
 	m.watch.observers = make(map[string]*lease.Observer)
 	m.watch.clear(Table{})
 	m.holder.Terms = m.Terms
+	m.holder.Phase = m.jitter(m.terms().Renewal)
 	m.holder.Self = lease.Value{
 		Name:        m.Self.Name,
 		Incarnation: m.Self.Incarnation,
@@ -259,6 +260,6 @@
 	if m.now.Before(m.refresh) || m.calls.has(readTable) {
 		return
 	}
-	m.refresh = m.now.Add(refreshes * m.terms().Renewal)
+	m.refresh = m.now.Add(refreshes*m.terms().Renewal - m.jitter(m.terms().Renewal))
 	m.emit(Get{Call: m.begin(call{purpose: readTable}), Key: Key(m.Region)})
 }
--- a/stage/host/propose.go
+++ b/stage/host/propose.go
@@ -76,7 +76,8 @@
 
 // need reports whether the table has to change and after what delay this host
 // should propose it: at once for what only this host knows, and for the member
-// with the lowest name; after jitter for the others, who are to find it done.
+// with the lowest name; after jitter for the others, who are to find it done. While
+// more members look late, all wait, so that one table takes out many.
 func (m *Member) need() (time.Duration, bool) {
 	renewal := m.terms().Renewal
 	switch {
@@ -85,14 +86,18 @@
 	case m.ended:
 		return 0, true
 	case !m.joined():
-		return m.jitter(renewal / 2), true
+		return renewal/8 + m.jitter(renewal/2), true
 	}
 	present := m.present()
 	if Assign(m.table, m.facts(present)).equal(m.table) {
 		return 0, false
 	}
 	switch {
-	case m.urgent() || present[0].Name == m.Self.Name:
+	case m.urgent():
+		return 0, true
+	case m.awaitsMore():
+		return renewal/2 + m.jitter(renewal), true
+	case present[0].Name == m.Self.Name:
 		return 0, true
 	case m.proposal.broke:
 		return m.jitter(renewal / 2), true
--- a/stage/host/watch.go
+++ b/stage/host/watch.go
@@ -76,6 +76,9 @@
 		m.watch.due = time.Time{}
 		return
 	}
+	if m.watch.due.IsZero() {
+		m.watch.due = m.now.Add(m.jitter(m.terms().Renewal))
+	}
 	if m.now.Before(m.watch.due) || m.calls.has(listJudge) || m.calls.has(readLease) {
 		return
 	}
@@ -169,10 +172,9 @@
 // goes back to the successors where none is.
 func (m *Member) widen(members []Identity) {
 	late := false
-	span := m.terms().Renewal * 3 / 2
 	for _, other := range members {
 		o := m.watch.observers[other.Name]
-		late = late || m.watch.missing[other.Name] || o != nil && o.Suspect(m.now, span)
+		late = late || m.watch.missing[other.Name] || o != nil && o.Suspect(m.now, m.lateness())
 	}
 	if late && !m.watch.wide {
 		m.watch.due = m.now
@@ -180,6 +182,19 @@
 	m.watch.wide = late
 }
 
+// awaitsMore reports whether a member is late that still has its lease.
+func (m *Member) awaitsMore() bool {
+	for name, o := range m.watch.observers {
+		if !m.watch.missing[name] && o.Suspect(m.now, m.lateness()) {
+			return true
+		}
+	}
+	return false
+}
+
+// lateness is the age of a renewal from which on a member looks late.
+func (m *Member) lateness() time.Duration { return m.terms().Renewal * 3 / 2 }
+
 // strike breaks the lapsed leases that are this host's to break: those with no
 // live member between, and any successor's that nobody broke for long.
 func (m *Member) strike() {
--- a/stage/lease/holder.go
+++ b/stage/lease/holder.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// maxDoublings bounds the growth of the span between calls that fail.
+const maxDoublings = 10
+
 // A phase is what a Holder waits for.
 type phase uint8
 
@@ -138,18 +141,22 @@
 type Holder struct {
 	Self  Value
 	Terms Terms
+	// Phase is how much earlier the first renewal comes, so that hosts that
+	// started together don't renew together.
+	Phase time.Duration
 
 	phase   phase
 	known   bool   // version is what the object was last seen at
 	version uint64 // 0: no object
 	// sent and sequence are those of the newest Write.
-	sent   time.Time
-	until  time.Time // end of validity
-	valid  bool
-	due    time.Time // next call, where idle
-	tried  bool      // a write of this life was sent
-	proven bool      // some write of this process took effect
-	stop   bool
+	sent     time.Time
+	until    time.Time // end of validity
+	valid    bool
+	due      time.Time // next call, where idle
+	failures int       // calls that failed since the last that didn't
+	tried    bool      // a write of this life was sent
+	proven   bool      // some write of this process took effect
+	stop     bool
 }
 
 // Valid reports whether the lease is valid at now.
@@ -249,7 +256,9 @@
 	h.phase = idle
 	h.known, h.version = true, version
 	h.proven = true
-	h.due = h.sent.Add(t.Renewal)
+	h.due = h.sent.Add(t.Renewal - h.Phase)
+	h.Phase = 0
+	h.failures = 0
 	until := h.sent.Add(t.Term - t.Margin)
 	if !now.Before(until) {
 		return nil
@@ -309,13 +318,21 @@
 	return []Action{Lapsed{Broken: true}}
 }
 
+// backoff returns the span to the next call after one that failed: twice as long
+// each time, up to the renewal.
+func (h *Holder) backoff() time.Duration {
+	t := h.Terms.Fill()
+	return min(t.Retry<<min(h.failures, maxDoublings), t.Renewal)
+}
+
 func (h *Holder) failed(now time.Time, e Failed) []Action {
 	if h.phase == idle {
 		return nil
 	}
 	wrote := h.phase == writing || h.phase == deleting
 	h.phase = idle
-	h.due = now.Add(h.Terms.Fill().Retry)
+	h.due = now.Add(h.backoff())
+	h.failures++
 	if !wrote || e.Cause == Unavailable {
 		return nil
 	}
