--- a/jacinthd/internal/plain/once.go
+++ b/jacinthd/internal/plain/once.go
@@ -5,15 +5,14 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/answer"
 	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/ledger"
-	"jacinthstage/stage/verdict"
 )
 
 // storePause is the pause between two tries at writing a call's outcome.
@@ -71,7 +70,8 @@
 	case ledger.Reply:
 		s.reply(a)
 	case ledger.Refuse:
-		fail(s.w, a.Err)
+		s.settle()
+		answer.Fail(s.w, a.Err)
 	default:
 		panic(fmt.Sprintf("plain: unknown action %T", action))
 	}
@@ -120,7 +120,7 @@
 // try sends the call to a target and reads its answer, as much as can be kept.
 func (s *single) try(ctx context.Context, at int) ledger.Event {
 	t := s.targets[at]
-	answer, err := s.send(ctx, s.h.single, t)
+	got, err := s.send(ctx, s.h.single, t)
 	if errors.Is(err, errNotSent) {
 		s.h.Log.Info("plain: target "+t.Name+" can't be reached", zap.Error(err))
 		return ledger.NotSent{}
@@ -128,13 +128,13 @@
 	if err != nil {
 		return s.broken(ctx, t.Name, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, ledger.MaxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(got, ledger.MaxAnswer+1))
 	if err != nil {
-		answer.close()
+		got.close()
 		return s.broken(ctx, t.Name, err)
 	}
-	s.rest = answer
-	return ledger.Answered{Answer: ledger.Answer{Status: answer.StatusCode, Header: passed(answer.Header), Body: body}}
+	s.rest = got
+	return ledger.Answered{Answer: ledger.Answer{Status: got.StatusCode, Header: passed(got.Header), Body: body}}
 }
 
 func (s *single) broken(ctx context.Context, name string, err error) ledger.Event {
@@ -167,16 +167,23 @@
 // that begins with the call to pass.
 func (s *single) until() time.Time { return time.Now().Add(s.h.Deadline) }
 
+// settle returns once the outcome is written or that takes long, so that a
+// caller who comes back at once finds it.
+func (s *single) settle() {
+	if s.saved == nil {
+		return
+	}
+	timer := time.NewTimer(s.h.Settle)
+	defer timer.Stop()
+	select {
+	case <-s.saved:
+	case <-timer.C:
+	}
+}
+
 // reply answers the caller, once the outcome is written or that takes long.
 func (s *single) reply(a ledger.Reply) {
-	if s.saved != nil {
-		timer := time.NewTimer(s.h.Settle)
-		defer timer.Stop()
-		select {
-		case <-s.saved:
-		case <-timer.C:
-		}
-	}
+	s.settle()
 	if !a.Stored {
 		s.succeeded()
 	}
@@ -186,12 +193,3 @@
 		s.pass(s.rest)
 	}
 }
-
-// fail answers with an error.
-func fail(w http.ResponseWriter, err error) {
-	var e *verdict.Error
-	if !errors.As(err, &e) {
-		e = &verdict.Error{Code: verdict.Broken, Message: "the call failed"}
-	}
-	refuse(w, e, time.Now())
-}
