--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -32,8 +32,9 @@
  *   NOCANCEL          after the wait, what still runs isn't cancelled
  *   REPORT            a report that shows the engine idle ends the wait
  *   UNCONDITIONAL     the assignment is written without a condition
- *   REPORTLATER       so does one that was made after the former owner's window; it holds
- *                     with -DPROMPT, where what was admitted has arrived by then
+ *   REPORTLATER       so does one that was made after the former owner's window; on an
+ *                     engine that checks numbers it holds with -DPROMPT, where what
+ *                     was admitted has arrived by then
  *   UNDRAINED         a runner that is given away counts as drained
  *   CHAINED           so does one whose giver still waits for an owner before it
  *   OPENORDER         engine ignores numbers: a runner is given away with an order open
