--- a/stage/runner/demand.go
+++ b/stage/runner/demand.go
@@ -8,7 +8,7 @@
 )
 
 // halfLife is how long it takes until a past request counts half.
-const halfLife = 10 * time.Minute
+const halfLife = 4 * time.Minute
 
 // demandKept is how many adapters a demand remembers.
 const demandKept = 4096
