--- a/jacinthd/internal/control/metrics.go
+++ b/jacinthd/internal/control/metrics.go
@@ -1,14 +1,11 @@
 package control
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Metrics are what the control goroutine counts. A nil *Metrics counts nothing.
 type Metrics struct {
-	stall    prometheus.Histogram
 	admits   *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	orders   *prometheus.CounterVec
@@ -20,14 +17,8 @@
 	running  prometheus.Gauge
 }
 
-// stallBuckets are the bounds of the stall histogram, in seconds.
-var stallBuckets = []float64{0, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8}
-
 // Register makes the metrics and registers them.
 func (m *Metrics) Register(r prometheus.Registerer) {
-	m.stall = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "jacinth_stall_seconds", Help: "Time from a request's arrival to its adapter's being resident.", Buckets: stallBuckets,
-	})
 	m.admits = counter("jacinth_admitted_total", "Requests admitted to a runner owned here.", "resident")
 	m.refusals = counter("jacinth_refused_total", "Requests refused by the owner of a runner.", "code")
 	m.orders = counter("jacinth_orders_total", "Orders sent to engines.", "kind")
@@ -39,7 +30,7 @@
 	m.members = gauge("jacinth_members", "Members of this host's region.")
 	m.waiting = gauge("jacinth_waiting", "Requests that wait for a runner owned here.")
 	m.running = gauge("jacinth_running", "Requests on runners owned here.")
-	r.MustRegister(m.stall, m.admits, m.refusals, m.orders, m.crashes, m.version, m.runners, m.members, m.waiting, m.running)
+	r.MustRegister(m.admits, m.refusals, m.orders, m.crashes, m.version, m.runners, m.members, m.waiting, m.running)
 }
 
 func counter(name, help, label string) *prometheus.CounterVec {
@@ -50,11 +41,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
 
-func (m *Metrics) admitted(stall time.Duration, resident bool) {
+func (m *Metrics) admitted(resident bool) {
 	if m == nil {
 		return
 	}
-	m.stall.Observe(stall.Seconds())
 	label := "no"
 	if resident {
 		label = "yes"
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -250,7 +250,7 @@
 	}
 	delete(o.waiting, a.ID)
 	o.tickets[a.ID] = adapterPin{admitted: l.now}
-	l.Metrics.admitted(a.Stall, a.Resident)
+	l.Metrics.admitted(a.Resident)
 	usage := o.runner.Usage()
 	hint := Hint{Waiting: usage.Waiting, Running: usage.Running, Resident: a.Resident}
 	w.reply <- decision{ticket: Leave(o.target, a.Before, hint, a.Stall, func(outcome Outcome) {
--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -27,6 +27,8 @@
 	"jacinthstage/jacinthd/store/remote"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/route"
+	"jacinthstage/stage/runner"
 )
 
 const (
@@ -98,7 +100,10 @@
 	}
 	metrics := &control.Metrics{}
 	metrics.Register(p.registry)
+	routing, order := policies(s.Policy)
 	p.loop = &control.Loop{
+		Routing: routing,
+		Runner:  order,
 		Self: host.Identity{
 			Name:        s.Host.Name,
 			Incarnation: incarnation(),
@@ -166,6 +171,19 @@
 	return nil
 }
 
+// policies returns how runners are chosen, and how a runner's owner orders its
+// loads and evictions.
+func policies(p settings.Policy) (route.Policy, runner.Policy) {
+	switch p.Kind {
+	case settings.Least:
+		return route.Least{}, runner.Recent{}
+	case settings.Random:
+		return route.Random{}, runner.Recent{}
+	default:
+		return route.Homes{Weight: p.Weight}, runner.Aged{Weight: p.Weight}
+	}
+}
+
 // Run serves until ctx ends, and then carries out a planned stop. Its error
 // says what ended the process otherwise.
 func (p *Process) Run(ctx context.Context) error {
