--- a/stage/host/fault_test.go
+++ b/stage/host/fault_test.go
@@ -506,3 +506,15 @@
 		require.False(t, acquire)
 	}
 }
+
+// Hosts that start together don't go on to call the object API together.
+func TestCallsAreSpread(t *testing.T) {
+	w := settled(t, 40, 40, 0)
+	busiest := 0
+	for range 10 {
+		before := w.reads + w.writes
+		w.run(time.Second)
+		busiest = max(busiest, w.reads+w.writes-before)
+	}
+	require.LessOrEqual(t, busiest, 110, "of 84 a second on average")
+}
