--- /dev/null
+++ b/jacinthd/internal/traffic/retry_test.go
@@ -0,0 +1,87 @@
+package traffic_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/verdict"
+)
+
+// TestRetriedCodes refuses a request at its first runner: only where another
+// runner may say something else, it is tried there, and that at once.
+func TestRetriedCodes(t *testing.T) {
+	cases := []struct {
+		code    verdict.Code
+		retried bool
+	}{
+		{verdict.Malformed, false},
+		{verdict.Unauthenticated, false},
+		{verdict.Forbidden, false},
+		{verdict.Unknown, false},
+		{verdict.Conflict, false},
+		{verdict.Oversize, false},
+		{verdict.Invalid, false},
+		{verdict.Limited, true},
+		{verdict.Busy, true},
+		{verdict.Unavailable, true},
+		{verdict.Expired, false},
+		{verdict.Suspect, false},
+		{verdict.Broken, true},
+	}
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"])
+	for _, c := range cases {
+		t.Run(string(c.code), func(t *testing.T) {
+			first, second := newEngine(t), newEngine(t)
+			entry.route(entry.here("r1", first), entry.here("r2", second))
+			var tries atomic.Int32
+			refuse(entry, func(context.Context) error {
+				if tries.Add(1) > 1 {
+					return nil
+				}
+				err := verdict.Refuse(c.code, "refused")
+				err.Again = time.Now().Add(time.Hour)
+				return err
+			})
+			got := post(t, entry, asWhole)
+			ran, _ := first.total()
+			require.Zero(t, ran)
+			ran, _ = second.total()
+			require.Equal(t, c.retried, ran == 1)
+			_, whole := words(t, got)
+			require.Equal(t, c.retried, whole)
+			if !c.retried {
+				code, said := got.problem(t)
+				require.Equal(t, string(c.code)+" notrun", code+" "+said)
+			}
+		})
+	}
+}
+
+// A refusal that comes with the deadline is the last.
+func TestNoRetryPastDeadline(t *testing.T) {
+	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"])
+	first, second := newEngine(t), newEngine(t)
+	entry.route(entry.here("r1", first), entry.here("r2", second))
+	refuse(entry, func(ctx context.Context) error {
+		<-ctx.Done()
+		return verdict.Refuse(verdict.Busy, "full")
+	})
+	got := post(t, entry, asWhole, "X-Deadline", time.Now().Add(200*time.Millisecond).Format(time.RFC3339Nano))
+	code, said := got.problem(t)
+	require.Equal(t, "expired notrun", code+" "+said)
+	require.Len(t, entry.fake.admitted, 1, "tries")
+}
+
+// refuse sets what decides on admissions, and forgets those so far.
+func refuse(h *host, admit func(context.Context) error) {
+	h.fake.mu.Lock()
+	defer h.fake.mu.Unlock()
+	h.fake.admit = admit
+	for len(h.fake.admitted) > 0 {
+		<-h.fake.admitted
+	}
+}
