trial: count the refused requests that come back when told to and are served

Cause: Retry-After should be one that a caller can trust, and nothing measured it. Change: -returns lets each refused request come back once at its Again.

--- a/standin/internal/trial/measure.go
+++ b/standin/internal/trial/measure.go
@@ -27,7 +27,8 @@
 	asks     int // requests to the grantor
 	stall    *hdrhistogram.Histogram
 	first    *hdrhistogram.Histogram
-	honest   int // refusals that said when to come back
+	returned int // requests that came back after a refusal
+	welcome  int // of these, served in time
 	callers  map[string]*part
 	used     map[*owner][]adapter.Ref // adapters in the order of admission
 	admitted int
@@ -86,17 +87,13 @@
 		return
 	}
 	m.done++
+	if f.returned {
+		m.welcome++
+	}
 	m.tokens += f.tokens
 	m.part(f.caller).done++
 }
 
-func (m *measures) refuse(_ time.Time, _ *flight, again time.Time) {
-	m.refusals++
-	if !again.IsZero() {
-		m.honest++
-	}
-}
-
 // A Result is what one trial measured. Times are in milliseconds.
 type Result struct {
 	Policy   string  `json:"policy"`
@@ -127,6 +124,8 @@
 	Absent   int     `json:"absent"`   // requests refused by the engine
 	Asks     int     `json:"asks"`     // messages to the granting host
 	Moved    float64 `json:"moved"`    // part of the adapters whose first home changed by the fault
+	Returned int     `json:"returned"` // requests that came back when told to
+	Welcome  int     `json:"welcome"`  // of these, served in time
 	Extra    int     `json:"extra"`    // loads in the minute after the fault
 }
 
@@ -142,6 +141,7 @@
 		Stall50: quantile(m.stall, 50), Stall95: quantile(m.stall, 95), Stall99: quantile(m.stall, 99),
 		First50: quantile(m.first, 50), First95: quantile(m.first, 95),
 		Absent: m.absent, Asks: m.asks, Moved: m.moved, Extra: m.extra,
+		Returned: m.returned, Welcome: m.welcome,
 	}
 	if ours, ok := w.policy.(Ours); ok {
 		r.Weight = ours.Weight
--- a/standin/internal/trial/run.go
+++ b/standin/internal/trial/run.go
@@ -11,6 +11,7 @@
 	Deployment Deployment
 	Workload   Workload
 	Fault      Fault
+	Returns    bool // refused requests come back once, when they were told to
 }
 
 // Run runs the trial with one policy.
@@ -20,6 +21,7 @@
 		extra = 1
 	}
 	w := build(t.Deployment, p, extra)
+	w.returns = t.Returns
 	list := arrivals(t.Deployment, t.Workload)
 	w.feed(list, 0)
 	if t.Fault != None {
--- a/standin/internal/trial/workload.go
+++ b/standin/internal/trial/workload.go
@@ -41,6 +41,7 @@
 	tokens   int
 	deadline time.Time
 	salt     uint64
+	returned bool // came back after a refusal
 }
 
 // begin is the virtual time at which each trial starts.
--- a/standin/internal/trial/world.go
+++ b/standin/internal/trial/world.go
@@ -33,7 +33,8 @@
 	grantors   []*load.Grantor
 	granting   int // the host that grants; -1 while none does
 	slow       time.Duration
-	cut        int // the host that can't reach the grantor; -1 for none
+	returns    bool // refused requests come back once, when told to
+	cut        int  // the host that can't reach the grantor; -1 for none
 	callers    map[string]*flight
 	measures   measures
 }
@@ -201,7 +202,21 @@
 		return
 	}
 	delete(w.callers, id)
-	w.measures.refuse(w.now, f, again)
+	w.measures.refusals++
+	if w.returns && !again.IsZero() && !f.returned {
+		w.at(again, func() { w.comeBack(f.request) })
+	}
+}
+
+// comeBack sends a refused request again, when it was told to, as a new one
+// with as much time as it had at first.
+func (w *world) comeBack(q *request) {
+	next := *q
+	next.id += "r"
+	next.at, next.deadline = w.now, w.now.Add(w.deployment.Deadline)
+	next.returned = true
+	w.measures.returned++
+	w.arrive(&next)
 }
 
 func (w *world) began(q *request) { w.measures.begin(w.now, q) }
--- a/standin/trial.go
+++ b/standin/trial.go
@@ -29,6 +29,7 @@
 	callers    int
 	flood      float64
 	fault      string
+	returns    bool
 	sweep      bool
 	json       string
 	plot       string
@@ -61,6 +62,7 @@
 	f.IntVar(&c.callers, "callers", 10, "callers")
 	f.Float64Var(&c.flood, "flood", 0, "requests a second of one caller beside its part")
 	f.StringVar(&c.fault, "fault", "", "leave, come, restart, grantor, slow or cut, halfway")
+	f.BoolVar(&c.returns, "returns", false, "refused requests come back once, when they were told to")
 	f.BoolVar(&c.sweep, "sweep", false, "run ours at five weights")
 	f.StringVar(&c.json, "json", "", "file for the results as JSON")
 	f.StringVar(&c.plot, "plot", "", "file for a plot as SVG")
@@ -90,6 +92,7 @@
 	t := trial.Trial{
 		Deployment: d,
 		Fault:      trial.Fault(c.fault),
+		Returns:    c.returns,
 		Workload: trial.Workload{
 			Seed:     c.seed,
 			Rate:     c.rate * c.times,
