load: count ranks no further than they matter

Cause: a request at a grantor of 370 hosts with two wants each took 286 us (9 hosts 15 us, 90 hosts 71 us): each want was compared with all others twice. Change: ranks stop where the time to come back is the latest; the least served caller is looked for twice in the time of one load.

--- a/stage/load/grantor.go
+++ b/stage/load/grantor.go
@@ -39,6 +39,7 @@
 	places  []place
 	permits map[uint64]grant
 	levels  queue.Levels
+	rises   time.Time // when to look for the least served caller next
 }
 
 type member struct {
@@ -231,7 +232,10 @@
 // decide grants or denies each want of the request.
 func (g *Grantor) decide(now time.Time, m *member, q Request, r *Reply) {
 	m.merge(now, q.Wants)
-	g.levels.Rise(g.wanting(now))
+	if !now.Before(g.rises) {
+		g.levels.Rise(g.wanting(now))
+		g.rises = now.Add(g.seconds(1) / 2)
+	}
 	for _, w := range q.Wants {
 		i := m.find(key{w.Runner, w.Ref})
 		if !g.grantable(now, m.wants[i]) {
@@ -312,14 +316,19 @@
 	return a.worth(now) > b.worth(now)
 }
 
-// rank returns how many wants are worth more than w and come back by then.
+// rank returns how many wants are worth more than w and come back by then. It
+// counts no further than to those that come back at the latest time.
 func (g *Grantor) rank(now time.Time, w want, then time.Time) int {
+	most := front + int(g.Burst+g.Rate*latest.Seconds())
 	n := 0
 	for _, m := range g.hosts {
 		for _, other := range m.wants {
 			if now.Before(other.expires) && !other.again.After(then) && g.before(now, other, w) {
 				n++
 			}
+			if n > most {
+				return n
+			}
 		}
 	}
 	return n
