runner, control: say drained only once an earlier owner's requests are settled

Cause: a host that gives a runner away within its own wait after a takeover said that it was drained, so the next owner didn't wait (CHAINED in spec/ownership.pml). Change: Empty and the message to the new owner wait for the inheritance. Before: TestNotEmptyWhileInherited fails. After: passes.

--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -42,6 +42,9 @@
 	polling time.Time // when the next report is asked for; zero while one is
 	silent  bool      // the engine gave no report when last asked
 	handing bool
+	// inherited says that, when the runner was released, requests of an owner
+	// before this host could still run: it can't say that the runner is drained.
+	inherited bool
 }
 
 // A waiter is a job that waits to be admitted.
@@ -115,6 +118,7 @@
 	l.Log.Info("host: released a runner", zap.String("runner", name), zap.Uint32("epoch", o.epoch),
 		zap.Int("running", len(o.tickets)))
 	l.runnerStep(o, runner.Releasing{})
+	o.inherited = o.runner.Usage().Inherited
 	delete(l.owned, name)
 	l.dirty = true
 	l.former[o] = true
@@ -143,7 +147,7 @@
 	delete(l.former, o)
 	defer l.settled()
 	row, ok := l.tables[l.Region].Row(o.target.Name)
-	if !ok || row.Owner == "" || row.Owner == l.Self.Name {
+	if o.inherited || !ok || row.Owner == "" || row.Owner == l.Self.Name {
 		return
 	}
 	owner, ok := l.tables[l.Region].Member(row.Owner)
--- a/stage/runner/action.go
+++ b/stage/runner/action.go
@@ -76,7 +76,8 @@
 // take effect. Admitted requests may still run.
 type Quiet struct{}
 
-// Empty says that no request is waiting or admitted after Releasing or Leaving.
+// Empty says that after Releasing or Leaving no request is waiting or admitted,
+// and that none of an earlier owner may still run.
 type Empty struct{}
 
 // Superseded says that the engine accepted another owner's higher number: this
--- a/stage/runner/closing_test.go
+++ b/stage/runner/closing_test.go
@@ -20,6 +20,8 @@
 	running  []string // on the first resident adapter
 	admitted []string
 	refused  []string
+	quiet    int
+	empty    int
 	events   []runner.Event
 }
 
@@ -52,6 +54,10 @@
 		d.order(a)
 	case runner.Ask:
 		d.events = append(d.events, runner.Granted{Ref: a.Ref, Before: d.now.Add(time.Second)})
+	case runner.Quiet:
+		d.quiet++
+	case runner.Empty:
+		d.empty++
 	case runner.AskReport:
 		d.events = append(d.events, d.report())
 	}
@@ -145,3 +151,17 @@
 		require.Equal(t, []string{"a1"}, d.refused)
 	})
 }
+
+// A runner whose earlier owner may still have requests on it is not drained,
+// whoever asks for it next.
+func TestNotEmptyWhileInherited(t *testing.T) {
+	d := newDesk(1)
+	d.step(runner.Owned{Epoch: 2, Inherited: true, Until: d.now.Add(time.Minute), Lease: d.now.Add(time.Hour)})
+	require.True(t, d.r.Usage().Inherited)
+	d.step(runner.Releasing{})
+	require.Equal(t, 1, d.quiet)
+	require.Zero(t, d.empty)
+	d.pass(5 * time.Second)
+	require.False(t, d.r.Usage().Inherited)
+	require.Equal(t, 1, d.empty)
+}
--- a/stage/runner/runner.go
+++ b/stage/runner/runner.go
@@ -183,7 +183,7 @@
 		r.quiet = true
 		r.do(Quiet{})
 	}
-	if !r.told && len(r.jobs) == 0 {
+	if !r.told && len(r.jobs) == 0 && !r.inherit.active {
 		r.told = true
 		r.do(Empty{})
 	}
@@ -192,11 +192,12 @@
 // Usage returns what the runner has to do.
 func (r *Runner) Usage() Usage {
 	return Usage{
-		Waiting:  r.queue.Len(),
-		Running:  len(r.jobs),
-		Slots:    r.Slots,
-		Batch:    r.Batch,
-		Resident: r.table.In(slot.Resident),
+		Waiting:   r.queue.Len(),
+		Running:   len(r.jobs),
+		Slots:     r.Slots,
+		Batch:     r.Batch,
+		Resident:  r.table.In(slot.Resident),
+		Inherited: r.inherit.active,
 	}
 }
 
--- a/stage/runner/usage.go
+++ b/stage/runner/usage.go
@@ -9,6 +9,8 @@
 	Slots    int           // adapter slots
 	Batch    int           // places for requests
 	Resident []adapter.Ref // adapters that requests can be admitted to
+	// Inherited says that requests of an earlier owner may still run.
+	Inherited bool
 }
 
 // Has reports whether ref is resident.
