traffic, process: two metrics had one name, so that no host started

Cause: since the Collectors of traffic are registered, jacinthd ended at its start: control and traffic both named jacinth_stall_seconds. No test of process started one.

--- a/jacinthd/internal/traffic/meter.go
+++ b/jacinthd/internal/traffic/meter.go
@@ -31,7 +31,7 @@
 			Name: "jacinth_resumes_total", Help: "Tries at resuming an answer through the owner of its runner.",
 		}),
 		stall: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "jacinth_stall_seconds", Help: "What served completions waited for their adapter.", Buckets: seconds,
+			Name: "jacinth_completion_stall_seconds", Help: "What served completions waited for their adapter.", Buckets: seconds,
 		}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "jacinth_first_token_seconds", Help: "Time from a streamed completion's arrival to its first token.", Buckets: seconds,
