--- a/stage/host/fault_test.go
+++ b/stage/host/fault_test.go
@@ -86,6 +86,19 @@
 	require.NotZero(t, taken)
 }
 
+// Each renewal says which configuration version is in force on the host.
+func TestLeaseTellsConfig(t *testing.T) {
+	w := settled(t, 2, 2, 0)
+	w.config = 7
+	w.all(host.Runners{Config: 7, Runners: runners(2, 0)})
+	w.run(5 * time.Second)
+	for _, name := range []string{"h000", "h001"} {
+		value, err := lease.Decode(w.objects[lease.Key(region, name)].Value)
+		require.NoError(t, err)
+		require.Equal(t, uint64(7), value.Config)
+	}
+}
+
 func TestStopOfTheLast(t *testing.T) {
 	w := settled(t, 1, 2, 1)
 	n := w.nodes["h000"]
--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -181,6 +181,7 @@
 		Region:      m.Region,
 		Zone:        m.Self.Zone,
 		Peer:        m.Self.Peer,
+		Config:      m.runners.Config,
 	}
 	m.refresh = m.now
 	m.lease(lease.Tick{})
--- a/stage/host/propose.go
+++ b/stage/host/propose.go
@@ -254,6 +254,7 @@
 		return
 	}
 	m.runners = e
+	m.holder.Self.Config = e.Config
 	m.proposal.dirty = true
 }
 
