runner: promise loads to refused requests

Cause: under lasting overload the time to come back was too early: it took no account of who else was told to come back. In the trial events no longer run in the past, and asks reach the holder at once, as in the control loop.

--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -53,15 +53,28 @@
 		return f.refusal(e.Ref)
 	}
 	item := queue.Item{Ref: e.Ref, Deadline: e.Deadline, Tokens: e.Tokens, Arrived: now}
-	late := now.Add(r.expect(e.Ref, e.Caller, e.Priority)).Sub(r.latest(item))
+	wait := r.expect(e.Ref, e.Caller, e.Priority)
+	if r.promises.due(now, e.Ref) {
+		wait = r.pace.loadTime()
+	}
+	late := now.Add(wait).Sub(r.latest(item))
 	if late <= 0 {
 		return nil
 	}
 	err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
-	err.Again = now.Add(late)
+	err.Again = r.appoint(now, e.Ref, now.Add(late))
 	return err
 }
 
+// appoint returns when a refused request for ref should come back, no earlier than
+// least: for an adapter that is in no slot, when a load is promised.
+func (r *Runner) appoint(now time.Time, ref adapter.Ref, least time.Time) time.Time {
+	if r.recent() || r.table.State(ref) != slot.Empty {
+		return least
+	}
+	return r.promises.make(now, least, ref, r.pace.all.mean)
+}
+
 // expect returns how long a new request for ref waits until it is admitted.
 func (r *Runner) expect(ref adapter.Ref, caller string, priority int) time.Duration {
 	wait := time.Duration(0)
@@ -133,7 +146,7 @@
 		}
 		r.queue.Remove(item.ID)
 		err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
-		err.Again = now.Add(r.expect(item.Ref, item.Caller, item.Priority))
+		err.Again = r.appoint(now, item.Ref, now.Add(r.expect(item.Ref, item.Caller, item.Priority)))
 		r.refuse(item.ID, err)
 	}
 }
--- a/stage/runner/policy.go
+++ b/stage/runner/policy.go
@@ -104,11 +104,14 @@
 
 func (r *Runner) worthMore(now time.Time, a, b group) bool {
 	la, lb := now.Sub(a.Oldest) > longWait, now.Sub(b.Oldest) > longWait
+	da, db := r.promises.due(now, a.Ref), r.promises.due(now, b.Ref)
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority > b.Priority
 	case r.over(a) != r.over(b):
 		return r.over(b)
+	case da != db:
+		return da
 	case la != lb:
 		return la
 	case a.Waiting != b.Waiting:
--- a/stage/runner/runner.go
+++ b/stage/runner/runner.go
@@ -68,6 +68,7 @@
 	denied   map[adapter.Ref]time.Time
 	demand   demand
 	shares   queue.Levels // loads that each caller has had
+	promises appointments
 	pace     pace
 
 	actions []Action
--- a/stage/runner/runner_test.go
+++ b/stage/runner/runner_test.go
@@ -24,6 +24,7 @@
 	t *testing.T
 	runner.Runner
 	actions []runner.Action // of the last event
+	asked   adapter.Ref     // of the last Ask
 }
 
 func begin(t *testing.T, fenced bool) *script {
@@ -32,6 +33,11 @@
 
 func (s *script) at(d time.Duration, e runner.Event) *script {
 	s.actions = s.Step(zero.Add(d), e)
+	for _, x := range s.actions {
+		if ask, ok := x.(runner.Ask); ok {
+			s.asked = ask.Ref
+		}
+	}
 	return s
 }
 
--- a/standin/internal/trial/world.go
+++ b/standin/internal/trial/world.go
@@ -46,6 +46,7 @@
 	next    int
 	entry   *host
 	admit   runner.Admit
+	again   time.Time // when the first choice said to come back
 }
 
 type host struct {
@@ -149,7 +150,11 @@
 
 func (w *world) after(d time.Duration, call func()) { w.at(w.now.Add(d), call) }
 
+// at schedules call for t, or for now where t has passed.
 func (w *world) at(t time.Time, call func()) {
+	if t.Before(w.now) {
+		t = w.now
+	}
 	w.measures.events++
 	heap.Push(&w.events, event{at: t, n: w.measures.events, call: call})
 }
@@ -197,14 +202,17 @@
 	if f == nil {
 		return
 	}
+	if f.again.IsZero() {
+		f.again = again // of the first choice, where the request comes back to
+	}
 	if f.next < len(f.choices) && w.now.Before(f.deadline) {
 		w.try(f)
 		return
 	}
 	delete(w.callers, id)
 	w.measures.refusals++
-	if w.returns && !again.IsZero() && !f.returned {
-		w.at(again, func() { w.comeBack(f.request) })
+	if w.returns && !f.again.IsZero() && !f.returned {
+		w.at(f.again, func() { w.comeBack(f.request) })
 	}
 }
 
@@ -279,15 +287,11 @@
 	case runner.Order:
 		w.after(Delay, func() { o.engine.order(x) })
 	case runner.Ask:
-		w.after(0, func() {
-			o.host.step(load.Asked{Want: load.Want{
-				Runner: o.runner.Name, Ref: x.Ref, Waiting: x.Waiting, Caller: x.Caller, Weight: x.Weight,
-			}})
-		})
+		o.host.step(load.Asked{Want: load.Want{
+			Runner: o.runner.Name, Ref: x.Ref, Waiting: x.Waiting, Caller: x.Caller, Weight: x.Weight,
+		}})
 	case runner.Yield:
-		w.after(0, func() {
-			o.host.step(load.Yielded{Runner: o.runner.Name, Ref: x.Ref, Used: x.Used})
-		})
+		o.host.step(load.Yielded{Runner: o.runner.Name, Ref: x.Ref, Used: x.Used})
 	case runner.AskReport:
 		rep := o.engine.report()
 		w.after(2*Delay, func() { o.step(runner.Reported{Report: rep}) })
