runner: space the loads promised by caller

Cause: with one row of promises for all, a caller that floods and is refused moves everybody's time to come back out, up to 5 minutes. Change: each caller has its own row, spaced by the callers that have one.

--- a/stage/runner/admit.go
+++ b/stage/runner/admit.go
@@ -62,17 +62,17 @@
 		return nil
 	}
 	err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
-	err.Again = r.appoint(now, e.Ref, now.Add(late))
+	err.Again = r.appoint(now, e.Ref, e.Caller, now.Add(late))
 	return err
 }
 
 // appoint returns when a refused request for ref should come back, no earlier than
 // least: for an adapter that is in no slot, when a load is promised.
-func (r *Runner) appoint(now time.Time, ref adapter.Ref, least time.Time) time.Time {
+func (r *Runner) appoint(now time.Time, ref adapter.Ref, caller string, least time.Time) time.Time {
 	if r.recent() || r.table.State(ref) != slot.Empty {
 		return least
 	}
-	return r.promises.make(now, least, ref, r.pace.all.mean)
+	return r.promises.make(now, least, ref, caller, r.pace.all.mean)
 }
 
 // expect returns how long a new request for ref waits until it is admitted.
@@ -146,7 +146,7 @@
 		}
 		r.queue.Remove(item.ID)
 		err := verdict.Refuse(verdict.Busy, "runner %s can't answer before the deadline", r.Name)
-		err.Again = r.appoint(now, item.Ref, now.Add(r.expect(item.Ref, item.Caller, item.Priority)))
+		err.Again = r.appoint(now, item.Ref, item.Caller, now.Add(r.expect(item.Ref, item.Caller, item.Priority)))
 		r.refuse(item.ID, err)
 	}
 }
--- a/stage/runner/appointment_test.go
+++ b/stage/runner/appointment_test.go
@@ -32,14 +32,16 @@
 			s.at(now, runner.Ended{ID: string(rune('0' + i)), Outcome: runner.Served})
 		}
 	}
-	refuse := func(id string) time.Time {
+	refuse := func(id, caller string) time.Time {
 		e := arrived(id, adapter.Ref{Name: id, Version: "1"})
+		e.Caller = caller
 		e.Deadline = zero.Add(now + 3*second)
 		err := s.at(now, e).refused()
 		require.NotNil(t, err)
 		return err.Again
 	}
-	first, next := refuse("x"), refuse("y")
+	first, next := refuse("x", "c"), refuse("y", "c")
 	require.Equal(t, 4*second, next.Sub(first), "one of two loads is promised")
-	require.Equal(t, first, refuse("x"), "one load for all who come back")
+	require.Equal(t, first, refuse("x", "c"), "one load for all who come back")
+	require.False(t, refuse("z", "d").After(first), "another caller does not wait for the first one's")
 }
