control: a cut from the object API and between hosts, and shares at the grantor

Cause: a cut of some hosts from the object API and the others had no test; wants went to the grantor without their caller, so that it had no fair shares. TestCutOffAndHealed passes on both kinds of engine, twice in a run.

--- a/jacinthd/internal/control/bench_test.go
+++ b/jacinthd/internal/control/bench_test.go
@@ -39,7 +39,7 @@
 		name := fmt.Sprintf("a%d", i)
 		config.Adapters[name] = adapter.Adapter{Name: name, Service: "drafts", Versions: []string{"v1"}}
 	}
-	m := &machine{name: "entry-1"}
+	m := &machine{name: "entry-1", apart: make(chan struct{})}
 	m.loop = &control.Loop{
 		Self:   host.Identity{Name: "entry-1", Incarnation: "1", Zone: "a"},
 		Region: region, Store: &memory.Store{}, Engines: engines{all, m}, Log: zap.NewNop(),
--- a/jacinthd/internal/control/cluster_test.go
+++ b/jacinthd/internal/control/cluster_test.go
@@ -41,6 +41,7 @@
 
 	mu     sync.Mutex
 	frozen chan struct{} // nil while the host runs
+	apart  chan struct{} // closed while the object API can't be reached
 	dead   bool
 }
 
@@ -81,24 +82,102 @@
 	return m.dead
 }
 
+// depart cuts the host off from the object API, or joins it again.
+func (m *machine) depart(apart bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if apart {
+		close(m.apart)
+		return
+	}
+	m.apart = make(chan struct{})
+}
+
+// cut returns a channel that is closed while the host is cut off.
+func (m *machine) cut() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.apart
+}
+
 // gated is the object API as one host reaches it.
 type gated struct {
 	store.Store
 	host *machine
 }
 
-func (g gated) Get(ctx context.Context, key string) (store.Object, error) {
+// reach fails while the host is cut off, and holds it while it is paused.
+func (g gated) reach() error {
 	g.host.pass()
+	select {
+	case <-g.host.cut():
+		return store.ErrUnavailable
+	default:
+		return nil
+	}
+}
+
+func (g gated) Get(ctx context.Context, key string) (store.Object, error) {
+	if err := g.reach(); err != nil {
+		return store.Object{}, err
+	}
 	return g.Store.Get(ctx, key)
 }
 
+func (g gated) Create(ctx context.Context, key string, value []byte) (store.Object, error) {
+	if err := g.reach(); err != nil {
+		return store.Object{}, err
+	}
+	return g.Store.Create(ctx, key, value)
+}
+
 func (g gated) Update(ctx context.Context, key string, version uint64, value []byte) (store.Object, error) {
-	g.host.pass()
+	if err := g.reach(); err != nil {
+		return store.Object{}, err
+	}
 	object, err := g.Store.Update(ctx, key, version, value)
 	g.host.pass()
 	return object, err
 }
 
+func (g gated) Delete(ctx context.Context, key string, version uint64) error {
+	if err := g.reach(); err != nil {
+		return err
+	}
+	return g.Store.Delete(ctx, key, version)
+}
+
+func (g gated) List(ctx context.Context, prefix, after string) (store.Page, error) {
+	if err := g.reach(); err != nil {
+		return store.Page{}, err
+	}
+	return g.Store.List(ctx, prefix, after)
+}
+
+func (g gated) Hosts(ctx context.Context) ([]store.Presence, error) {
+	if err := g.reach(); err != nil {
+		return nil, err
+	}
+	return g.Store.Hosts(ctx)
+}
+
+func (g gated) Watch(ctx context.Context, prefix string, revision uint64, change func(store.Change)) error {
+	if err := g.reach(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	apart := g.host.cut()
+	go func() {
+		select {
+		case <-apart:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return g.Store.Watch(ctx, prefix, revision, change)
+}
+
 // A cluster is some hosts with engines, an object API and callers, in a bubble.
 type cluster struct {
 	t       *testing.T
@@ -151,7 +230,7 @@
 // start starts a host, or another life of it.
 func (c *cluster) start(name string) *machine {
 	life := c.number()
-	m := &machine{name: name}
+	m := &machine{name: name, apart: make(chan struct{})}
 	m.loop = &control.Loop{
 		Self: host.Identity{Name: name, Incarnation: fmt.Sprint(life), Zone: "a",
 			Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, 1}), 7000)},
--- a/jacinthd/internal/control/failure_test.go
+++ b/jacinthd/internal/control/failure_test.go
@@ -215,6 +215,28 @@
 	})
 }
 
+// TestCutOffAndHealed cuts two of three hosts off from the object API and from
+// the third, as a cut between regions does, and heals the cut.
+func TestCutOffAndHealed(t *testing.T) {
+	bothKinds(t, func(c *cluster) {
+		for range 2 {
+			for _, name := range []string{"entry-1", "entry-2"} {
+				c.host(name).depart(true)
+				c.sever(name, true)
+			}
+			c.traffic(10, 12, 20*time.Second)
+			c.requireSound()
+			for _, name := range []string{"entry-1", "entry-2"} {
+				c.host(name).depart(false)
+				c.sever(name, false)
+			}
+			c.traffic(10, 12, 15*time.Second)
+			c.requireSound()
+		}
+		requireServing(c)
+	})
+}
+
 func TestGrantorCutOff(t *testing.T) {
 	bothKinds(t, func(c *cluster) {
 		for range 2 {
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -228,7 +228,9 @@
 		l.Metrics.order(a.Kind.String())
 		go l.order(o, o.target.Address, a)
 	case runner.Ask:
-		l.permits.step(l, load.Asked{Want: load.Want{Runner: o.target.Name, Ref: a.Ref, Waiting: a.Waiting}})
+		l.permits.step(l, load.Asked{Want: load.Want{
+			Runner: o.target.Name, Ref: a.Ref, Waiting: a.Waiting, Caller: a.Caller, Weight: a.Weight,
+		}})
 	case runner.Yield:
 		l.permits.step(l, load.Yielded{Runner: o.target.Name, Ref: a.Ref, Used: a.Used})
 	case runner.Cancel:
