--- a/jacinthctl/internal/command/audit.go
+++ b/jacinthctl/internal/command/audit.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"jacinthstage/jacinthd/archive"
+	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/patch"
 )
 
@@ -38,18 +39,19 @@
 }
 
 func (c *auditCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return c.usage("audit: no arguments")
-	}
-	s, err := c.open()
-	if err != nil {
-		return c.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
+	return list(ctx, f, &c.output, &c.platform, c.newest, func(w io.Writer, patches []patch.Patch) {
+		fmt.Fprintln(w, "NUMBER\tTIME\tAUTHOR\tID\tREASON\tCHANGES")
+		for _, p := range patches {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", p.Number, p.Time.Format(time.RFC3339), plain(p.Author), plain(p.ID), plain(p.Reason), summary(p))
+		}
+	})
+}
+
+// newest returns the newest accepted patches, as many as asked for.
+func (c *auditCommand) newest(ctx context.Context, s store.Store) ([]patch.Patch, error) {
 	config, err := archive.Read(ctx, s)
 	if err != nil {
-		return c.fail(err)
+		return nil, err
 	}
 	patches := []patch.Patch{}
 	_, err = archive.Behind(ctx, s, config.Version-min(c.last, config.Version), func(a patch.Accepted) {
@@ -59,15 +61,7 @@
 		}
 		patches = append(patches, p)
 	})
-	if err != nil {
-		return c.fail(err)
-	}
-	return c.print(patches, func(w io.Writer) {
-		fmt.Fprintln(w, "NUMBER\tTIME\tAUTHOR\tID\tREASON\tCHANGES")
-		for _, p := range patches {
-			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", p.Number, p.Time.Format(time.RFC3339), plain(p.Author), plain(p.ID), plain(p.Reason), summary(p))
-		}
-	})
+	return patches, err
 }
 
 // summary names the first changes of a patch.
--- a/jacinthctl/internal/command/command.go
+++ b/jacinthctl/internal/command/command.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthstage/jacinthd/settings"
+	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/remote"
 )
 
@@ -83,6 +84,25 @@
 	return subcommands.ExitSuccess
 }
 
+// list reads something from the object API and prints it: the whole of a
+// command that takes no arguments.
+func list[T any](ctx context.Context, f *flag.FlagSet, o *output, p *platform, read func(context.Context, store.Store) (T, error), rows func(io.Writer, T)) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return o.usage("%s: no arguments", f.Name())
+	}
+	s, err := p.open()
+	if err != nil {
+		return o.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	value, err := read(ctx, s)
+	if err != nil {
+		return o.fail(err)
+	}
+	return o.print(value, func(w io.Writer) { rows(w, value) })
+}
+
 // fail prints the error on one line.
 func (o *output) fail(err error) subcommands.ExitStatus {
 	fmt.Fprintf(o.stderr, "jacinthctl: %v\n", err)
--- a/jacinthctl/internal/command/hosts.go
+++ b/jacinthctl/internal/command/hosts.go
@@ -63,21 +63,7 @@
 }
 
 func (c *hostsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return c.usage("hosts: no arguments")
-	}
-	s, err := c.open()
-	if err != nil {
-		return c.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	rows, err := hostRows(ctx, s)
-	if err != nil {
-		return c.fail(err)
-	}
-	answer := hostsAnswer{Hosts: rows, Regions: regionRows(rows)}
-	return c.print(answer, func(w io.Writer) {
+	return list(ctx, f, &c.output, &c.platform, allHosts, func(w io.Writer, answer hostsAnswer) {
 		fmt.Fprintln(w, "NAME\tREGION\tZONE\tPEER\tSTATE\tLEASED\tRUNNERS\tCONFIG")
 		for _, r := range answer.Hosts {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\n", r.Name, dash(r.Region), dash(r.Zone), address(r.Peer), dash(r.State), r.Leased, r.Runners, number(r.Config))
@@ -89,6 +75,11 @@
 	})
 }
 
+func allHosts(ctx context.Context, s store.Store) (hostsAnswer, error) {
+	rows, err := hostRows(ctx, s)
+	return hostsAnswer{Hosts: rows, Regions: regionRows(rows)}, err
+}
+
 // regionRows returns the regions of the hosts with a lease, by name.
 func regionRows(hosts []hostRow) []regionRow {
 	regions := []regionRow{}
--- a/jacinthctl/internal/command/leases.go
+++ b/jacinthctl/internal/command/leases.go
@@ -58,20 +58,7 @@
 }
 
 func (c *leasesCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return c.usage("leases: no arguments")
-	}
-	s, err := c.open()
-	if err != nil {
-		return c.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	answer, err := ownership(ctx, s)
-	if err != nil {
-		return c.fail(err)
-	}
-	return c.print(answer, func(w io.Writer) {
+	return list(ctx, f, &c.output, &c.platform, ownership, func(w io.Writer, answer leasesAnswer) {
 		fmt.Fprintln(w, "HOST\tREGION\tINCARNATION\tLIFE\tRENEWALS\tVERSION")
 		for _, r := range answer.Leases {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", r.Host, r.Region, r.Incarnation, r.Life, r.Renewals, r.Version)
--- a/jacinthctl/internal/command/targets.go
+++ b/jacinthctl/internal/command/targets.go
@@ -49,20 +49,7 @@
 }
 
 func (c *targetsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return c.usage("targets: no arguments")
-	}
-	s, err := c.open()
-	if err != nil {
-		return c.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	rows, err := targetRows(ctx, s)
-	if err != nil {
-		return c.fail(err)
-	}
-	return c.print(rows, func(w io.Writer) {
+	return list(ctx, f, &c.output, &c.platform, targetRows, func(w io.Writer, rows []targetRow) {
 		fmt.Fprintln(w, "NAME\tSERVICE\tADDRESS\tREGION\tZONE\tSTATE\tOWNER\tEPOCH")
 		for _, r := range rows {
 			fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%d\n", r.Name, r.Service, r.Address, r.Region, r.Zone, dash(r.State), dash(r.Owner), r.Epoch)
