process: a process that lost its name to another ends, with an error

Cause: a host whose name another process took, or one of whose parts failed, stopped its control but never its caller API, so the process stayed and answered 503. Before: TestSecondProcess fails (the first process goes on). After: passes.

--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -199,16 +199,20 @@
 	group.Go(func() error { return p.traffic.Serve(p.caller) })
 	group.Go(func() error { return served(admin.Serve(p.admin)) })
 	group.Go(func() error {
+		var err error
 		select {
 		case <-ctx.Done():
 			p.stop()
 		case <-p.loop.Stopped():
-			p.log.Error("host: the membership ended")
+			err = errors.New("another process runs under this host's name")
 		case <-run.Done():
 		}
+		limit, release := p.limit()
+		defer release()
+		p.finish(limit)
 		_ = admin.Close()
 		cancel()
-		return nil
+		return err
 	})
 	err := group.Wait()
 	_ = p.link.Close()
@@ -216,20 +220,30 @@
 	return err
 }
 
+// limit bounds the end of the process: by then every request has passed its deadline.
+func (p *Process) limit() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), p.settings.Limits.Longest+stopMargin)
+}
+
+// finish lets what is in progress end and takes nothing new.
+func (p *Process) finish(ctx context.Context) {
+	if err := p.traffic.Shutdown(ctx); err != nil {
+		p.log.Error("host: requests cut", zap.Error(err))
+	}
+	p.plain.Wait()
+}
+
 // stop hands the runners over and lets what is in progress finish.
 func (p *Process) stop() {
 	p.log.Info("host: planned stop")
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Limits.Longest+stopMargin)
+	ctx, cancel := p.limit()
 	defer cancel()
 	p.stopping.Store(true)
 	time.Sleep(unreadyPeriod)
 	if err := p.loop.Stop(ctx); err != nil {
 		p.log.Error("host: runners not handed over", zap.Error(err))
 	}
-	if err := p.traffic.Shutdown(ctx); err != nil {
-		p.log.Error("host: requests cut", zap.Error(err))
-	}
-	p.plain.Wait()
+	p.finish(ctx)
 	if err := p.loop.Settle(ctx); err != nil {
 		p.log.Error("host: new owners not told", zap.Error(err))
 	}
--- a/jacinthd/internal/process/process_test.go
+++ b/jacinthd/internal/process/process_test.go
@@ -126,3 +126,35 @@
 	_, err = newProcess(t, path)
 	require.ErrorContains(t, err, "keys.certificate")
 }
+
+// TestSecondProcess starts a second process under the first one's name: the
+// first ends with an error.
+func TestSecondProcess(t *testing.T) {
+	objects := &memory.Store{}
+	platform := httptest.NewServer(objects.Handler())
+	defer platform.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func() chan error {
+		p, err := newProcess(t, file(t, platform.URL, free(t), free(t)))
+		require.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run(ctx) }()
+		return ended
+	}
+	leased := func() bool {
+		page, err := objects.List(context.Background(), "lease/", "")
+		return err == nil && len(page.Objects) == 1
+	}
+	first := start()
+	require.Eventually(t, leased, patience, 10*time.Millisecond)
+	second := start()
+	select {
+	case err := <-first:
+		require.ErrorContains(t, err, "another process")
+	case <-time.After(patience):
+		require.Fail(t, "the first process goes on")
+	}
+	cancel()
+	require.NoError(t, <-second)
+}
