traffic, process: wait a moment for the next owner of a runner; stop later after unready

Cause: a runner that is handed over refuses all that waits there, 2 to 4 ms before the others hear of its next owner; where its other homes were tried already the request was refused, and after a lost first try it ended as mayhaverun (20 of 1,542 in demo/faults kill). Ruled out: a longer hand over (the log shows 2 to 4 ms). Change: such a request looks for a new owner for at most 200 ms before it is refused. A stopping host stays unready for 2 s, not 0.5 s, before it closes idle connections, one of which cut a request in demo/faults stop. Before: TestRunnerHandedOver fails. After: passes.

--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -41,7 +41,7 @@
 	stopMargin = 10 * time.Second
 	// unreadyPeriod is how long a stopping host still takes requests, so that
 	// the balancer sees that it is not ready.
-	unreadyPeriod = 500 * time.Millisecond
+	unreadyPeriod = 2 * time.Second
 )
 
 // A Process is one host's process. Use New.
--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -14,8 +14,14 @@
 	"jacinthstage/stage/verdict"
 )
 
-// resumePause is the pause between tries at resuming.
-const resumePause = 100 * time.Millisecond
+const (
+	// resumePause is the pause between tries at resuming.
+	resumePause = 100 * time.Millisecond
+	// moveTime is how long a request waits for the next owner of a runner that is
+	// handed over, with movePause between looks.
+	moveTime  = 200 * time.Millisecond
+	movePause = 10 * time.Millisecond
+)
 
 // completions answers POST /v1/completions.
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +63,7 @@
 		return errSuspect
 	}
 	a := &attempts{s: s, q: q, to: to, tried: map[control.Candidate]bool{}, last: errNoTarget}
-	for a.more() {
+	for a.more(ctx) {
 		if err := a.step(ctx); err == nil {
 			s.succeeded(q)
 			return nil
@@ -87,14 +93,35 @@
 // leave. Where no runner is left, a lost link may still be found again. A host
 // that was lost needs no leave: what it had in progress goes elsewhere at once,
 // and a request tries each runner once at most.
-func (a *attempts) more() bool {
+func (a *attempts) more(ctx context.Context) bool {
 	_, ok := a.pick()
 	if len(a.tried) == 0 {
 		return ok
 	}
+	if !ok && moving(a.last) {
+		ok = a.await(ctx)
+	}
 	return lost(a.last) || ok && (unreached(a.last) || a.s.retry(a.q))
 }
 
+// await waits a little for a runner's new owner: an owner that hands a runner over
+// refuses all that waits there, moments before the others hear of the next one.
+func (a *attempts) await(ctx context.Context) bool {
+	for until := time.Now().Add(moveTime); ctx.Err() == nil && time.Now().Before(until); {
+		pause(ctx, movePause)
+		if _, ok := a.pick(); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// moving reports whether err may be an owner's refusal of a runner that it gives away.
+func moving(err error) bool {
+	e := said(err)
+	return e.Code == verdict.Unavailable && e.Verdict == verdict.NotRun
+}
+
 // step makes one try. An answer that has started can only be resumed.
 func (a *attempts) step(ctx context.Context) error {
 	c, ok := a.pick()
--- a/jacinthd/internal/traffic/retry_test.go
+++ b/jacinthd/internal/traffic/retry_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// The only runner is handed over: its old owner refuses, and the route leads to
+// the new one a moment later.
+func TestRunnerHandedOver(t *testing.T) {
+	ids := identities(t, "entry-1", "entry-2")
+	e := newEngine(t)
+	entry, next := newHost(t, configuration(t), ids["entry-1"]), newHost(t, configuration(t), ids["entry-2"])
+	old := entry.here("r1", e)
+	entry.route(old)
+	refuse(entry, func(context.Context) error {
+		time.AfterFunc(30*time.Millisecond, func() { entry.route(next.there("r1", e)) })
+		return verdict.Refuse(verdict.Unavailable, "runner r1 takes no new requests")
+	})
+	_, whole := words(t, post(t, entry, asWhole))
+	require.True(t, whole)
+}
+
 // A refusal that comes with the deadline is the last.
 func TestNoRetryPastDeadline(t *testing.T) {
 	entry := newHost(t, configuration(t), identities(t, "entry-1")["entry-1"])
