traffic: a runner that is given away needs no retry budget

Change: a try after a refusal as unavailable, for which no engine did any work, takes nothing from the budget; busy still does.

--- a/jacinthd/internal/traffic/path.go
+++ b/jacinthd/internal/traffic/path.go
@@ -91,8 +91,9 @@
 
 // more reports whether there is something to try, and for a retry takes the
 // leave. Where no runner is left, a lost link may still be found again. A host
-// that was lost needs no leave: what it had in progress goes elsewhere at once,
-// and a request tries each runner once at most.
+// that was lost, or that gave a runner away, needs no leave: all that it had goes
+// elsewhere at once, no engine did work for it in vain, and a request tries each
+// runner of each owner once at most.
 func (a *attempts) more(ctx context.Context) bool {
 	_, ok := a.pick()
 	if len(a.tried) == 0 {
@@ -101,7 +102,7 @@
 	if !ok && moving(a.last) {
 		ok = a.await(ctx)
 	}
-	return lost(a.last) || ok && (unreached(a.last) || a.s.retry(a.q))
+	return lost(a.last) || ok && (unreached(a.last) || moving(a.last) || a.s.retry(a.q))
 }
 
 // await waits a little for a runner's new owner: an owner that hands a runner over
--- a/jacinthd/internal/traffic/retry_test.go
+++ b/jacinthd/internal/traffic/retry_test.go
@@ -62,11 +62,12 @@
 }
 
 // The only runner is handed over: its old owner refuses, and the route leads to
-// the new one a moment later.
+// the new one a moment later. Many wait there at once, so it needs no budget.
 func TestRunnerHandedOver(t *testing.T) {
 	ids := identities(t, "entry-1", "entry-2")
 	e := newEngine(t)
-	entry, next := newHost(t, configuration(t), ids["entry-1"]), newHost(t, configuration(t), ids["entry-2"])
+	entry := newHost(t, configuration(t), ids["entry-1"], func(h *host) { h.Retries = spent{} })
+	next := newHost(t, configuration(t), ids["entry-2"])
 	old := entry.here("r1", e)
 	entry.route(old)
 	refuse(entry, func(context.Context) error {
