runner, control: a process that had a runner all along inherits nothing

Change: Owned says whether the process has had the runner all along; then only the epoch changes. It counts only where the table names this host itself as the one before. Before: TestNewEpochOfTheSameProcess fails without fencing.

--- a/jacinthd/internal/control/membership.go
+++ b/jacinthd/internal/control/membership.go
@@ -265,7 +265,7 @@
 		l.runnerStep(o, runner.Leaving{})
 	case !o.handing:
 		l.Log.Info("target: came back", zap.String("runner", p.Name))
-		l.runnerStep(o, runner.Owned{Epoch: o.epoch, Until: l.now.Add(l.Longest), Lease: l.lease})
+		l.runnerStep(o, runner.Owned{Epoch: o.epoch, Kept: true, Until: l.now.Add(l.Longest), Lease: l.lease})
 		if !l.now.Before(l.lease) && (o.runner.Fenced || l.paused) {
 			l.runnerStep(o, runner.Lapsed{})
 		}
--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -70,6 +70,7 @@
 
 func (l *Loop) own(a host.Acquire, t target.Target) {
 	o := l.owned[a.Runner]
+	kept := o != nil && !a.Inherited && a.From == l.Self.Name
 	if o == nil {
 		o = &ownership{waiting: map[string]waiter{}, tickets: map[string]adapterPin{}}
 		o.runner = runner.Runner{Name: t.Name, Slots: t.Slots, Batch: t.Batch, Policy: l.Runner, Limit: l.Queue}
@@ -89,6 +90,7 @@
 	l.runnerStep(o, runner.Owned{
 		Epoch:     a.Epoch,
 		Inherited: a.Inherited,
+		Kept:      kept,
 		Until:     l.now.Add(l.Longest),
 		Lease:     l.lease,
 	})
--- a/stage/runner/closing_test.go
+++ b/stage/runner/closing_test.go
@@ -196,3 +196,29 @@
 	require.Empty(t, d.refused)
 	require.Contains(t, d.admitted, "long")
 }
+
+// A new epoch of the same process, as after a pause in which its lease was
+// broken, inherits nothing: the process knows its own requests.
+func TestNewEpochOfTheSameProcess(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprint("fenced ", fenced), func(t *testing.T) {
+			d := &desk{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+			d.r = runner.Runner{Name: "r", Slots: 1, Batch: 16, Fenced: fenced}
+			d.step(runner.Owned{Epoch: 1, Lease: d.now.Add(time.Hour)})
+			d.pass(100 * time.Millisecond)
+			d.arrive("a1", "a")
+			d.pass(time.Second)
+			require.Equal(t, []string{"a1"}, d.admitted)
+			d.running = []string{"a1"}
+			d.step(runner.Lapsed{})
+			d.step(runner.Owned{Epoch: 2, Kept: true, Until: d.now.Add(2 * time.Minute), Lease: d.now.Add(time.Hour)})
+			d.arrive("b1", "b")
+			d.pass(time.Second)
+			require.Equal(t, []string{"a1"}, d.admitted, "a is in use")
+			d.running = nil
+			d.step(runner.Ended{ID: "a1", Outcome: runner.Served})
+			d.pass(time.Second)
+			require.Equal(t, []string{"a1", "b1"}, d.admitted)
+		})
+	}
+}
--- a/stage/runner/event.go
+++ b/stage/runner/event.go
@@ -17,6 +17,9 @@
 	// Inherited says that requests of another owner, or of an earlier
 	// incarnation of this host, may still run.
 	Inherited bool
+	// Kept says that this process has had the runner all along, so that it knows
+	// what runs there: as after a lapse in which nobody took the runner over.
+	Kept bool
 	// Until is the latest deadline that such a request can carry.
 	Until time.Time
 	// Lease is when this host's lease ends unless Renewed.
--- a/stage/runner/tenure.go
+++ b/stage/runner/tenure.go
@@ -32,14 +32,18 @@
 }
 
 func (r *Runner) own(now time.Time, e Owned) {
+	kept := r.owned && e.Kept
 	r.owned = true
 	r.stopping, r.quiet, r.told = "", false, false
-	inherited := e.Inherited || len(r.jobs) > 0
-	r.forget()
 	if e.Epoch != r.epoch {
 		r.epoch, r.counter = e.Epoch, 0
 	}
-	r.tenure = tenure{lease: e.Lease}
+	r.tenure.lease, r.tenure.lapsed = e.Lease, false
+	if kept {
+		return
+	}
+	inherited := e.Inherited || len(r.jobs) > 0
+	r.forget()
 	r.inherit = inheritance{active: inherited, until: e.Until}
 	r.known = false
 	r.first = r.number(1)
