--- a/stage/host/fault_test.go
+++ b/stage/host/fault_test.go
@@ -518,3 +518,14 @@
 	}
 	require.LessOrEqual(t, busiest, 110, "of 84 a second on average")
 }
+
+// A watch that went silent: the table is read from time to time besides.
+func TestSilentWatch(t *testing.T) {
+	w := settled(t, 3, 6, 0)
+	w.nodes["h002"].deaf = true
+	for _, name := range []string{"h000", "h001"} {
+		w.step(w.nodes[name], host.Runners{Config: 2, Runners: runners(12, 0)})
+	}
+	w.run(15 * time.Second)
+	w.served()
+}
--- a/stage/host/sim_test.go
+++ b/stage/host/sim_test.go
@@ -67,6 +67,7 @@
 	drain   time.Duration
 	yields  bool          // gives runners away before it has drained them
 	mute    bool          // its deletes get lost
+	deaf    bool          // its watch went silent
 	reports []host.Action // all but calls
 }
 
@@ -411,7 +412,7 @@
 // show tells the watchers of a table.
 func (w *world) show(o host.Object) {
 	for _, n := range w.sorted() {
-		if !w.chance(w.noise.lost) {
+		if !n.deaf && !w.chance(w.noise.lost) {
 			w.after(w.hop(), func() { w.deliver(n, host.Watched{Version: o.Version, Value: o.Value}) })
 		}
 	}
