control: a handover that was called off keeps what is known of the runner

Cause: the runner was then taken as inherited from this host's own requests, as after a pause; found by reading, no run showed it, and it has no test of its own (the window is the 2 to 4 ms of a handover). Change: the same epoch counts as kept. Two fields that nothing read are gone, and a type's name says what it is.

--- a/jacinthd/internal/control/ownership.go
+++ b/jacinthd/internal/control/ownership.go
@@ -25,9 +25,8 @@
 	runner  runner.Runner
 	target  target.Target
 	epoch   uint32
-	from    string // earlier owner
 	waiting map[string]waiter
-	tickets map[string]adapterPin
+	tickets map[string]admission
 	polling time.Time // when the next report is asked for; zero while one is
 	silent  bool      // the engine gave no report when last asked
 	handing bool
@@ -42,8 +41,8 @@
 	reply chan decision
 }
 
-// An adapterPin is a job with a ticket.
-type adapterPin struct{ admitted time.Time }
+// An admission is a job with a ticket.
+type admission struct{ admitted time.Time }
 
 // A decision answers a waiter: one of the two is set.
 type decision struct {
@@ -70,9 +69,9 @@
 
 func (l *Loop) own(a host.Acquire, t target.Target) {
 	o := l.owned[a.Runner]
-	kept := o != nil && !a.Inherited && a.From == l.Self.Name
+	kept := o != nil && !a.Inherited && (a.From == l.Self.Name || a.Epoch == o.epoch)
 	if o == nil {
-		o = &ownership{waiting: map[string]waiter{}, tickets: map[string]adapterPin{}}
+		o = &ownership{waiting: map[string]waiter{}, tickets: map[string]admission{}}
 		o.runner = runner.Runner{Name: t.Name, Slots: t.Slots, Batch: t.Batch, Policy: l.Runner, Limit: l.Queue}
 		if kind, ok := l.config.Services[t.Service].Kind().(*service.Engine); ok {
 			o.runner.Fenced = kind.Fenced
@@ -81,7 +80,6 @@
 	}
 	o.target = t
 	o.epoch = a.Epoch
-	o.from = a.From
 	o.handing = false
 	o.polling = l.now
 	l.dirty = true
@@ -246,7 +244,7 @@
 		panic("control: admitted a job that does not wait: " + a.ID)
 	}
 	delete(o.waiting, a.ID)
-	o.tickets[a.ID] = adapterPin{admitted: l.now}
+	o.tickets[a.ID] = admission{admitted: l.now}
 	l.Metrics.admitted(a.Resident)
 	usage := o.runner.Usage()
 	hint := Hint{Waiting: usage.Waiting, Running: usage.Running, Resident: a.Resident}
--- a/jacinthd/internal/control/permits.go
+++ b/jacinthd/internal/control/permits.go
@@ -21,7 +21,6 @@
 	holder  load.Holder
 	grantor load.Grantor
 	epoch   uint64 // of the grantor in force
-	granted uint64 // epoch in which this host grants; 0 for none
 }
 
 func (p *permits) start(l *Loop) {
@@ -38,7 +37,6 @@
 	p.epoch = uint64(grant.Epoch)
 	if grant.Owner == l.Self.Name {
 		l.Log.Info("load: granting permits", zap.Uint64("epoch", p.epoch))
-		p.granted = p.epoch
 		p.grantor.Start(l.now, p.epoch, l.lease, grant.Epoch == firstEpoch)
 	}
 	p.step(l, load.Elected{Epoch: p.epoch})
