load, control: a grantor grants at any rate, however slow the store

Cause: the burst was the rate rounded up; at 0.6 loads a second, the part of a region in examples/kelvin, the bucket never held a whole permit, so that nothing would ever have been loaded there. Found by reading the examples. Change: the burst holds one load beside a permit's window.

--- a/jacinthd/internal/control/permits.go
+++ b/jacinthd/internal/control/permits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 
 	"go.uber.org/zap"
 
@@ -25,7 +24,7 @@
 
 func (p *permits) start(l *Loop) {
 	p.holder = load.Holder{Host: l.Self.Name + "/" + l.Self.Incarnation}
-	p.grantor = load.Grantor{Rate: l.Rate, Burst: max(1, math.Ceil(l.Rate)), Flight: l.Flight}
+	p.grantor = load.Grantor{Rate: l.Rate, Burst: load.Burst(l.Rate), Flight: l.Flight}
 }
 
 // elect follows the grantor that the table names.
--- a/stage/load/grantor.go
+++ b/stage/load/grantor.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,9 +19,19 @@
 // one before its loads go after those of others.
 const ahead = 1
 
+// spareBurst keeps rounding from holding the last permit back, in loads.
+const spareBurst = 0.01
+
 // front is how many wants come back for each permit.
 const front = 4
 
+// Burst returns the loads that a grantor counts on the store to accept at once,
+// where only the store's rate is known: a second's worth, and at least one load
+// beside what a permit's window is worth, without which none could be granted.
+func Burst(rate float64) float64 {
+	return max(math.Ceil(rate), 1+rate*Window.Seconds()+spareBurst)
+}
+
 // A Grantor grants the permits of one region. The zero value with the exported
 // fields set grants once Start was called.
 type Grantor struct {
