command, load: what hosts, targets, leases and audit share stands once

Cause: four commands declared the same fields and flags beside the shared list, and Grantor.Wanted was called by nothing. Change: they embed a reader, which list takes; Wanted is gone.

--- a/jacinthctl/internal/command/audit.go
+++ b/jacinthctl/internal/command/audit.go
@@ -19,8 +19,7 @@
 const described = 3
 
 type auditCommand struct {
-	output
-	platform
+	reader
 	last uint64
 }
 
@@ -33,13 +32,12 @@
 }
 
 func (c *auditCommand) SetFlags(f *flag.FlagSet) {
-	c.platform.flags(f)
-	c.jsonFlag(f)
+	c.reader.SetFlags(f)
 	f.Uint64Var(&c.last, "last", 50, "number of patches")
 }
 
 func (c *auditCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return list(ctx, f, &c.output, &c.platform, c.newest, func(w io.Writer, patches []patch.Patch) {
+	return list(ctx, f, &c.reader, c.newest, func(w io.Writer, patches []patch.Patch) {
 		fmt.Fprintln(w, "NUMBER\tTIME\tAUTHOR\tID\tREASON\tCHANGES")
 		for _, p := range patches {
 			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", p.Number, p.Time.Format(time.RFC3339), plain(p.Author), plain(p.ID), plain(p.Reason), summary(p))
--- a/jacinthctl/internal/command/command.go
+++ b/jacinthctl/internal/command/command.go
@@ -35,12 +35,12 @@
 	commander.Register(commander.FlagsCommand(), "")
 	out := output{stdout: stdout, stderr: stderr}
 	for _, c := range []subcommands.Command{
-		&patchCommand{output: out}, &showCommand{output: out}, &auditCommand{output: out},
+		&patchCommand{output: out}, &showCommand{output: out}, &auditCommand{reader: reader{output: out}},
 	} {
 		commander.Register(c, "configuration")
 	}
 	for _, c := range []subcommands.Command{
-		&hostsCommand{output: out}, &targetsCommand{output: out}, &leasesCommand{output: out},
+		&hostsCommand{reader{output: out}}, &targetsCommand{reader{output: out}}, &leasesCommand{reader{output: out}},
 	} {
 		commander.Register(c, "state")
 	}
@@ -84,25 +84,6 @@
 	return subcommands.ExitSuccess
 }
 
-// list reads something from the object API and prints it: the whole of a
-// command that takes no arguments.
-func list[T any](ctx context.Context, f *flag.FlagSet, o *output, p *platform, read func(context.Context, store.Store) (T, error), rows func(io.Writer, T)) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return o.usage("%s: no arguments", f.Name())
-	}
-	s, err := p.open()
-	if err != nil {
-		return o.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	value, err := read(ctx, s)
-	if err != nil {
-		return o.fail(err)
-	}
-	return o.print(value, func(w io.Writer) { rows(w, value) })
-}
-
 // fail prints the error on one line.
 func (o *output) fail(err error) subcommands.ExitStatus {
 	fmt.Fprintf(o.stderr, "jacinthctl: %v\n", err)
@@ -140,3 +121,34 @@
 	}
 	return remote.New(address)
 }
+
+// A reader is a command that shows something of the object API.
+type reader struct {
+	output
+	platform
+}
+
+// SetFlags implements subcommands.Command.
+func (r *reader) SetFlags(f *flag.FlagSet) {
+	r.flags(f)
+	r.jsonFlag(f)
+}
+
+// list reads something from the object API and prints it: the whole of a
+// command that takes no arguments.
+func list[T any](ctx context.Context, f *flag.FlagSet, r *reader, read func(context.Context, store.Store) (T, error), rows func(io.Writer, T)) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return r.usage("%s: no arguments", f.Name())
+	}
+	s, err := r.open()
+	if err != nil {
+		return r.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	value, err := read(ctx, s)
+	if err != nil {
+		return r.fail(err)
+	}
+	return r.print(value, func(w io.Writer) { rows(w, value) })
+}
--- a/jacinthctl/internal/command/hosts.go
+++ b/jacinthctl/internal/command/hosts.go
@@ -16,10 +16,7 @@
 	"jacinthstage/jacinthd/store"
 )
 
-type hostsCommand struct {
-	output
-	platform
-}
+type hostsCommand struct{ reader }
 
 func (*hostsCommand) Name() string     { return "hosts" }
 func (*hostsCommand) Synopsis() string { return "show the hosts" }
@@ -32,11 +29,6 @@
 `
 }
 
-func (c *hostsCommand) SetFlags(f *flag.FlagSet) {
-	c.platform.flags(f)
-	c.jsonFlag(f)
-}
-
 // A hostRow is one host.
 type hostRow struct {
 	Name    string         `json:"name"`
@@ -63,7 +55,7 @@
 }
 
 func (c *hostsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return list(ctx, f, &c.output, &c.platform, allHosts, func(w io.Writer, answer hostsAnswer) {
+	return list(ctx, f, &c.reader, allHosts, func(w io.Writer, answer hostsAnswer) {
 		fmt.Fprintln(w, "NAME\tREGION\tZONE\tPEER\tSTATE\tLEASED\tRUNNERS\tCONFIG")
 		for _, r := range answer.Hosts {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\n", r.Name, dash(r.Region), dash(r.Zone), address(r.Peer), dash(r.State), r.Leased, r.Runners, number(r.Config))
--- a/jacinthctl/internal/command/leases.go
+++ b/jacinthctl/internal/command/leases.go
@@ -11,10 +11,7 @@
 	"jacinthstage/jacinthd/store"
 )
 
-type leasesCommand struct {
-	output
-	platform
-}
+type leasesCommand struct{ reader }
 
 func (*leasesCommand) Name() string     { return "leases" }
 func (*leasesCommand) Synopsis() string { return "show the leases and who owns what" }
@@ -26,11 +23,6 @@
 `
 }
 
-func (c *leasesCommand) SetFlags(f *flag.FlagSet) {
-	c.platform.flags(f)
-	c.jsonFlag(f)
-}
-
 // A leasesAnswer is all leases and assignments.
 type leasesAnswer struct {
 	Leases []leaseRow `json:"leases"`
@@ -58,7 +50,7 @@
 }
 
 func (c *leasesCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return list(ctx, f, &c.output, &c.platform, ownership, func(w io.Writer, answer leasesAnswer) {
+	return list(ctx, f, &c.reader, ownership, func(w io.Writer, answer leasesAnswer) {
 		fmt.Fprintln(w, "HOST\tREGION\tINCARNATION\tLIFE\tRENEWALS\tVERSION")
 		for _, r := range answer.Leases {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", r.Host, r.Region, r.Incarnation, r.Life, r.Renewals, r.Version)
--- a/jacinthctl/internal/command/targets.go
+++ b/jacinthctl/internal/command/targets.go
@@ -16,10 +16,7 @@
 	"jacinthstage/stage/host"
 )
 
-type targetsCommand struct {
-	output
-	platform
-}
+type targetsCommand struct{ reader }
 
 func (*targetsCommand) Name() string     { return "targets" }
 func (*targetsCommand) Synopsis() string { return "show the targets" }
@@ -31,11 +28,6 @@
 `
 }
 
-func (c *targetsCommand) SetFlags(f *flag.FlagSet) {
-	c.platform.flags(f)
-	c.jsonFlag(f)
-}
-
 // A targetRow is one target.
 type targetRow struct {
 	Name    string         `json:"name"`
@@ -49,7 +41,7 @@
 }
 
 func (c *targetsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return list(ctx, f, &c.output, &c.platform, targetRows, func(w io.Writer, rows []targetRow) {
+	return list(ctx, f, &c.reader, targetRows, func(w io.Writer, rows []targetRow) {
 		fmt.Fprintln(w, "NAME\tSERVICE\tADDRESS\tREGION\tZONE\tSTATE\tOWNER\tEPOCH")
 		for _, r := range rows {
 			fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%d\n", r.Name, r.Service, r.Address, r.Region, r.Zone, dash(r.State), dash(r.Owner), r.Epoch)
--- a/stage/load/grantor.go
+++ b/stage/load/grantor.go
@@ -368,16 +368,3 @@
 		}
 	}
 }
-
-// Wanted returns how many loads wait for a permit, for metrics.
-func (g *Grantor) Wanted(now time.Time) int {
-	n := 0
-	for _, m := range g.hosts {
-		for _, w := range m.wants {
-			if now.Before(w.expires) {
-				n++
-			}
-		}
-	}
-	return n
-}
