--- a/jacinthctl/internal/command/audit.go
+++ b/jacinthctl/internal/command/audit.go
@@ -11,8 +11,8 @@
 	"github.com/google/subcommands"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 // described is the number of changes that a row of the table names.
--- a/jacinthctl/internal/command/command.go
+++ b/jacinthctl/internal/command/command.go
@@ -18,8 +18,8 @@
 	"github.com/pkg/errors"
 
 	"jacinthstage/jacinthd/settings"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/remote"
+	"jacinthstage/stage/store"
 )
 
 // callTime is the longest that a command waits for the object API.
--- a/jacinthctl/internal/command/hosts.go
+++ b/jacinthctl/internal/command/hosts.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/subcommands"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 type hostsCommand struct{ reader }
--- a/jacinthctl/internal/command/leases.go
+++ b/jacinthctl/internal/command/leases.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/subcommands"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 type leasesCommand struct{ reader }
--- a/jacinthctl/internal/command/script_test.go
+++ b/jacinthctl/internal/command/script_test.go
@@ -14,10 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthctl/internal/command"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/store"
 )
 
 func TestMain(m *testing.M) {
--- a/jacinthctl/internal/command/state.go
+++ b/jacinthctl/internal/command/state.go
@@ -5,9 +5,9 @@
 	"strings"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/store"
 )
 
 // The prefixes of the objects that hosts keep.
--- a/jacinthctl/internal/command/targets.go
+++ b/jacinthctl/internal/command/targets.go
@@ -12,8 +12,8 @@
 	"github.com/google/subcommands"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/host"
+	"jacinthstage/stage/store"
 )
 
 type targetsCommand struct{ reader }
--- a/jacinthd/archive/archive.go
+++ b/jacinthd/archive/archive.go
@@ -19,8 +19,8 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 // The prefixes of keys.
--- a/jacinthd/archive/archive_test.go
+++ b/jacinthd/archive/archive_test.go
@@ -14,10 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 func proposal(base uint64, id string) patch.Patch {
--- a/jacinthd/archive/propose.go
+++ b/jacinthd/archive/propose.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 const (
--- /dev/null
+++ b/jacinthd/direct.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/settings"
+	"jacinthstage/platform"
+)
+
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "JACINTHSTAGE_SETTINGS"
+
+// storeConnections is the number of idle connections kept to the platform's store.
+const storeConnections = 8
+
+// storeIdle is how long a connection to the store is kept idle.
+const storeIdle = 20 * time.Second
+
+// serve is the command that serves on the platform until SIGTERM or SIGINT.
+type serve struct{ file string }
+
+// Name implements subcommands.Command.
+func (*serve) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serve) Synopsis() string { return "serve on the platform, straight to targets, until a planned stop" }
+
+// Usage implements subcommands.Command.
+func (*serve) Usage() string {
+	return "serve [-settings FILE]\n  Serves until SIGTERM; SIGHUP reads the level of log lines anew.\n  FILE is that of $" + settingsVariable + " where the flag is missing.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (s *serve) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.file, "settings", os.Getenv(settingsVariable), "settings `file`")
+}
+
+// Execute implements subcommands.Command.
+func (s *serve) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	d, err := settings.ReadDirect(s.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	sink := direct.Open(os.Stdout)
+	defer sink.Close()
+	level := zap.NewAtomicLevelAt(d.Level)
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	log := zap.New(brief{zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, level)})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go s.reload(ctx, level, log)
+	transport := &http.Transport{
+		DialContext: outbound.Dialer().DialContext, MaxIdleConnsPerHost: storeConnections,
+		IdleConnTimeout: storeIdle, DisableCompression: true,
+	}
+	client := platform.New(d.Store, transport, log)
+	p := direct.New(d, direct.Platform{
+		Store: client, Follower: client, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
+	}, log, sink)
+	if err := p.Run(ctx); err != nil {
+		log.Error("host: ended", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// reload reads the settings again at each SIGHUP. Only the level of log lines
+// changes in a running process.
+func (s *serve) reload(ctx context.Context, level zap.AtomicLevel, log *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		d, err := settings.ReadDirect(s.file)
+		if err != nil {
+			log.Error("host: settings not read again", zap.Error(err))
+			continue
+		}
+		level.SetLevel(d.Level)
+		log.Info("host: settings read again", zap.Stringer("level", d.Level))
+	}
+}
--- a/jacinthd/internal/control/cluster_test.go
+++ b/jacinthd/internal/control/cluster_test.go
@@ -15,13 +15,13 @@
 
 	"jacinthstage/jacinthd/internal/control"
 	"jacinthstage/jacinthd/internal/peer"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/adapter"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/patch"
 	"jacinthstage/stage/service"
+	"jacinthstage/stage/store"
 	"jacinthstage/stage/target"
 	"jacinthstage/stage/verdict"
 )
--- a/jacinthd/internal/control/failure_test.go
+++ b/jacinthd/internal/control/failure_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/internal/control"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/store"
 )
 
 func synctestSettle() { synctest.Wait() }
--- a/jacinthd/internal/control/loop.go
+++ b/jacinthd/internal/control/loop.go
@@ -10,12 +10,12 @@
 
 	"jacinthstage/jacinthd/internal/engine"
 	"jacinthstage/jacinthd/internal/peer"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/patch"
 	"jacinthstage/stage/route"
 	"jacinthstage/stage/runner"
+	"jacinthstage/stage/store"
 )
 
 const (
--- a/jacinthd/internal/control/membership.go
+++ b/jacinthd/internal/control/membership.go
@@ -10,11 +10,11 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/runner"
 	"jacinthstage/stage/service"
+	"jacinthstage/stage/store"
 )
 
 const (
--- a/jacinthd/internal/control/post.go
+++ b/jacinthd/internal/control/post.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/adapter"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/load"
 	"jacinthstage/stage/patch"
 	"jacinthstage/stage/runner"
+	"jacinthstage/stage/store"
 )
 
 // A post is what other goroutines tell the control goroutine.
--- /dev/null
+++ b/jacinthd/internal/direct/answer.go
@@ -0,0 +1,186 @@
+package direct
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/verdict"
+)
+
+const (
+	// heldMost is the largest body that is read whole before the answer begins,
+	// in bytes.
+	heldMost = 1 << 20
+	// eventMost is the largest event of a stream, in bytes.
+	eventMost = 1 << 20
+)
+
+// answer hands a target's answer on.
+func (j *job) answer(ctx context.Context, k *dispatch.Ticket, x *outbound.Exchange, head call.Answer) outcome {
+	now := time.Now()
+	status := x.Response.StatusCode
+	switch {
+	case head.Verdict == verdict.NotRun:
+		full := status == http.StatusServiceUnavailable && head.Load.Known && head.Load.Waiting > 0
+		j.drain(x)
+		k.Report(now, dispatch.Missing{Full: full})
+		if full || status == http.StatusMisdirectedRequest {
+			j.avoid[k.Target.Name] = true
+		}
+		return notRun{reason: "status " + strconv.Itoa(status)}
+	case !head.Signed || head.Encoded || head.ID != j.call.ID:
+		k.Report(now, dispatch.Broke{Reached: true})
+		return broken{reason: "unusable answer, status " + strconv.Itoa(status)}
+	}
+	if _, ok := j.route.Kind.(catalog.Stream); ok && status == http.StatusOK {
+		return j.stream(ctx, k, x)
+	}
+	return j.plain(ctx, k, x)
+}
+
+// drain reads what is left of an answer, so that its connection can be kept.
+func (j *job) drain(x *outbound.Exchange) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, heldMost)); err != nil {
+		j.log.Debug("request: rest of an answer not read", zap.Error(err))
+	}
+}
+
+// plain hands on an answer that is read whole before the caller gets any of it.
+func (j *job) plain(ctx context.Context, k *dispatch.Ticket, x *outbound.Exchange) outcome {
+	body, err := io.ReadAll(io.LimitReader(x, heldMost))
+	if err != nil {
+		return j.failed(ctx, k, errors.Wrap(err, "body"))
+	}
+	status := x.Response.StatusCode
+	if forbidden(status) {
+		k.Report(time.Now(), dispatch.Ended{Failed: true})
+		return broken{reason: "status " + strconv.Itoa(status) + " of a request that may have run"}
+	}
+	if j.started {
+		k.Report(time.Now(), dispatch.Ended{Failed: true})
+		return broken{reason: "status " + strconv.Itoa(status) + " in place of the rest"}
+	}
+	k.Report(time.Now(), dispatch.Ended{Failed: status >= http.StatusInternalServerError})
+	j.begin(x.Response)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(status)
+	if len(body) == heldMost {
+		j.w.Header().Del("Content-Length")
+	}
+	_, err = j.w.Write(body)
+	if err == nil && len(body) == heldMost {
+		_, err = io.Copy(j.w, x)
+		if err != nil {
+			j.cut(err.Error())
+		}
+	}
+	j.done(k, status, err)
+	return answered{}
+}
+
+// forbidden reports whether a status promises that a request did not run.
+func forbidden(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		return true
+	}
+	return false
+}
+
+// begin sets the answer's headers.
+func (j *job) begin(response *http.Response) {
+	for name, values := range j.Headers.Return(response.Header) {
+		if name != "Content-Length" {
+			j.w.Header()[name] = values
+		}
+	}
+	j.started = true
+	j.status = response.StatusCode
+}
+
+func (j *job) done(k *dispatch.Ticket, status int, err error) {
+	j.Budgets.Succeeded(time.Now(), j.service)
+	j.finish("request: answered", status, zap.String("target", k.Target.Name), zap.Duration("expected", k.Expected),
+		zap.Int("running", k.Running), zap.Bool("loaded", k.Arrived != nil), zap.NamedError("write", err))
+}
+
+// stream hands events on as they come, each of them whole.
+func (j *job) stream(ctx context.Context, k *dispatch.Ticket, x *outbound.Exchange) outcome {
+	reader := bufio.NewReaderSize(x, 4<<10)
+	for {
+		event, err := readEvent(reader)
+		if err == io.EOF {
+			k.Report(time.Now(), dispatch.Ended{})
+			j.open(x.Response)
+			j.done(k, j.status, nil)
+			return answered{}
+		}
+		if err != nil {
+			return j.failed(ctx, k, errors.Wrap(err, "stream"))
+		}
+		j.open(x.Response)
+		if _, err := j.w.Write(event); err != nil {
+			k.Report(time.Now(), dispatch.Left{})
+			return left{}
+		}
+		if id := eventID(event); id != "" {
+			j.last = id
+		}
+		if err := http.NewResponseController(j.w).Flush(); err != nil {
+			k.Report(time.Now(), dispatch.Left{})
+			return left{}
+		}
+	}
+}
+
+// open begins the answer of a stream with its first event.
+func (j *job) open(response *http.Response) {
+	if !j.started {
+		j.begin(response)
+		j.w.WriteHeader(response.StatusCode)
+	}
+}
+
+// readEvent reads an event with the empty line that ends it. It returns io.EOF
+// where the stream ended behind an event.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for len(event) < eventMost {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err == io.EOF && len(event) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
+			return event, nil
+		}
+	}
+	return nil, errors.New("event too large")
+}
+
+// eventID returns the id of an event, empty where it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/jacinthd/internal/direct/direct.go
@@ -0,0 +1,227 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/boottime"
+	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/settings"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/lease"
+	"jacinthstage/stage/retry"
+	"jacinthstage/stage/store"
+)
+
+const (
+	// headerTimeout is how long a caller may take to send a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that carry nothing.
+	idleTimeout = 2 * time.Minute
+	// headerMost is the largest head of a request, in bytes.
+	headerMost = 64 << 10
+	// acceptMore is how long a host that is stopping takes what still comes,
+	// while the balancer learns that it isn't ready.
+	acceptMore = 3 * time.Second
+	// stopMargin is how much sooner than its grace a stop ends.
+	stopMargin = 400 * time.Millisecond
+	// leaveMost is how long a stop waits for its lease to be given up.
+	leaveMost = 2 * time.Second
+	// sweepEvery is the time between two looks for connections to close.
+	sweepEvery = time.Second
+	// memoryShare is the part of the process's memory that the heap may use
+	// before the collector runs more often.
+	memoryShare = 0.5
+)
+
+// A Platform is what the process meets around it.
+type Platform struct {
+	Store    store.Store
+	Follower Follower
+	Headers  Headers
+	Runners  Runners
+	// ReadyPath is the path at which readiness is asked for.
+	ReadyPath string
+}
+
+// A Process is a host that serves callers.
+type Process struct {
+	settings settings.Direct
+	platform Platform
+	log      *zap.Logger
+	sink     *Sink
+	registry *prometheus.Registry
+	board    *dispatch.Board
+	pool     *outbound.Pool
+	owner    *Owner
+	handler  *Handler
+	stopping atomic.Bool
+}
+
+// New returns a process that serves as s says.
+func New(s settings.Direct, p Platform, log *zap.Logger, sink *Sink) *Process {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	meter := Metrics(registry)
+	out := &Process{settings: s, platform: p, log: log, sink: sink, registry: registry}
+	out.board = &dispatch.Board{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
+	out.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, Opened: meter.opened.Inc}
+	out.owner = &Owner{
+		Self:    host.Identity{Name: s.Name, Incarnation: incarnation(), Peer: s.Caller, Zone: s.Zone},
+		Store:   p.Store,
+		Board:   out.board,
+		Courier: &Courier{Board: out.board, Runners: p.Runners, Pool: out.pool, Meter: meter, Log: log},
+		Meter:   meter, Log: log, Fenced: s.Fenced, Turn: s.Turn,
+		Terms: lease.Terms{Term: leaseTerm, Renewal: leaseRenewal, Margin: leaseMargin},
+	}
+	out.owner.Open()
+	out.handler = &Handler{
+		Board: out.board, Headers: p.Headers, Pool: out.pool, Meter: meter, Log: log,
+		Budgets:  &retry.Budgets{Share: s.Share, Floor: float64(s.Slack) / hostsGuess},
+		Stopping: out.stopping.Load, Wake: out.owner.Wake,
+	}
+	return out
+}
+
+const (
+	leaseTerm    = 8 * time.Second
+	leaseRenewal = 2500 * time.Millisecond
+	leaseMargin  = 500 * time.Millisecond
+	// hostsGuess is the number of hosts that share the slack of retries while it isn't known.
+	hostsGuess = 12
+)
+
+// incarnation names this run of the process.
+func incarnation() string { return fmt.Sprintf("%d", time.Now().UnixNano()) }
+
+// Run serves until ctx ends, and then stops as planned.
+func (p *Process) Run(ctx context.Context) error {
+	if p.settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.settings.Memory<<20)))
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	p.log.Info("host: starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller))
+	callers := &http.Server{
+		Handler: p.callers(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
+		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	faults := make(chan error, 3)
+	if err := p.listen(life, faults, callers, p.settings.Caller); err != nil {
+		return err
+	}
+	if err := p.listen(life, faults, &http.Server{Handler: p.readiness(), ReadHeaderTimeout: headerTimeout}, p.settings.Ready); err != nil {
+		return err
+	}
+	if p.settings.Admin.IsValid() {
+		if err := p.listen(life, faults, &http.Server{Handler: p.admin(), ReadHeaderTimeout: headerTimeout}, p.settings.Admin); err != nil {
+			return err
+		}
+	}
+	go p.platform.Follower.Follow(life, p.apply)
+	go p.owner.Run(life)
+	go p.sweep(life)
+	select {
+	case err := <-faults:
+		return errors.Wrap(err, "listen")
+	case <-ctx.Done():
+	}
+	return p.stop(callers)
+}
+
+func (p *Process) listen(ctx context.Context, faults chan<- error, server *http.Server, at netip.AddrPort) error {
+	listener, err := outbound.Listen(ctx, at.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	go p.serve(server, listener, faults)
+	return nil
+}
+
+func (p *Process) serve(server *http.Server, listener net.Listener, faults chan<- error) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		faults <- err
+	}
+}
+
+func (p *Process) callers() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/*", p.handler)
+	r.MethodNotAllowed(p.handler.ServeHTTP)
+	return r
+}
+
+func (p *Process) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(p.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if p.stopping.Load() || p.board.Config() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (p *Process) admin() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	return r
+}
+
+// sweep closes connections that are no longer wanted and keeps the gauges.
+func (p *Process) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	dropped := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			wanted := make(map[netip.AddrPort]bool)
+			for _, t := range p.board.Sweep(now) {
+				wanted[t.Address] = true
+			}
+			p.pool.Sweep(func(a netip.AddrPort) bool { return wanted[a] })
+			p.handler.Meter.targets.Set(float64(len(wanted)))
+			if d := p.sink.Dropped(); d != dropped {
+				p.log.Warn("log: lines dropped", zap.Uint64("lines", d-dropped))
+				dropped = d
+			}
+		}
+	}
+}
+
+// stop ends the process as planned: not ready at once, then what still comes is
+// taken, then all requests in progress end.
+func (p *Process) stop(callers *http.Server) error {
+	begun := boottime.Now()
+	p.stopping.Store(true)
+	p.log.Info("host: stops", zap.Duration("grace", p.settings.Grace))
+	limit := p.settings.Grace - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	leaving, left := context.WithTimeout(ctx, leaveMost)
+	defer left()
+	go p.owner.Leave(leaving)
+	select {
+	case <-time.After(min(acceptMore, limit/2)):
+	case <-ctx.Done():
+	}
+	err := callers.Shutdown(ctx)
+	p.log.Info("host: stopped", zap.Duration("took", boottime.Now().Sub(begun)), zap.Error(err))
+	return nil
+}
--- /dev/null
+++ b/jacinthd/internal/direct/serve.go
@@ -0,0 +1,277 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/verdict"
+)
+
+const (
+	// sendsMost is the number of targets that one request may reach.
+	sendsMost = 6
+	// dialsMost is the number of targets that one request may fail to reach.
+	dialsMost = 4
+	// patienceTimes and patienceLeast say how long a target may take for the head
+	// of an answer that may be had elsewhere: a multiple of what was expected, and
+	// at least so long.
+	patienceTimes = 3
+	patienceLeast = 700 * time.Millisecond
+	// comeBack is when a caller may come back whose request found no room.
+	comeBack = 400 * time.Millisecond
+)
+
+// An outcome is how one try ended.
+type outcome interface{ outcome() }
+
+// answered: the caller has the whole answer, or the most of it that can be had.
+type answered struct{}
+
+// notRun: the target did not run the request.
+type notRun struct{ reason string }
+
+// broken: no whole answer came, and the request may have run.
+type broken struct{ reason string }
+
+// unreached: no connection could be opened.
+type unreached struct{ cause error }
+
+// left: the caller has gone.
+type left struct{}
+
+// late: the deadline has passed.
+type late struct{}
+
+func (answered) outcome()  {}
+func (notRun) outcome()    {}
+func (broken) outcome()    {}
+func (unreached) outcome() {}
+func (left) outcome()      {}
+func (late) outcome()      {}
+
+// serve sends the request until it is answered, or can't be.
+func (j *job) serve() {
+	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
+	defer cancel()
+	j.avoid = make(map[string]bool)
+	for {
+		choice := j.Board.Pick(time.Now(), dispatch.Want{
+			Call: j.call, Service: j.service, Size: len(j.body), Deadline: j.deadline, Avoid: j.avoid,
+		})
+		switch c := choice.(type) {
+		case dispatch.Refuse:
+			j.giveUp(c.Reason, c.After)
+			return
+		case dispatch.Send:
+			if !j.next(ctx, c.Ticket) {
+				return
+			}
+		default:
+			panic("direct: unknown choice")
+		}
+	}
+}
+
+// next makes one try. It returns true where another is to follow.
+func (j *job) next(ctx context.Context, k *dispatch.Ticket) bool {
+	if !j.await(ctx, k) {
+		return j.ended(ctx, k)
+	}
+	o := j.try(ctx, k)
+	if _, ok := o.(answered); !ok {
+		j.log.Info("request: try failed", zap.String("target", k.Target.Name), zap.String("outcome", describe(o)),
+			zap.Duration("expected", k.Expected), zap.Int("running", k.Running), zap.Duration("since", time.Since(j.arrived)))
+	}
+	switch o := o.(type) {
+	case answered:
+		return false
+	case left:
+		j.finish("request: caller left", j.status, zap.String("target", k.Target.Name))
+		return false
+	case late:
+		j.runs++
+		j.giveUp("timeout", 0)
+		return false
+	case unreached:
+		j.dials++
+		j.avoid[k.Target.Name] = true
+		return j.again(j.dials < dialsMost, false, "no connection")
+	case notRun:
+		j.sends++
+		return j.again(j.sends < sendsMost, true, o.reason)
+	case broken:
+		j.sends++
+		j.runs++
+		j.avoid[k.Target.Name] = true
+		return j.again(j.route.Repeatable() && j.runs < j.route.Attempts, true, o.reason)
+	default:
+		panic("direct: unknown outcome")
+	}
+}
+
+// again reports whether another try may follow, and gives the request up if not.
+// A try that reached a target takes from the budget of retries.
+func (j *job) again(allowed, reached bool, reason string) bool {
+	switch {
+	case !allowed:
+		j.giveUp(reason, comeBack)
+	case reached && !j.Budgets.Take(time.Now(), j.service):
+		j.giveUp(reason+", no retry left", comeBack)
+	default:
+		return true
+	}
+	return false
+}
+
+// await waits for the ticket's adapter. It returns false where the wait ended
+// without it.
+func (j *job) await(ctx context.Context, k *dispatch.Ticket) bool {
+	if k.Arrived == nil {
+		return true
+	}
+	j.Wake()
+	begun := time.Now()
+	select {
+	case <-k.Arrived:
+	case <-ctx.Done():
+		return false
+	}
+	now := time.Now()
+	j.Meter.stalled(now.Sub(begun))
+	k.Started(now)
+	return k.Ready(now)
+}
+
+// ended handles a wait that ended without the adapter.
+func (j *job) ended(ctx context.Context, k *dispatch.Ticket) bool {
+	k.Report(time.Now(), dispatch.Left{})
+	if j.r.Context().Err() != nil {
+		j.finish("request: caller left", 0, zap.String("target", k.Target.Name))
+		return false
+	}
+	if ctx.Err() != nil {
+		j.giveUp("adapter not loaded in time", comeBack)
+		return false
+	}
+	j.early++
+	if j.early >= sendsMost {
+		j.giveUp("adapter not loaded", comeBack)
+		return false
+	}
+	return true
+}
+
+// giveUp gives the final answer of a request that isn't served: one that was
+// not run says so, one that may have run promises nothing.
+func (j *job) giveUp(reason string, after time.Duration) {
+	switch {
+	case j.r.Context().Err() != nil:
+		j.finish("request: caller left", j.status, zap.String("reason", reason))
+	case j.runs == 0:
+		j.refuse(http.StatusServiceUnavailable, reason, max(after, comeBack))
+	case !time.Now().Before(j.deadline):
+		j.refuse(http.StatusGatewayTimeout, reason, 0)
+	default:
+		j.refuse(http.StatusBadGateway, reason, 0)
+	}
+}
+
+// try sends the request to one target and hands the answer on.
+func (j *job) try(ctx context.Context, k *dispatch.Ticket) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	patience := j.patience(k)
+	if patience > 0 {
+		timer := time.AfterFunc(patience, cancel)
+		defer timer.Stop()
+		return j.exchange(ctx, k, timer)
+	}
+	return j.exchange(ctx, k, nil)
+}
+
+// patience returns how long the target may take for the head of its answer; 0
+// sets no limit, as where the answer can't be had elsewhere.
+func (j *job) patience(k *dispatch.Ticket) time.Duration {
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
+		return 0
+	}
+	return max(patienceLeast, patienceTimes*k.Expected, j.route.Aim)
+}
+
+func (j *job) exchange(ctx context.Context, k *dispatch.Ticket, timer *time.Timer) outcome {
+	rest := time.Until(j.deadline)
+	send := call.Send{Target: k.Target.Name, Rank: j.route.Rank, Version: k.Version, After: j.last}
+	if j.call.Budget > 0 {
+		send.Left = rest
+	}
+	_, once := j.route.Kind.(catalog.Once)
+	x, err := j.Pool.Do(ctx, k.Target.Address, outbound.Request{
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host,
+		Header: j.Headers.Forward(j.r.Header, send), Body: j.body, Once: once || !j.route.Repeatable(),
+	}, j.mine)
+	if err != nil {
+		return j.failed(ctx, k, err)
+	}
+	defer x.Close()
+	if timer != nil && !timer.Stop() {
+		return j.failed(ctx, k, ctx.Err())
+	}
+	head := j.Headers.Answer(x.Response.StatusCode, x.Response.Header)
+	k.Report(time.Now(), dispatch.Head{Load: head.Load})
+	return j.answer(ctx, k, x, head)
+}
+
+// mine reports whether the head of an answer is for this request.
+func (j *job) mine(h http.Header) bool {
+	id := j.Headers.Answer(0, h).ID
+	return id == "" || id == j.call.ID
+}
+
+// failed returns the outcome of a try without an answer.
+func (j *job) failed(ctx context.Context, k *dispatch.Ticket, err error) outcome {
+	now := time.Now()
+	var fault *outbound.Fault
+	if errors.As(err, &fault) && fault.Verdict == verdict.NotRun && ctx.Err() == nil {
+		k.Report(now, dispatch.Broke{})
+		return unreached{cause: err}
+	}
+	switch {
+	case j.r.Context().Err() != nil:
+		k.Report(now, dispatch.Left{})
+		return left{}
+	case !now.Before(j.deadline):
+		k.Report(now, dispatch.Left{Late: true})
+		return late{}
+	case ctx.Err() != nil:
+		k.Report(now, dispatch.Left{Late: true})
+		return broken{reason: "no answer in time"}
+	default:
+		k.Report(now, dispatch.Broke{Reached: true})
+		return broken{reason: err.Error()}
+	}
+}
+
+func describe(o outcome) string {
+	switch o := o.(type) {
+	case notRun:
+		return "not run: " + o.reason
+	case broken:
+		return "broken: " + o.reason
+	case unreached:
+		return "unreached: " + o.cause.Error()
+	case left:
+		return "caller left"
+	case late:
+		return "timeout"
+	default:
+		return "answered"
+	}
+}
--- /dev/null
+++ b/jacinthd/internal/direct/sink.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// linesMost is the number of log lines that wait to be written.
+const linesMost = 4096
+
+// A Sink writes log lines without ever blocking those that log: lines that find
+// no room are dropped and counted. Open makes one.
+type Sink struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+}
+
+// Open returns a Sink that writes to w.
+func Open(w io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, linesMost), done: make(chan struct{})}
+	go s.run(w)
+	return s
+}
+
+func (s *Sink) run(w io.Writer) {
+	defer close(s.done)
+	for line := range s.lines {
+		if line == nil {
+			return
+		}
+		if _, err := w.Write(line); err != nil {
+			s.dropped.Add(1)
+		}
+	}
+}
+
+// Write implements io.Writer. It keeps a copy of line.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer. It does not wait.
+func (s *Sink) Sync() error { return nil }
+
+// Dropped returns the number of lines that were not written.
+func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
+
+// Close writes what waits and ends the Sink.
+func (s *Sink) Close() {
+	s.lines <- nil
+	<-s.done
+}
--- a/jacinthd/internal/follow/follow.go
+++ b/jacinthd/internal/follow/follow.go
@@ -21,8 +21,8 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 const (
--- a/jacinthd/internal/follow/follow_test.go
+++ b/jacinthd/internal/follow/follow_test.go
@@ -13,10 +13,10 @@
 
 	"jacinthstage/jacinthd/archive"
 	"jacinthstage/jacinthd/internal/follow"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 // everywhere is the longest that an accepted version takes to be in force.
--- a/jacinthd/internal/follow/tell_test.go
+++ b/jacinthd/internal/follow/tell_test.go
@@ -15,9 +15,9 @@
 	"jacinthstage/jacinthd/internal/follow"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/keys"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/patch"
+	"jacinthstage/stage/store"
 )
 
 func TestRing(t *testing.T) {
--- a/jacinthd/internal/plain/once.go
+++ b/jacinthd/internal/plain/once.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/answer"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/ledger"
+	"jacinthstage/stage/store"
 )
 
 // storePause is the pause between two tries at writing a call's outcome.
--- a/jacinthd/internal/plain/plain.go
+++ b/jacinthd/internal/plain/plain.go
@@ -24,9 +24,9 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/answer"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/service"
+	"jacinthstage/stage/store"
 	"jacinthstage/stage/target"
 	"jacinthstage/stage/verdict"
 )
--- a/jacinthd/internal/plain/plain_test.go
+++ b/jacinthd/internal/plain/plain_test.go
@@ -17,11 +17,11 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/internal/plain"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/ledger"
 	"jacinthstage/stage/service"
+	"jacinthstage/stage/store"
 	"jacinthstage/stage/target"
 	"jacinthstage/stage/verdict"
 )
--- a/jacinthd/internal/plain/sweep.go
+++ b/jacinthd/internal/plain/sweep.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/ledger"
+	"jacinthstage/stage/store"
 )
 
 const (
--- a/jacinthd/internal/plain/sweep_test.go
+++ b/jacinthd/internal/plain/sweep_test.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/plain"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/ledger"
+	"jacinthstage/stage/store"
 )
 
 // put writes n records with a deadline, with keys that begin with name.
--- a/jacinthd/internal/suspect/guard.go
+++ b/jacinthd/internal/suspect/guard.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/archive"
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/stage/quarantine"
+	"jacinthstage/stage/store"
 	"jacinthstage/stage/verdict"
 )
 
--- a/jacinthd/main.go
+++ b/jacinthd/main.go
@@ -14,6 +14,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&run{}, "")
+	subcommands.Register(&serve{}, "")
 	subcommands.Register(&check{}, "")
 	subcommands.Register(&version{}, "")
 	flag.Parse()
--- a/jacinthd/settings/read.go
+++ b/jacinthd/settings/read.go
@@ -33,25 +33,32 @@
 
 // Parse reads and checks the settings in text, which came from file.
 func Parse(file string, text []byte) (Settings, error) {
+	var s Settings
+	if err := parse(file, text, s.fields(filepath.Dir(file))); err != nil {
+		return Settings{}, err
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, errors.Errorf("%s: %v", file, err)
+	}
+	return s, nil
+}
+
+// parse reads the fields in text, which came from file, and stores them.
+func parse(file string, text []byte, fields []field) error {
 	options := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true}
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
-		return Settings{}, errors.Errorf("%s: %s", file, oneLine(err.Error()))
+		return errors.Errorf("%s: %s", file, oneLine(err.Error()))
 	}
-	var s Settings
-	fields := s.fields(filepath.Dir(file))
 	if err := known(parsed, fields); err != nil {
-		return Settings{}, errors.Errorf("%s: %v", file, err)
+		return errors.Errorf("%s: %v", file, err)
 	}
 	for _, f := range fields {
 		if err := f.read(parsed); err != nil {
-			return Settings{}, errors.Errorf("%s: %s.%s: %s", file, f.section, f.key, oneLine(err.Error()))
+			return errors.Errorf("%s: %s.%s: %s", file, f.section, f.key, oneLine(err.Error()))
 		}
 	}
-	if err := s.check(); err != nil {
-		return Settings{}, errors.Errorf("%s: %v", file, err)
-	}
-	return s, nil
+	return nil
 }
 
 // known refuses sections and keys that no field names, and those given twice.
--- a/jacinthd/store/memory/http.go
+++ b/jacinthd/store/memory/http.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 // Handler returns the store as docs/WIRE.md gives it, without the weight store
--- a/jacinthd/store/memory/memory.go
+++ b/jacinthd/store/memory/memory.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 const (
--- a/jacinthd/store/memory/watch.go
+++ b/jacinthd/store/memory/watch.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 // Watch implements store.Store.
--- a/jacinthd/store/remote/remote_test.go
+++ b/jacinthd/store/remote/remote_test.go
@@ -14,9 +14,9 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	"jacinthstage/jacinthd/store"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/jacinthd/store/remote"
+	"jacinthstage/stage/store"
 )
 
 // serve returns a memory store, and the same one over HTTP.
--- a/jacinthd/store/remote/watch.go
+++ b/jacinthd/store/remote/watch.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/store"
+	"jacinthstage/stage/store"
 )
 
 // A line is one event of a watch.
--- /dev/null
+++ b/stage/dispatch/dispatch.go
@@ -0,0 +1,233 @@
+// Package dispatch decides where a request goes, whether it waits for its
+// adapter, and when it is refused.
+//
+// A Board knows the targets, what this host has sent to each, what each last said
+// of its load, and which adapters each holds. Every host sends straight to any
+// target; only the owner of a runner orders adapters onto it. A request that no
+// runner with its adapter can serve soon waits for a load on a runner that this
+// host owns.
+//
+// The measure of all choices is the expected time to the first byte: distance,
+// wait for a load, prompts that are read before, the own prompt as far as it
+// isn't cached, and the wait for a place. A request that can't be answered before
+// its deadline is refused at once.
+//
+// A Board may be used by several goroutines at once. Its zero value has no
+// targets; Self and Zones tell distances.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/prefix"
+	"jacinthstage/stage/shelf"
+)
+
+// A Board is what one host knows of all targets.
+type Board struct {
+	Holder  string            // name under which this host orders runners
+	Zone    string            // of this host
+	Regions map[string]string // region of each zone
+
+	mu       sync.Mutex
+	config   *catalog.Config
+	revision uint64 // of the platform's store, as of which the targets are
+	targets  map[string]*target
+	services map[string]map[string]*target
+	newest   map[shelf.Key]release
+	transit  time.Duration // expected time of a load of an adapter
+}
+
+// A release is the newest version of an adapter, and when it was heard of.
+type release struct {
+	version int
+	heard   time.Time
+}
+
+const (
+	// vanish is how long a target that was ready stays in use after its entry
+	// went: the store loses entries while it is down and has them again soon after.
+	vanish = 1500 * time.Millisecond
+	// versionGrace is how long the former version of an adapter is still taken.
+	versionGrace = 2500 * time.Millisecond
+	// transitFirst is the expected time of a load before any was seen.
+	transitFirst = 260 * time.Millisecond
+	// cacheShare is the part of a runner's memory that holds parts of prompts.
+	cacheShare = 0.6
+)
+
+// A target is one target with what this host knows of it.
+type target struct {
+	catalog.Target
+	gone     time.Time // no longer used from then on; zero while it is listed
+	open     int       // requests of this host in progress
+	prefill  int       // tokens of them that are still to be read
+	heard    call.Load // what the target said last
+	at       time.Time // when
+	opened   int       // what open was then
+	memory   prefix.Memory
+	shelf    *shelf.Shelf // where this host owns it
+	absent   map[shelf.Key]time.Time
+	present  map[shelf.Key]time.Time
+	faults   int       // failures in a row
+	shunned  time.Time // not used before, but for one trial
+	trial    bool
+	pace     float64 // how much slower than expected it is
+	failures float64 // aged share of failed answers
+}
+
+// Apply takes in what a follower of the platform told.
+func (b *Board) Apply(now time.Time, event catalog.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch e := event.(type) {
+	case catalog.Configured:
+		b.configure(e.Config)
+	case catalog.Listed:
+		b.list(now, e.Targets)
+		b.revision = max(b.revision, e.Revision)
+	case catalog.Batch:
+		b.changes(now, e.Changes)
+		b.revision = max(b.revision, e.Revision)
+	case catalog.Versioned:
+		b.release(now, e)
+	default:
+		panic("dispatch: unknown event")
+	}
+}
+
+func (b *Board) configure(c *catalog.Config) {
+	if b.config == nil || c.Version > b.config.Version {
+		b.config = c
+	}
+}
+
+// Config returns the newest configuration, nil before the first.
+func (b *Board) Config() *catalog.Config {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config
+}
+
+func (b *Board) list(now time.Time, all []catalog.Target) {
+	listed := make(map[string]bool, len(all))
+	for _, t := range all {
+		listed[t.Name] = true
+		b.change(t)
+	}
+	for name := range b.targets {
+		if !listed[name] {
+			b.remove(now, name)
+		}
+	}
+}
+
+func (b *Board) changes(now time.Time, all []catalog.Change) {
+	for _, c := range all {
+		switch c := c.(type) {
+		case catalog.Changed:
+			b.change(c.Target)
+		case catalog.Removed:
+			b.remove(now, c.Name)
+		default:
+			panic("dispatch: unknown change")
+		}
+	}
+}
+
+func (b *Board) change(t catalog.Target) {
+	if b.targets == nil {
+		b.targets = make(map[string]*target)
+		b.services = make(map[string]map[string]*target)
+	}
+	old := b.targets[t.Name]
+	if old != nil && (!old.Same(t) || old.Service != t.Service) {
+		b.drop(old)
+		old = nil
+	}
+	if old == nil {
+		old = &target{memory: prefix.Memory{Limit: b.cacheLimit(t.Service)}, pace: 1}
+		b.targets[t.Name] = old
+		if b.services[t.Service] == nil {
+			b.services[t.Service] = make(map[string]*target)
+		}
+		b.services[t.Service][t.Name] = old
+	}
+	old.Target = t
+	old.gone = time.Time{}
+}
+
+func (b *Board) cacheLimit(service string) int {
+	if b.config == nil || b.config.Services[service].Engine == nil {
+		return 0
+	}
+	return int(cacheShare * float64(b.config.Services[service].Engine.CacheLimit))
+}
+
+func (b *Board) remove(now time.Time, name string) {
+	t := b.targets[name]
+	switch {
+	case t == nil:
+	case t.State == catalog.Draining:
+		b.drop(t)
+	case t.gone.IsZero():
+		t.gone = now.Add(vanish)
+	}
+}
+
+func (b *Board) drop(t *target) {
+	if t.shelf != nil {
+		t.shelf.End()
+	}
+	delete(b.targets, t.Name)
+	delete(b.services[t.Service], t.Name)
+}
+
+func (b *Board) release(now time.Time, v catalog.Versioned) {
+	if b.newest == nil {
+		b.newest = make(map[shelf.Key]release)
+	}
+	k := shelf.Key{Model: v.Model, Adapter: v.Adapter}
+	if v.Version <= b.newest[k].version {
+		return
+	}
+	b.newest[k] = release{version: v.Version, heard: now}
+	for _, t := range b.targets {
+		if t.shelf != nil {
+			t.shelf.Newest(k, v.Version)
+		}
+	}
+}
+
+// Sweep drops the targets whose time is over. It returns the addresses in use.
+func (b *Board) Sweep(now time.Time) []catalog.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []catalog.Target
+	for _, t := range b.targets {
+		if !t.gone.IsZero() && now.After(t.gone) {
+			b.drop(t)
+			continue
+		}
+		all = append(all, t.Target)
+	}
+	return all
+}
+
+// region returns the region of a zone.
+func (b *Board) region(zone string) string { return b.Regions[zone] }
+
+// transitTime returns the expected time of a load of an adapter.
+func (b *Board) transitTime() time.Duration {
+	if b.transit == 0 {
+		return transitFirst
+	}
+	return b.transit
+}
+
+// spread returns d with a random part, so that callers don't come back at once.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- /dev/null
+++ b/stage/dispatch/own.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/shelf"
+)
+
+// Own says that this host orders a runner from a moment on, under a fencing number.
+func (b *Board) Own(name string, fence uint64, from time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[name]
+	if t == nil || t.shelf != nil && t.shelf.Fence == fence && !t.shelf.Lost() {
+		return
+	}
+	b.disown(t)
+	t.shelf = &shelf.Shelf{
+		Target: name, Holder: b.Holder, Fence: fence, Slots: b.slots(t.Service), From: from,
+		Transit: b.transitTime(),
+	}
+	for k, r := range b.newest {
+		t.shelf.Newest(k, r.version)
+	}
+}
+
+// Disown says that this host orders a runner no longer.
+func (b *Board) Disown(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[name]; t != nil {
+		b.disown(t)
+	}
+}
+
+func (b *Board) disown(t *target) {
+	if t.shelf != nil {
+		t.shelf.End()
+		t.shelf = nil
+	}
+}
+
+func (b *Board) slots(service string) int {
+	if b.config == nil || b.config.Services[service].Engine == nil {
+		return 0
+	}
+	return b.config.Services[service].Engine.Slots
+}
+
+// An Errand is what a shelf wants done at its runner.
+type Errand struct {
+	Target catalog.Target
+	Action shelf.Action
+}
+
+// Errands returns what is to be done at the runners that this host owns, and
+// when to ask again.
+func (b *Board) Errands(now time.Time) ([]Errand, time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Errand
+	next := now.Add(time.Second)
+	for _, t := range b.targets {
+		if t.shelf == nil || t.State != catalog.Ready {
+			continue
+		}
+		action, again := t.shelf.Next(now)
+		if action != nil {
+			out = append(out, Errand{Target: t.Target, Action: action})
+		}
+		if again.Before(next) {
+			next = again
+		}
+	}
+	return out, next
+}
+
+// Replied takes a runner's reply to an order.
+func (b *Board) Replied(now time.Time, name string, reply call.Reply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[name]; t != nil && t.shelf != nil {
+		t.shelf.Replied(now, reply)
+	}
+}
+
+// Reported takes a runner's report, nil where none came.
+func (b *Board) Reported(now time.Time, name string, r *call.Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[name]
+	switch {
+	case t == nil || t.shelf == nil:
+	case r == nil:
+		t.shelf.Unreported(now)
+	default:
+		t.shelf.Reported(now, *r)
+	}
+}
+
+// Runners returns the targets of services that run models, and the revision of
+// the platform's store as of which they are.
+func (b *Board) Runners(now time.Time) ([]catalog.Target, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.config == nil {
+		return nil, 0
+	}
+	var out []catalog.Target
+	for _, t := range b.targets {
+		listed := t.gone.IsZero() || now.Before(t.gone)
+		if b.config.Services[t.Service].Engine != nil && t.State == catalog.Ready && listed {
+			out = append(out, t.Target)
+		}
+	}
+	return out, b.revision
+}
--- /dev/null
+++ b/stage/dispatch/ticket.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"time"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/shelf"
+)
+
+const (
+	// shunFirst is how long a target is not used after it failed; it doubles with
+	// each further failure in a row up to shunMost.
+	shunFirst = 500 * time.Millisecond
+	shunMost  = 4 * time.Second
+	// earlyPause is how long a request waits that came before its adapter.
+	earlyPause = 70 * time.Millisecond
+	// failureWeight is the weight of the newest answer in a target's share of failures.
+	failureWeight = 0.1
+	// paceWeight is the weight of the newest answer in a target's pace.
+	paceWeight = 0.15
+	paceMost   = 8.0
+)
+
+// A Result is how a request on a target ended, or how far it came.
+type Result interface{ result() }
+
+// Head says that the target's answer began.
+type Head struct{ Load call.Load }
+
+// Ended says that the target has answered to the end.
+type Ended struct{ Failed bool }
+
+// Missing says that the target refused the request without running it, as it
+// does where the adapter isn't there or its queue is full.
+type Missing struct{ Full bool }
+
+// Broke says that no whole answer came. Reached says that the target's process
+// had taken the connection.
+type Broke struct{ Reached bool }
+
+// Left says that the caller has left, or the time was over.
+type Left struct{ Late bool }
+
+func (Head) result()    {}
+func (Ended) result()   {}
+func (Missing) result() {}
+func (Broke) result()   {}
+func (Left) result()    {}
+
+// Ready reports whether the adapter that a ticket waited for is there.
+func (k *Ticket) Ready(now time.Time) bool {
+	b := k.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k.target.shelf == nil {
+		return false
+	}
+	k.target.shelf.Next(now)
+	state, _, _ := k.target.shelf.Lookup(k.want.key())
+	return state == shelf.Resident
+}
+
+// Started restarts the clock of a ticket that has waited for its adapter.
+func (k *Ticket) Started(now time.Time) { k.sent = now }
+
+// Report takes in how the request goes on. After any result but Head the ticket
+// is done with.
+func (k *Ticket) Report(now time.Time, r Result) {
+	b := k.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k.done {
+		return
+	}
+	t := k.target
+	switch r := r.(type) {
+	case Head:
+		t.hear(now, r.Load)
+		k.read(now)
+		return
+	case Ended:
+		t.succeeded(r.Failed)
+	case Missing:
+		k.missing(now, r)
+	case Broke:
+		t.failed(now)
+		if !r.Reached {
+			t.failed(now)
+		}
+	case Left:
+		if r.Late {
+			t.failed(now)
+		}
+	}
+	k.end()
+}
+
+// read notes that the prompt was read, and learns the target's pace.
+func (k *Ticket) read(now time.Time) {
+	t := k.target
+	t.prefill -= k.tokens
+	k.tokens = 0
+	if k.want.engine() && k.Arrived == nil {
+		ratio := float64(now.Sub(k.sent)) / float64(max(k.Expected, stepTime))
+		ratio = min(max(ratio, 1/paceMost), paceMost)
+		t.pace = max(0.7, (1-paceWeight)*t.pace+paceWeight*ratio*t.pace)
+		t.pace = min(t.pace, paceMost)
+	}
+}
+
+func (k *Ticket) end() {
+	t := k.target
+	k.done = true
+	t.open--
+	t.prefill -= k.tokens
+	k.tokens = 0
+	t.trial = false
+	if t.shelf != nil {
+		t.shelf.Unuse(k.want.key())
+	}
+}
+
+func (k *Ticket) missing(now time.Time, m Missing) {
+	t := k.target
+	if m.Full || !k.want.engine() {
+		t.heard = call.Load{Known: true, Running: t.Slots, Waiting: t.Slots, Slots: t.Slots}
+		t.at, t.opened = now, t.open
+		return
+	}
+	key := k.want.key()
+	if t.shelf != nil {
+		t.shelf.Missed(now, key, earlyPause)
+		return
+	}
+	if t.absent == nil {
+		t.absent = make(map[shelf.Key]time.Time)
+	}
+	t.absent[key] = now
+}
+
+func (t *target) succeeded(failed bool) {
+	t.faults = 0
+	t.shunned = time.Time{}
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	t.failures = (1-failureWeight)*t.failures + failureWeight*share
+}
+
+// failed shuns the target for a time that grows with each failure in a row.
+func (t *target) failed(now time.Time) {
+	t.faults++
+	t.failures = (1-failureWeight)*t.failures + failureWeight
+	pause := min(shunFirst<<min(t.faults-1, 4), shunMost)
+	t.shunned = now.Add(pause)
+}
--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -1,5 +1,5 @@
 // Package retry limits retries by a budget for each service, a fraction of the
-// service's recent successes. So when a service fails as a whole, retries add
+// service's recent requests. So when a service fails as a whole, retries add
 // little to its load, however many requests fail.
 //
 // Whether a request may be sent again at all is for those that send it: what
@@ -13,15 +13,20 @@
 	"time"
 )
 
+// The limits that hold where a Budgets sets none.
 const (
-	share = 0.1 // retries for each success in the window
-	floor = 10  // retries in the window that need no successes
-	span  = 10  // seconds in the window
+	DefaultShare = 0.1
+	DefaultFloor = 10
 )
 
+const span = 10 // seconds in the window
+
 // Budgets are the budgets of all services. The zero value is ready for use, by
 // several goroutines at once.
 type Budgets struct {
+	Share float64 // retries for each success in the window
+	Floor float64 // retries in the window that need no successes
+
 	mu       sync.Mutex
 	services map[string]*window
 }
@@ -46,7 +51,7 @@
 }
 
 // room reports whether the budget has room for one more retry.
-func (w *window) room(now time.Time) bool {
+func (w *window) room(now time.Time, floor, share float64) bool {
 	successes, retries := 0, 0
 	for _, s := range w.seconds {
 		if s.unix > now.Unix()-span && s.unix <= now.Unix() {
@@ -57,6 +62,13 @@
 	return float64(retries) < floor+share*float64(successes)
 }
 
+func (b *Budgets) limits() (floor, share float64) {
+	if b.Floor == 0 && b.Share == 0 {
+		return DefaultFloor, DefaultShare
+	}
+	return b.Floor, b.Share
+}
+
 func (b *Budgets) window(service string) *window {
 	if b.services == nil {
 		b.services = map[string]*window{}
@@ -79,7 +91,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	if !w.room(now) {
+	floor, share := b.limits()
+	if !w.room(now, floor, share) {
 		return false
 	}
 	w.at(now).retries++
--- /dev/null
+++ b/stage/shelf/shelf.go
@@ -0,0 +1,531 @@
+// Package shelf decides what one runner holds: which adapters are loaded onto it,
+// in which order, and which make way.
+//
+// A Shelf belongs to the one host that may order the runner. It sends one order
+// at a time and puts into each the number of orders that the runner has accepted
+// so far. An order that got no answer may take effect seconds later; the number
+// makes it fail once a later order was accepted, and until then the place that it
+// may take stays reserved. Where the count is in doubt, a report settles it.
+//
+// Only an adapter that no request of this host uses makes way. The runner itself
+// lets the requests of other hosts end before it drops an adapter.
+package shelf
+
+import (
+	"time"
+
+	"jacinthstage/stage/call"
+)
+
+const (
+	// transitMost is the number of adapters that may be on their way to a runner.
+	transitMost = 4
+	// reportLag is how much older than its answer a report may be.
+	reportLag = 300 * time.Millisecond
+	// retryPause is the time before an order that was refused is tried again.
+	retryPause = 150 * time.Millisecond
+	// leavePause is the time between two looks whether an adapter has left.
+	leavePause = 400 * time.Millisecond
+	// lateMost is how long after its sending an order without an answer may take effect.
+	lateMost = 13 * time.Second
+	// answerMost is how long an order waits for its answer.
+	answerMost = 2 * time.Second
+	// halfLife is the time in which the weight of past use halves.
+	halfLife = 10 * time.Second
+	// wishMost is how long a wish waits for an order.
+	wishMost = 4 * time.Second
+)
+
+// A Key names an adapter of a model, or the model itself where Adapter is empty.
+type Key struct{ Model, Adapter string }
+
+// A State says where an adapter stands on a runner.
+type State uint8
+
+// The states of an adapter. One that the shelf does not know is Absent.
+const (
+	Absent State = iota
+	Wished
+	Coming
+	Resident
+	Leaving
+)
+
+// An entry is one adapter.
+type entry struct {
+	state   State
+	version int
+	due     time.Time // when a Coming adapter is expected, a Leaving one looked for, a Wished one given up
+	ordered time.Time // when it was ordered to come
+	open    int       // requests of this host that use it
+	used    time.Time
+	uses    float64 // aged number of uses
+	doubt   time.Time
+	arrived chan struct{} // closed when the wait ends
+}
+
+// An Action is what a Shelf asks for: an Ask or a Give.
+type Action interface{ action() }
+
+// Ask asks for the runner's report.
+type Ask struct{}
+
+// Give asks to send an order.
+type Give struct{ Order call.Order }
+
+func (Ask) action()  {}
+func (Give) action() {}
+
+// A Shelf is one runner's adapters. Target, Holder, Fence and Slots must be set.
+type Shelf struct {
+	Target string
+	Holder string
+	Fence  uint64
+	Slots  int
+	// From is the first moment at which an order may go out.
+	From time.Time
+	// Transit is the expected time of a load.
+	Transit time.Duration
+
+	entries map[Key]*entry
+	wishes  []Key
+	models  map[string]bool
+	synced  bool
+	orders  uint64
+	flight  call.Order
+	sent    time.Time // when flight was sent; zero where none is
+	asked   time.Time // when the report was asked for; zero where none is
+	quiet   time.Time // nothing goes out before
+	last    time.Time // when the last order was sent
+	lost    bool      // another holder took the runner
+	newest  map[Key]int
+}
+
+// Lost reports whether another holder was seen to order the runner.
+func (s *Shelf) Lost() bool { return s.lost }
+
+// Synced reports whether the runner's content is known.
+func (s *Shelf) Synced() bool { return s.synced && !s.lost }
+
+// Lookup returns the state of an adapter, its version, and when a Coming one is expected.
+func (s *Shelf) Lookup(k Key) (State, int, time.Time) {
+	e := s.entries[k]
+	if e == nil {
+		return Absent, 0, time.Time{}
+	}
+	return e.state, e.version, e.due
+}
+
+// Holds reports whether the runner holds a model.
+func (s *Shelf) Holds(model string) bool { return s.models[model] }
+
+// Backlog returns how many adapters wait for an order, and whether one that came
+// now would find a place.
+func (s *Shelf) Backlog(now time.Time) (waiting int, room bool) {
+	return len(s.wishes), s.Synced() && !now.Before(s.From) && s.spare() > len(s.wishes)
+}
+
+// spare returns the places that are free or held by adapters that nobody uses.
+func (s *Shelf) spare() int {
+	n := s.Slots
+	for k, e := range s.entries {
+		if k.Adapter != "" && s.takes(e) && !(e.state == Resident && e.open == 0) {
+			n--
+		}
+	}
+	return n
+}
+
+// takes reports whether an adapter takes a place on the runner, or may do so.
+func (s *Shelf) takes(e *entry) bool {
+	return e.state == Coming || e.state == Resident || e.state == Leaving || !e.doubt.IsZero()
+}
+
+// Wish asks for an adapter. The channel is closed once it is expected to be
+// there, or the wait for it ended.
+func (s *Shelf) Wish(now time.Time, k Key) <-chan struct{} {
+	e := s.entry(k)
+	if e.arrived == nil {
+		e.arrived = make(chan struct{})
+	}
+	if e.state == Absent {
+		e.state = Wished
+		e.due = now.Add(wishMost)
+		s.wishes = append(s.wishes, k)
+	}
+	if e.state == Resident {
+		e.settle()
+	}
+	return e.arrived
+}
+
+// settle ends the wait for an adapter.
+func (e *entry) settle() {
+	if e.arrived != nil {
+		select {
+		case <-e.arrived:
+		default:
+			close(e.arrived)
+		}
+		e.arrived = nil
+	}
+}
+
+func (s *Shelf) entry(k Key) *entry {
+	if s.entries == nil {
+		s.entries = make(map[Key]*entry)
+	}
+	e := s.entries[k]
+	if e == nil {
+		e = &entry{}
+		s.entries[k] = e
+	}
+	return e
+}
+
+// Use notes a request that uses an adapter; Unuse ends it.
+func (s *Shelf) Use(now time.Time, k Key) {
+	e := s.entry(k)
+	e.uses = 1 + e.weight(now)
+	e.used = now
+	e.open++
+}
+
+// Unuse notes that a request that used an adapter has ended.
+func (s *Shelf) Unuse(k Key) {
+	if e := s.entries[k]; e != nil && e.open > 0 {
+		e.open--
+	}
+}
+
+// weight returns the aged number of uses.
+func (e *entry) weight(now time.Time) float64 {
+	age := now.Sub(e.used).Seconds() / halfLife.Seconds()
+	return e.uses / (1 + age*age + age)
+}
+
+// Newest says that a version of an adapter is the newest.
+func (s *Shelf) Newest(k Key, version int) {
+	if s.newest == nil {
+		s.newest = make(map[Key]int)
+	}
+	s.newest[k] = max(s.newest[k], version)
+}
+
+// Missed notes that the runner refused a request for an adapter. One that is on
+// its way is expected later; one that was thought to be there is looked for.
+func (s *Shelf) Missed(now time.Time, k Key, again time.Duration) {
+	e := s.entries[k]
+	if e == nil {
+		return
+	}
+	switch {
+	case e.state == Resident && now.Sub(e.ordered) < lateMost/4:
+		e.state = Coming
+		e.due = now.Add(again)
+	case e.state == Resident:
+		s.synced = false
+	}
+}
+
+// Next returns what to do now, nil if nothing, and when to ask again.
+func (s *Shelf) Next(now time.Time) (Action, time.Time) {
+	again := now.Add(time.Second)
+	s.expire(now)
+	switch {
+	case s.lost:
+		return nil, again
+	case now.Before(s.From):
+		return nil, s.From
+	case !s.sent.IsZero() || !s.asked.IsZero():
+		return nil, s.arrivals(again)
+	case now.Before(s.quiet):
+		return nil, s.arrivals(s.quiet)
+	case !s.synced:
+		s.asked = now
+		return Ask{}, again
+	}
+	if o, ok := s.order(now); ok {
+		o.Target, o.Holder, o.Fence, o.Orders = s.Target, s.Holder, s.Fence, s.orders
+		s.flight = o
+		s.sent = now
+		s.last = now
+		return Give{Order: o}, again
+	}
+	return nil, s.arrivals(again)
+}
+
+// arrivals returns the earliest moment at which an adapter is expected.
+func (s *Shelf) arrivals(latest time.Time) time.Time {
+	for _, e := range s.entries {
+		if (e.state == Coming || e.state == Leaving) && e.due.Before(latest) {
+			latest = e.due
+		}
+	}
+	return latest
+}
+
+// expire takes in what time alone has changed.
+func (s *Shelf) expire(now time.Time) {
+	if !s.sent.IsZero() && now.Sub(s.sent) > answerMost {
+		s.Replied(now, call.Unanswered)
+	}
+	if !s.asked.IsZero() && now.Sub(s.asked) > answerMost {
+		s.Unreported(now)
+	}
+	for k, e := range s.entries {
+		s.expireOne(now, k, e)
+	}
+}
+
+func (s *Shelf) expireOne(now time.Time, k Key, e *entry) {
+	if !e.doubt.IsZero() && now.After(e.doubt) {
+		e.doubt = time.Time{}
+	}
+	if e.state == Resident && e.arrived != nil {
+		e.settle()
+	}
+	switch {
+	case now.Before(e.due):
+	case e.state == Coming:
+		e.state = Resident
+		e.settle()
+	case e.state == Leaving:
+		s.synced = false
+		e.due = now.Add(leavePause)
+	case e.state == Wished:
+		s.forget(k, e)
+	}
+}
+
+// forget drops a wish, or an adapter that isn't on the runner.
+func (s *Shelf) forget(k Key, e *entry) {
+	e.settle()
+	e.state = Absent
+	for i, w := range s.wishes {
+		if w == k {
+			s.wishes = append(s.wishes[:i], s.wishes[i+1:]...)
+			break
+		}
+	}
+}
+
+// order returns the next order.
+func (s *Shelf) order(now time.Time) (call.Order, bool) {
+	transit := 0
+	for _, e := range s.entries {
+		if e.state == Coming {
+			transit++
+		}
+	}
+	if transit >= transitMost {
+		return call.Order{}, false
+	}
+	if o, ok := s.replacement(); ok {
+		return o, true
+	}
+	if len(s.wishes) == 0 {
+		return call.Order{}, false
+	}
+	k := s.wishes[0]
+	if k.Adapter == "" || s.taken() < s.Slots {
+		return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: s.newest[k]}, true
+	}
+	if victim, ok := s.victim(now); ok {
+		return call.Order{Kind: call.Drop, Model: victim.Model, Adapter: victim.Adapter}, true
+	}
+	return call.Order{}, false
+}
+
+// replacement returns the order that brings a resident adapter to its newest version.
+func (s *Shelf) replacement() (call.Order, bool) {
+	for k, version := range s.newest {
+		e := s.entries[k]
+		if e != nil && e.state == Resident && e.version < version {
+			return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: version}, true
+		}
+	}
+	return call.Order{}, false
+}
+
+func (s *Shelf) taken() int {
+	n := 0
+	for k, e := range s.entries {
+		if k.Adapter != "" && s.takes(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// victim returns the adapter that makes way: the one of least weight that no
+// request of this host uses, if none is leaving already.
+func (s *Shelf) victim(now time.Time) (Key, bool) {
+	var best Key
+	found := false
+	least := 0.0
+	for k, e := range s.entries {
+		if e.state == Leaving {
+			return Key{}, false
+		}
+		if k.Adapter == "" || e.state != Resident || e.open > 0 {
+			continue
+		}
+		if w := e.weight(now); !found || w < least || w == least && k.Adapter < best.Adapter {
+			best, found, least = k, true, w
+		}
+	}
+	return best, found
+}
+
+// Replied takes the runner's reply to the order that was sent last.
+func (s *Shelf) Replied(now time.Time, reply call.Reply) {
+	if s.sent.IsZero() {
+		return
+	}
+	s.sent = time.Time{}
+	k := Key{Model: s.flight.Model, Adapter: s.flight.Adapter}
+	e := s.entry(k)
+	switch reply {
+	case call.Accepted, call.Holds:
+		s.accepted(now, k, e, reply)
+	case call.Fenced:
+		s.lost = true
+		s.giveUp()
+	case call.Unanswered:
+		if s.flight.Kind == call.Fetch {
+			e.doubt = now.Add(lateMost)
+		}
+		s.resync(now)
+	default:
+		s.resync(now)
+	}
+}
+
+// resync asks for a report once it is sure to be newer than the last order.
+func (s *Shelf) resync(now time.Time) {
+	s.synced = false
+	s.quiet = later(now.Add(retryPause), s.last.Add(reportLag))
+}
+
+func (s *Shelf) accepted(now time.Time, k Key, e *entry, reply call.Reply) {
+	s.orders++
+	for _, other := range s.entries {
+		other.doubt = time.Time{}
+	}
+	if s.flight.Kind == call.Drop {
+		if reply == call.Holds {
+			e.state = Absent
+			return
+		}
+		e.state = Leaving
+		e.due = now.Add(leavePause)
+		return
+	}
+	s.unwish(k)
+	e.version = max(s.flight.Version, 1)
+	e.ordered = now
+	if reply == call.Holds {
+		s.orders--
+		e.state = Resident
+		e.settle()
+		return
+	}
+	e.state = Coming
+	e.due = now.Add(s.Transit)
+}
+
+func (s *Shelf) unwish(k Key) {
+	for i, w := range s.wishes {
+		if w == k {
+			s.wishes = append(s.wishes[:i], s.wishes[i+1:]...)
+			return
+		}
+	}
+}
+
+// giveUp ends all waits.
+func (s *Shelf) giveUp() {
+	for k, e := range s.entries {
+		if e.state == Wished {
+			s.forget(k, e)
+			continue
+		}
+		e.settle()
+	}
+}
+
+// Unreported notes that a report did not come.
+func (s *Shelf) Unreported(now time.Time) {
+	s.asked = time.Time{}
+	s.quiet = now.Add(reportLag)
+}
+
+// Reported takes the runner's report in.
+func (s *Shelf) Reported(now time.Time, r call.Report) {
+	if s.asked.IsZero() {
+		return
+	}
+	s.asked = time.Time{}
+	if r.Orders < s.orders && s.last.Add(lateMost).After(now) {
+		s.quiet = now.Add(retryPause)
+		return
+	}
+	s.orders = r.Orders
+	s.synced = true
+	s.models = make(map[string]bool)
+	there := make(map[Key]bool)
+	for _, m := range r.Models {
+		s.models[m.Model] = true
+		for _, a := range m.Adapters {
+			k := Key{Model: m.Model, Adapter: a.Name}
+			there[k] = true
+			s.found(k, a.Version)
+		}
+	}
+	for _, a := range r.Coming {
+		k := Key{Model: a.Model, Adapter: a.Name}
+		there[k] = true
+		if e := s.entry(k); e.state != Coming {
+			s.unwish(k)
+			e.state = Coming
+			e.version = a.Version
+			e.ordered = now
+			e.due = now.Add(s.Transit)
+		}
+	}
+	for k, e := range s.entries {
+		if !there[k] && e.state != Wished && k.Adapter != "" {
+			e.settle()
+			e.state = Absent
+		}
+		if e.state == Absent && e.open == 0 && e.doubt.IsZero() && now.Sub(e.used) > 2*halfLife {
+			delete(s.entries, k)
+		}
+	}
+}
+
+// found notes an adapter that a report shows as resident.
+func (s *Shelf) found(k Key, version int) {
+	e := s.entry(k)
+	s.unwish(k)
+	if e.state == Leaving {
+		return
+	}
+	e.state = Resident
+	e.version = version
+	e.settle()
+}
+
+// End ends all waits, as the host gives the runner up.
+func (s *Shelf) End() {
+	s.lost = true
+	s.giveUp()
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
