dispatch, shelf, direct: homes for adapters, wishes to the owners of runners

Ruled out: the runner's count of orders grows with a repeated order of a load in progress (it doesn't; counting it made every shelf resync).

--- a/jacinthd/direct.go
+++ b/jacinthd/direct.go
@@ -36,7 +36,9 @@
 func (*serve) Name() string { return "serve" }
 
 // Synopsis implements subcommands.Command.
-func (*serve) Synopsis() string { return "serve on the platform, straight to targets, until a planned stop" }
+func (*serve) Synopsis() string {
+	return "serve on the platform, straight to targets, until a planned stop"
+}
 
 // Usage implements subcommands.Command.
 func (*serve) Usage() string {
@@ -57,6 +59,10 @@
 	}
 	sink := direct.Open(os.Stdout)
 	defer sink.Close()
+	// quic-go warns on standard error of the size of receive buffers otherwise.
+	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
 	level := zap.NewAtomicLevelAt(d.Level)
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeDuration = zapcore.MillisDurationEncoder
@@ -70,9 +76,13 @@
 		IdleConnTimeout: storeIdle, DisableCompression: true,
 	}
 	client := platform.New(d.Store, transport, log)
-	p := direct.New(d, direct.Platform{
+	p, err := direct.New(d, direct.Platform{
 		Store: client, Follower: client, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
 	}, log, sink)
+	if err != nil {
+		log.Error("host: not started", zap.Error(err))
+		return subcommands.ExitFailure
+	}
 	if err := p.Run(ctx); err != nil {
 		log.Error("host: ended", zap.Error(err))
 		return subcommands.ExitFailure
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -19,6 +19,7 @@
 
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
@@ -41,6 +42,8 @@
 	stopMargin = 400 * time.Millisecond
 	// leaveMost is how long a stop waits for its lease to be given up.
 	leaveMost = 2 * time.Second
+	// linkSilence is how long a peer may be silent before its connection ends.
+	linkSilence = 1500 * time.Millisecond
 	// sweepEvery is the time between two looks for connections to close.
 	sweepEvery = time.Second
 	// memoryShare is the part of the process's memory that the heap may use
@@ -68,20 +71,30 @@
 	board    *dispatch.Board
 	pool     *outbound.Pool
 	owner    *Owner
+	peers    *Peers
 	handler  *Handler
 	stopping atomic.Bool
 }
 
 // New returns a process that serves as s says.
-func New(s settings.Direct, p Platform, log *zap.Logger, sink *Sink) *Process {
+func New(s settings.Direct, p Platform, log *zap.Logger, sink *Sink) (*Process, error) {
+	identity, err := peer.Ephemeral(s.Name)
+	if err != nil {
+		return nil, err
+	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	meter := Metrics(registry)
 	out := &Process{settings: s, platform: p, log: log, sink: sink, registry: registry}
 	out.board = &dispatch.Board{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	out.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, Opened: meter.opened.Inc}
+	out.peers = &Peers{
+		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Board: out.board, Log: log,
+		Link: &peer.Link{Identity: identity, Silence: linkSilence, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
+	}
 	out.owner = &Owner{
-		Self:    host.Identity{Name: s.Name, Incarnation: incarnation(), Peer: s.Caller, Zone: s.Zone},
+		Peers:   out.peers,
+		Self:    host.Identity{Name: s.Name, Incarnation: incarnation(), Peer: s.Peer, Zone: s.Zone},
 		Store:   p.Store,
 		Board:   out.board,
 		Courier: &Courier{Board: out.board, Runners: p.Runners, Pool: out.pool, Meter: meter, Log: log},
@@ -89,12 +102,14 @@
 		Terms: lease.Terms{Term: leaseTerm, Renewal: leaseRenewal, Margin: leaseMargin},
 	}
 	out.owner.Open()
+	out.peers.Wake = out.owner.Wake
 	out.handler = &Handler{
+		Peers: out.peers,
 		Board: out.board, Headers: p.Headers, Pool: out.pool, Meter: meter, Log: log,
 		Budgets:  &retry.Budgets{Share: s.Share, Floor: float64(s.Slack) / hostsGuess},
 		Stopping: out.stopping.Load, Wake: out.owner.Wake,
 	}
-	return out
+	return out, nil
 }
 
 const (
@@ -132,6 +147,9 @@
 			return err
 		}
 	}
+	if err := p.link(life, faults); err != nil {
+		return err
+	}
 	go p.platform.Follower.Follow(life, p.apply)
 	go p.owner.Run(life)
 	go p.sweep(life)
@@ -143,6 +161,22 @@
 	return p.stop(callers)
 }
 
+// link opens the link between hosts.
+func (p *Process) link(ctx context.Context, faults chan<- error) error {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.settings.Peer))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	p.peers.Link.Conn = socket
+	go func() {
+		if err := p.peers.Serve(ctx); err != nil {
+			faults <- err
+		}
+	}()
+	go p.peers.Tell(ctx)
+	return nil
+}
+
 func (p *Process) listen(ctx context.Context, faults chan<- error, server *http.Server, at netip.AddrPort) error {
 	listener, err := outbound.Listen(ctx, at.String())
 	if err != nil {
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -35,6 +35,7 @@
 	Board   *dispatch.Board
 	Headers Headers
 	Pool    *outbound.Pool
+	Peers   *Peers
 	Budgets *retry.Budgets
 	Meter   *Meter
 	Log     *zap.Logger
--- /dev/null
+++ b/jacinthd/internal/direct/link.go
@@ -0,0 +1,165 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/shelf"
+	"jacinthstage/stage/verdict"
+)
+
+const (
+	// digestEvery is the time between two digests to one host of the same region.
+	digestEvery = 250 * time.Millisecond
+	// farTimes is how many times rarer they go to hosts of other regions.
+	farTimes = 4
+	// digestFan is the number of hosts of the same region that get one digest.
+	digestFan = 12
+	// farFan is the number of hosts of other regions that get one.
+	farFan = 6
+	// digestTimeout limits the sending of one digest.
+	digestTimeout = time.Second
+	// wishTimeout is how long a wish waits for its adapter at the owner.
+	wishTimeout = 2 * time.Second
+)
+
+// Peers talks with other hosts. Its fields must be set.
+type Peers struct {
+	Self    string
+	Zone    string
+	Regions map[string]string // region of each zone
+	Link    *peer.Link
+	Board   *dispatch.Board
+	Wake    func()
+	Log     *zap.Logger
+
+	members atomic.Pointer[[]host.Identity]
+}
+
+// Members takes in which hosts there are.
+func (p *Peers) Members(all []host.Identity) { p.members.Store(&all) }
+
+// Serve answers other hosts until ctx ends.
+func (p *Peers) Serve(ctx context.Context) error {
+	return p.Link.Serve(ctx, func(ctx context.Context, _ string, first peer.Message, stream *peer.Stream) {
+		if err := stream.Send(p.answer(ctx, first)); err != nil {
+			p.Log.Debug("peer: answer not sent", zap.Error(err))
+		}
+	})
+}
+
+func (p *Peers) answer(ctx context.Context, first peer.Message) peer.Message {
+	switch m := first.(type) {
+	case peer.Digest:
+		p.Board.Take(time.Now(), m.Digest)
+		return peer.Done{}
+	case peer.Wish:
+		return peer.Wished{Arrived: p.load(ctx, m)}
+	default:
+		return peer.Refusal{Verdict: verdict.NotRun, Code: verdict.Malformed, Text: "not a message of this kind of host"}
+	}
+}
+
+// load has an adapter loaded onto a runner that this host owns.
+func (p *Peers) load(ctx context.Context, m peer.Wish) bool {
+	key := shelf.Key{Model: m.Model, Adapter: m.Adapter}
+	arrived := p.Board.Wish(time.Now(), m.Runner, key)
+	if arrived == nil {
+		return false
+	}
+	p.Wake()
+	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
+	defer cancel()
+	select {
+	case <-arrived:
+	case <-ctx.Done():
+	}
+	return p.Board.Resident(time.Now(), m.Runner, key)
+}
+
+// Wish asks the owner of a runner for an adapter. It reports whether it is there.
+func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
+	defer cancel()
+	address, err := netip.ParseAddrPort(owner.Address)
+	if err != nil {
+		return false, errors.WithStack(err)
+	}
+	m, err := p.Link.Call(ctx, address, owner.Host, peer.Wish{Runner: runner, Model: k.Model, Adapter: k.Adapter})
+	if err != nil {
+		return false, err
+	}
+	wished, ok := m.(peer.Wished)
+	if !ok {
+		return false, errors.Errorf("unexpected answer %T", m)
+	}
+	return wished.Arrived, nil
+}
+
+// Tell sends digests until ctx ends.
+func (p *Peers) Tell(ctx context.Context) {
+	ticker := time.NewTicker(digestEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		members := p.members.Load()
+		if members == nil {
+			continue
+		}
+		near, far := p.split(*members)
+		to := draw(near, digestFan)
+		if round%farTimes == 0 {
+			to = append(to, draw(far, farFan)...)
+		}
+		p.tell(ctx, to)
+	}
+}
+
+func (p *Peers) tell(ctx context.Context, to []host.Identity) {
+	digest := peer.Digest{Digest: p.Board.Digest()}
+	for _, m := range to {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+			defer cancel()
+			if _, err := p.Link.Call(ctx, m.Peer, m.Name, digest); err != nil {
+				p.Log.Debug("peer: digest not sent", zap.String("host", m.Name), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// split returns the other hosts of this region and those of other regions.
+func (p *Peers) split(all []host.Identity) (near, far []host.Identity) {
+	for _, m := range all {
+		switch {
+		case m.Name == p.Self:
+		case p.Regions[m.Zone] == p.Regions[p.Zone]:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
+// draw returns n hosts at random, all where there are no more.
+func draw(all []host.Identity, n int) []host.Identity {
+	if len(all) > n {
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		all = all[:n]
+	}
+	return all
+}
--- a/jacinthd/internal/direct/owner.go
+++ b/jacinthd/internal/direct/owner.go
@@ -32,6 +32,7 @@
 	Store   store.Store
 	Board   *dispatch.Board
 	Courier *Courier
+	Peers   *Peers
 	Meter   *Meter
 	Log     *zap.Logger
 	// Fenced says that runners refuse orders with an old fencing number.
@@ -141,6 +142,7 @@
 		o.until = time.Time{}
 	case host.Members:
 		o.Log.Info("host: new table of owners", zap.Uint64("version", a.Version), zap.Int("members", len(a.Table.Members)), zap.Int("runners", len(a.Table.Rows)))
+		o.members(a.Table)
 	case host.Replaced:
 		o.Log.Error("lease: another process runs under this name")
 		o.until = time.Time{}
@@ -152,6 +154,18 @@
 	}
 }
 
+// members tells who owns which runner, and which hosts there are.
+func (o *Owner) members(t host.Table) {
+	owners := make(map[string]dispatch.Owner, len(t.Rows))
+	for _, row := range t.Rows {
+		if m, ok := t.Member(row.Owner); ok {
+			owners[row.Runner] = dispatch.Owner{Host: m.Name, Address: m.Peer.String()}
+		}
+	}
+	o.Board.Owned(owners)
+	o.Peers.Members(t.Members)
+}
+
 // post tells the control goroutine of an event from itself or from another.
 func (o *Owner) post(ctx context.Context, e host.Event) {
 	go func() {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -12,6 +12,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/shelf"
 	"jacinthstage/stage/verdict"
 )
 
@@ -64,7 +65,8 @@
 	j.avoid = make(map[string]bool)
 	for {
 		choice := j.Board.Pick(time.Now(), dispatch.Want{
-			Call: j.call, Service: j.service, Size: len(j.body), Deadline: j.deadline, Avoid: j.avoid,
+			Call: j.call, Service: j.service, Size: len(j.body),
+			Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid,
 		})
 		switch c := choice.(type) {
 		case dispatch.Refuse:
@@ -134,20 +136,35 @@
 // await waits for the ticket's adapter. It returns false where the wait ended
 // without it.
 func (j *job) await(ctx context.Context, k *dispatch.Ticket) bool {
-	if k.Arrived == nil {
+	if k.Arrived == nil && k.Owner.Host == "" {
 		return true
 	}
-	j.Wake()
 	begun := time.Now()
-	select {
-	case <-k.Arrived:
-	case <-ctx.Done():
-		return false
+	there := false
+	if k.Arrived != nil {
+		j.Wake()
+		select {
+		case <-k.Arrived:
+		case <-ctx.Done():
+			return false
+		}
+		there = k.Ready(time.Now())
+	} else {
+		there = j.wish(ctx, k)
 	}
 	now := time.Now()
 	j.Meter.stalled(now.Sub(begun))
 	k.Started(now)
-	return k.Ready(now)
+	return there
+}
+
+// wish asks the owner of the ticket's runner for the adapter.
+func (j *job) wish(ctx context.Context, k *dispatch.Ticket) bool {
+	begun := time.Now()
+	arrived, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
+	j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
+		zap.String("adapter", j.call.Adapter), zap.Bool("arrived", arrived), zap.Duration("took", time.Since(begun)), zap.Error(err))
+	return k.Wished(time.Now(), arrived)
 }
 
 // ended handles a wait that ended without the adapter.
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -29,6 +29,7 @@
 	Forward{}, Admission{}, Token{}, End{}, Refusal{}, Done{},
 	Drained{}, Config{}, Ask{}, Suspect{},
 	Want{}, Permits{}, Share{},
+	Wish{}, Wished{}, Digest{},
 }
 
 var numbers = func() map[reflect.Type]byte {
@@ -174,7 +175,9 @@
 		whole = m.Part >= 0
 	case Share:
 		whole = m.Version > 0 && !slices.ContainsFunc(m.Patches, func(p Patch) bool { return p.Number == 0 || len(p.Data) == 0 })
-	case Admission, End, Done, Drained, Config:
+	case Wish:
+		whole = m.Runner != "" && m.Model != "" && m.Adapter != ""
+	case Admission, End, Done, Drained, Config, Wished, Digest:
 	default:
 		return errors.Errorf("peer: no check for %T", m)
 	}
--- a/jacinthd/internal/peer/credentials.go
+++ b/jacinthd/internal/peer/credentials.go
@@ -1,10 +1,14 @@
 package peer
 
 import (
+	"crypto/ed25519"
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"math/big"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
@@ -30,6 +34,8 @@
 	// reset is the key of stateless resets: the same for each incarnation of
 	// the host, so that a restarted one can end its old connections.
 	reset quic.StatelessResetKey
+	// unproved says that peers' certificates have no authority in common.
+	unproved bool
 }
 
 // Load reads the files. Its error names the one at fault.
@@ -49,6 +55,36 @@
 	return identify(pair, pool)
 }
 
+// Ephemeral returns an identity with a key made now, for hosts that are given no
+// credentials. The link is encrypted, but a peer's name isn't proved.
+func Ephemeral(name string) (*Identity, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{name},
+		NotBefore: time.Now().Add(-ephemeralSpan), NotAfter: time.Now().Add(ephemeralSpan),
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: certificate")
+	}
+	leaf, err := x509.ParseCertificate(certificate)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: certificate")
+	}
+	identity, err := identify(tls.Certificate{Certificate: [][]byte{certificate}, PrivateKey: private, Leaf: leaf}, nil)
+	if err != nil {
+		return nil, err
+	}
+	identity.unproved = true
+	return identity, nil
+}
+
+// ephemeralSpan is how long before and after its making an ephemeral certificate is valid.
+const ephemeralSpan = 10 * 365 * 24 * time.Hour
+
 func identify(pair tls.Certificate, pool *x509.CertPool) (*Identity, error) {
 	name, err := nameOf(pair.Leaf)
 	if err != nil {
@@ -72,13 +108,17 @@
 // server returns the TLS settings for incoming connections: a peer without a
 // certificate of the authority is refused in the handshake.
 func (i *Identity) server() *tls.Config {
-	return &tls.Config{
+	c := &tls.Config{
 		Certificates: []tls.Certificate{i.pair},
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    i.pool,
 		MinVersion:   tls.VersionTLS13,
 		NextProtos:   []string{protocol},
 	}
+	if i.unproved {
+		c.ClientAuth = tls.RequireAnyClientCert
+	}
+	return c
 }
 
 // client returns the TLS settings for a connection to the host called name.
@@ -89,5 +129,7 @@
 		ServerName:   name,
 		MinVersion:   tls.VersionTLS13,
 		NextProtos:   []string{protocol},
+
+		InsecureSkipVerify: i.unproved,
 	}
 }
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/verdict"
 )
 
@@ -121,3 +122,28 @@
 func (Ask) message()       {}
 func (Share) message()     {}
 func (Suspect) message()   {}
+
+// Wish asks the owner of a runner to load an adapter onto it. The answer is
+// Wished once it is there, or can't be had.
+type Wish struct {
+	_       struct{} `cbor:",toarray"`
+	Runner  string
+	Model   string
+	Adapter string
+}
+
+// Wished answers a Wish.
+type Wished struct {
+	_       struct{} `cbor:",toarray"`
+	Arrived bool
+}
+
+// Digest tells of the requests that the sender has in progress. The answer is Done.
+type Digest struct {
+	_      struct{} `cbor:",toarray"`
+	Digest dispatch.Digest
+}
+
+func (Wish) message()   {}
+func (Wished) message() {}
+func (Digest) message() {}
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -20,6 +20,7 @@
 	Caller  netip.AddrPort    // HTTP towards callers
 	Ready   netip.AddrPort    // HTTP for readiness
 	Admin   netip.AddrPort    // HTTP for metrics; not valid where none is served
+	Peer    netip.AddrPort    // QUIC towards other hosts
 	Store   netip.AddrPort    // the platform's store
 
 	Fenced bool          // runners refuse orders with an old fencing number
@@ -60,6 +61,7 @@
 		{section: "host", key: "zones", store: pairs(&d.Regions)},
 		{section: "host", key: "memory", fallback: "0", store: whole(&d.Memory, 0, mostMemory)},
 		{section: "listen", key: "caller", store: address(&d.Caller)},
+		{section: "listen", key: "peer", store: address(&d.Peer)},
 		{section: "listen", key: "ready", store: address(&d.Ready)},
 		{section: "listen", key: "admin", optional: true, store: address(&d.Admin)},
 		{section: "platform", key: "address", store: address(&d.Store)},
--- /dev/null
+++ b/stage/dispatch/digest.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"jacinthstage/stage/shelf"
+)
+
+// digestAge is how long what another host told of its requests counts.
+const digestAge = 2 * time.Second
+
+// A Digest is what one host tells others of its requests in progress.
+type Digest struct {
+	_       struct{} `cbor:",toarray"`
+	From    string   // the host
+	Targets []Activity
+}
+
+// An Activity is the requests of one host on one target.
+type Activity struct {
+	_        struct{} `cbor:",toarray"`
+	Target   string
+	Open     int // in progress
+	Unread   int // tokens of their prompts that aren't read yet
+	Adapters []Usage
+}
+
+// A Usage is the requests of one host for one adapter on one runner.
+type Usage struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Adapter string
+	Open    int // in progress
+	Begun   int // since the last digest
+}
+
+// usage counts this host's requests for one adapter on one runner.
+type usage struct{ open, begun int }
+
+// A share is what another host told of its requests on a target.
+type share struct {
+	at           time.Time
+	open, unread int
+}
+
+// Digest returns what other hosts should know of this host's requests.
+func (b *Board) Digest() Digest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := Digest{From: b.Holder}
+	for _, t := range b.targets {
+		if t.open == 0 && len(t.usage) == 0 {
+			continue
+		}
+		a := Activity{Target: t.Name, Open: t.open, Unread: t.prefill}
+		for k, u := range t.usage {
+			a.Adapters = append(a.Adapters, Usage{Model: k.Model, Adapter: k.Adapter, Open: u.open, Begun: u.begun})
+			u.begun = 0
+			if u.open == 0 {
+				delete(t.usage, k)
+			}
+		}
+		d.Targets = append(d.Targets, a)
+	}
+	return d
+}
+
+// Take takes in what another host told.
+func (b *Board) Take(now time.Time, d Digest) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.told == nil {
+		b.told = make(map[string]time.Time)
+	}
+	b.told[d.From] = now
+	for _, a := range d.Targets {
+		t := b.targets[a.Target]
+		if t == nil {
+			continue
+		}
+		if t.shares == nil {
+			t.shares = make(map[string]share)
+		}
+		t.shares[d.From] = share{at: now, open: a.Open, unread: a.Unread}
+		if t.shelf == nil {
+			continue
+		}
+		for _, u := range a.Adapters {
+			t.shelf.Peer(now, shelf.Key{Model: u.Model, Adapter: u.Adapter}, d.From, u.Open, u.Begun)
+		}
+	}
+}
+
+// others returns the requests of other hosts on a target, and the tokens of
+// their prompts that aren't read yet.
+func (b *Board) others(now time.Time, t *target) (open, unread int) {
+	for from, s := range t.shares {
+		if s.at != b.told[from] || now.Sub(s.at) > digestAge {
+			delete(t.shares, from)
+			continue
+		}
+		open += s.open
+		unread += s.unread
+	}
+	return open, unread
+}
+
+// An Owner is the host that orders a runner.
+type Owner struct {
+	Host    string
+	Address string // of the link between hosts
+}
+
+// Owned tells which host orders each runner.
+func (b *Board) Owned(owners map[string]Owner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.owners = owners
+}
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -39,7 +39,9 @@
 	targets  map[string]*target
 	services map[string]map[string]*target
 	newest   map[shelf.Key]release
-	transit  time.Duration // expected time of a load of an adapter
+	transit  time.Duration        // expected time of a load of an adapter
+	told     map[string]time.Time // when each other host told of its requests last
+	owners   map[string]Owner     // by runner
 }
 
 // A release is the newest version of an adapter, and when it was heard of.
@@ -56,6 +58,8 @@
 	versionGrace = 2500 * time.Millisecond
 	// transitFirst is the expected time of a load before any was seen.
 	transitFirst = 260 * time.Millisecond
+	// handMost is the number of adapters that a runner is thought to have at hand.
+	handMost = 44
 	// cacheShare is the part of a runner's memory that holds parts of prompts.
 	cacheShare = 0.6
 )
@@ -70,11 +74,15 @@
 	at       time.Time // when
 	opened   int       // what open was then
 	memory   prefix.Memory
-	shelf    *shelf.Shelf // where this host owns it
+	shelf    *shelf.Shelf     // where this host owns it
+	shares   map[string]share // of other hosts
+	usage    map[shelf.Key]*usage
 	absent   map[shelf.Key]time.Time
 	present  map[shelf.Key]time.Time
-	faults   int       // failures in a row
-	shunned  time.Time // not used before, but for one trial
+	hand     map[shelf.Key]time.Time // adapters that it held, and when that was seen last
+	full     time.Time               // no load is asked for before
+	faults   int                     // failures in a row
+	shunned  time.Time               // not used before, but for one trial
 	trial    bool
 	pace     float64 // how much slower than expected it is
 	failures float64 // aged share of failed answers
@@ -117,7 +125,7 @@
 	listed := make(map[string]bool, len(all))
 	for _, t := range all {
 		listed[t.Name] = true
-		b.change(t)
+		b.change(now, t)
 	}
 	for name := range b.targets {
 		if !listed[name] {
@@ -130,7 +138,7 @@
 	for _, c := range all {
 		switch c := c.(type) {
 		case catalog.Changed:
-			b.change(c.Target)
+			b.change(now, c.Target)
 		case catalog.Removed:
 			b.remove(now, c.Name)
 		default:
@@ -139,7 +147,7 @@
 	}
 }
 
-func (b *Board) change(t catalog.Target) {
+func (b *Board) change(now time.Time, t catalog.Target) {
 	if b.targets == nil {
 		b.targets = make(map[string]*target)
 		b.services = make(map[string]map[string]*target)
@@ -159,6 +167,34 @@
 	}
 	old.Target = t
 	old.gone = time.Time{}
+	old.remember(now)
+}
+
+// remember notes the adapters that a runner holds: it has them at hand later.
+func (t *target) remember(now time.Time) {
+	for model, held := range t.Models {
+		for name := range held.Adapters {
+			t.touch(now, shelf.Key{Model: model, Adapter: name})
+		}
+	}
+}
+
+// touch notes that a runner holds an adapter.
+func (t *target) touch(now time.Time, k shelf.Key) {
+	if t.hand == nil {
+		t.hand = make(map[shelf.Key]time.Time)
+	}
+	t.hand[k] = now
+	if len(t.hand) <= handMost {
+		return
+	}
+	oldest := k
+	for other, at := range t.hand {
+		if at.Before(t.hand[oldest]) {
+			oldest = other
+		}
+	}
+	delete(t.hand, oldest)
 }
 
 func (b *Board) cacheLimit(service string) int {
@@ -218,9 +254,6 @@
 	return all
 }
 
-// region returns the region of a zone.
-func (b *Board) region(zone string) string { return b.Regions[zone] }
-
 // transitTime returns the expected time of a load of an adapter.
 func (b *Board) transitTime() time.Duration {
 	if b.transit == 0 {
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -15,45 +15,44 @@
 	stepTime = 7 * time.Millisecond
 	// meanRun is how long a request usually holds its place on a runner.
 	meanRun = 1500 * time.Millisecond
-	// meanRead is the time that a runner still reads the prompt of a request of
-	// another host, on average over the requests that run.
-	meanRead = 25 * time.Millisecond
+	// crowding is what each request that runs adds to the time to the first token.
+	crowding = 4 * time.Millisecond
 	// meanWork is how long a plain service works on a request.
 	meanWork = 40 * time.Millisecond
 	// nearDelay and farDelay are what a request loses on its way to another zone
 	// and to another region, there and back.
 	nearDelay = 3 * time.Millisecond
 	farDelay  = 65 * time.Millisecond
-	// farPrice is what a byte between regions costs, in waiting time for each KB.
-	farPrice = 4 * time.Millisecond
 	// loadAge is the time in which what a target said of its load halves.
 	loadAge = 2 * time.Second
 )
 
-// distance returns what a request loses on its way to a target, with the price
-// of the bytes that cross regions.
-func (b *Board) distance(t *target, size int) time.Duration {
+// distance returns what a request loses on its way to a target.
+func (b *Board) distance(t *target) time.Duration {
 	switch {
 	case t.Zone == b.Zone:
 		return 0
-	case b.region(t.Zone) == b.region(b.Zone):
+	case !b.far(t):
 		return nearDelay
 	default:
-		return farDelay + time.Duration(size/1024)*farPrice
+		return farDelay
 	}
 }
 
-// running estimates how many requests of all hosts a target has.
-func (t *target) running(now time.Time) int {
-	if !t.heard.Known {
-		return t.open
-	}
-	others := float64(t.heard.Running + t.heard.Waiting - t.opened)
-	if others <= 0 {
-		return t.open
+// far reports whether a target is in another region.
+func (b *Board) far(t *target) bool { return b.Regions[t.Zone] != b.Regions[b.Zone] }
+
+// running estimates how many requests of all hosts a target has, and how many
+// tokens of other hosts' prompts it still reads.
+func (b *Board) running(now time.Time, t *target) (running, unread int) {
+	open, unread := b.others(now, t)
+	running = t.open + open
+	if t.heard.Known {
+		age := now.Sub(t.at).Seconds() / loadAge.Seconds()
+		heard := float64(t.heard.Running+t.heard.Waiting-t.opened) / (1 + 2*age)
+		running = max(running, t.open+int(heard))
 	}
-	age := now.Sub(t.at).Seconds() / loadAge.Seconds()
-	return t.open + int(others/(1+age)+0.5)
+	return running, unread
 }
 
 // queue estimates the wait for a place on a target whose requests hold one for
@@ -67,19 +66,18 @@
 
 // expected estimates the time until a target answers, loads aside.
 func (b *Board) expected(now time.Time, t *target, w Want) time.Duration {
-	running := t.running(now)
+	running, unread := b.running(now, t)
 	var span time.Duration
 	if w.engine() {
-		others := time.Duration(max(0, running-t.open))
 		cached := t.memory.Cached(w.Call, w.keys)
-		span = others*meanRead + reading(t.prefill) + reading(max(0, w.Call.Input-cached)) + stepTime
-		span += t.queue(running, meanRun)
+		span = reading(unread+t.prefill+max(0, w.Call.Input-cached)) + stepTime
+		span += t.queue(running, meanRun) + crowding*time.Duration(running)
 	} else {
 		span = meanWork + t.queue(running, meanWork)
 		span += meanWork * time.Duration(running) / time.Duration(max(1, t.Slots)) / 2
 	}
 	span = time.Duration(float64(span) * t.pace)
-	return span + b.distance(t, w.Size)
+	return span + b.distance(t)
 }
 
 // reading returns the time that a runner takes to read tokens of prompts.
@@ -101,3 +99,38 @@
 		t.heard, t.at, t.opened = l, now, t.open
 	}
 }
+
+// The prices of a choice, in answers that come late: 1 is one answer.
+const (
+	// fetchPrice is that of an adapter fetched from the weight store, handPrice
+	// that of one that the runner has at hand.
+	fetchPrice = 0.30
+	handPrice  = 0.03
+	// farPrice is that of 16 KB between regions.
+	farPrice = 0.03
+	farUnit  = 16 << 10 // bytes
+	// tailPrice is that of a wait of one aim, where the answer is in time all the same.
+	tailPrice = 0.2
+	// latePrice is that of each further aim, once the answer is late.
+	latePrice = 0.5
+	// failPrice is that of a target all of whose answers fail.
+	failPrice = 2.0
+)
+
+// risk returns the price of an expected time to the first byte. It grows slowly
+// while there is room for what the estimate doesn't know, then up to 1 at the aim.
+func risk(span, aim time.Duration) float64 {
+	if aim <= 0 {
+		aim = time.Second
+	}
+	x := float64(span) / float64(aim)
+	price := tailPrice * x
+	if x > 0.5 {
+		steep := min(2*x-1, 1)
+		price += (1 - tailPrice) * steep * steep
+	}
+	if x > 1 {
+		price += latePrice * (x - 1)
+	}
+	return price
+}
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -77,6 +77,35 @@
 	return out, next
 }
 
+// Wish asks for an adapter on a runner that this host owns, for another host.
+// The channel is closed once it is there or the wait ended; nil says that this
+// host can't have it loaded.
+func (b *Board) Wish(now time.Time, name string, k shelf.Key) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[name]
+	if t == nil || t.shelf == nil || !t.shelf.Synced() || !t.shelf.Holds(k.Model) || !t.usable(now) {
+		return nil
+	}
+	state, _, _ := t.shelf.Lookup(k)
+	if _, room := t.shelf.Backlog(now); state == shelf.Absent && !room {
+		return nil
+	}
+	return t.shelf.Wish(now, k)
+}
+
+// Resident reports whether a runner that this host owns holds an adapter.
+func (b *Board) Resident(now time.Time, name string, k shelf.Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[name]
+	if t == nil || t.shelf == nil {
+		return false
+	}
+	state, version, _ := t.shelf.Lookup(k)
+	return state == shelf.Resident && b.current(now, k, version)
+}
+
 // Replied takes a runner's reply to an order.
 func (b *Board) Replied(now time.Time, name string, reply call.Reply) {
 	b.mu.Lock()
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/prefix"
@@ -10,9 +14,11 @@
 )
 
 const (
-	// switchCost is the waiting time that a load costs later requests, which
-	// find the adapter gone that made way.
-	switchCost = 60 * time.Millisecond
+	// homes is the number of runners onto which an adapter may be loaded, by
+	// rendezvous hashing, beside those that have it at hand.
+	homes = 3
+	// handTransit is the expected time of a load of an adapter that the runner has at hand.
+	handTransit = 40 * time.Millisecond
 	// comeBack is when a caller may come back that found no target.
 	comeBack = 400 * time.Millisecond
 	// freshNote is how long what a request showed of an adapter goes before the
@@ -24,7 +30,8 @@
 type Want struct {
 	Call     call.Call
 	Service  string
-	Size     int // bytes of the request
+	Size     int       // bytes of the request
+	Aim      time.Time // an answer that comes later is worth less
 	Deadline time.Time
 	Avoid    map[string]bool // targets that it was sent to already
 
@@ -57,6 +64,8 @@
 	Expected time.Duration   // to the first byte
 	Arrived  <-chan struct{} // not nil where the request waits for its adapter; closed then
 	Running  int             // requests thought to run there
+	// Owner is not empty where the adapter is to be loaded by another host.
+	Owner Owner
 
 	board  *Board
 	target *target
@@ -69,7 +78,7 @@
 // candidate is a target with what the request would meet there.
 type candidate struct {
 	target *target
-	cost   time.Duration
+	cost   float64
 	span   time.Duration
 	load   bool
 }
@@ -95,35 +104,68 @@
 // best returns the candidate of least cost, and whether any target is usable.
 func (b *Board) best(now time.Time, w Want) (*candidate, bool) {
 	var best *candidate
-	usable := false
+	var all []*target
 	for _, t := range b.services[w.Service] {
-		if !t.usable(now) || w.Avoid[t.Name] {
-			continue
+		if t.usable(now) && !w.Avoid[t.Name] {
+			all = append(all, t)
 		}
-		usable = true
-		c, ok := b.weigh(now, t, w)
+	}
+	near := b.homes(all, w)
+	for _, t := range all {
+		c, ok := b.weigh(now, t, w, near[t])
 		if ok && (best == nil || c.cost < best.cost || c.cost == best.cost && t.Name < best.target.Name) {
 			best = &c
 		}
 	}
-	return best, usable
+	return best, len(all) > 0
+}
+
+// homes returns the runners of this host's region, or of all where it has none,
+// onto which a request's adapter is loaded first.
+func (b *Board) homes(all []*target, w Want) map[*target]bool {
+	if !w.engine() || w.Call.Adapter == "" {
+		return nil
+	}
+	type ranked struct {
+		target *target
+		weight uint64
+	}
+	var order []ranked
+	for _, t := range all {
+		if !b.far(t) {
+			order = append(order, ranked{t, xxhash.Sum64String(w.Call.Adapter + "@" + t.Name)})
+		}
+	}
+	if len(order) == 0 {
+		for _, t := range all {
+			order = append(order, ranked{t, xxhash.Sum64String(w.Call.Adapter + "@" + t.Name)})
+		}
+	}
+	slices.SortFunc(order, func(x, y ranked) int { return cmp.Compare(x.weight, y.weight) })
+	out := make(map[*target]bool, homes)
+	for _, r := range order[:min(homes, len(order))] {
+		out[r.target] = true
+	}
+	return out
 }
 
 // weigh returns what a request would meet at a target, false where it can't go there.
-func (b *Board) weigh(now time.Time, t *target, w Want) (candidate, bool) {
-	span := b.expected(now, t, w)
-	c := candidate{target: t, span: span, cost: span}
-	c.cost += time.Duration(t.failures * float64(time.Second))
-	if !w.engine() || b.holds(now, t, w.key()) {
-		return c, true
-	}
-	wait, ok := b.loadWait(now, t, w.key())
-	if !ok {
-		return c, false
-	}
-	c.load = true
-	c.span += wait
-	c.cost += wait + switchCost
+func (b *Board) weigh(now time.Time, t *target, w Want, home bool) (candidate, bool) {
+	c := candidate{target: t, span: b.expected(now, t, w)}
+	c.cost = failPrice * t.failures
+	if b.far(t) {
+		c.cost += farPrice * float64(w.Size) / farUnit
+	}
+	if w.engine() && !b.holds(now, t, w.key()) {
+		price, wait, ok := b.loadWait(now, t, w.key(), home)
+		if !ok {
+			return c, false
+		}
+		c.load = true
+		c.span += wait
+		c.cost += price
+	}
+	c.cost += risk(c.span, w.Aim.Sub(now))
 	return c, true
 }
 
@@ -155,33 +197,46 @@
 	return !ok || version >= r.version || now.Before(r.heard.Add(versionGrace))
 }
 
-// loadWait returns how long a load onto a target would take, false where this
-// host can't order it.
-func (b *Board) loadWait(now time.Time, t *target, k shelf.Key) (time.Duration, bool) {
+// loadWait returns what a load onto a target would cost and take, false where
+// none can be had.
+func (b *Board) loadWait(now time.Time, t *target, k shelf.Key, home bool) (price float64, wait time.Duration, ok bool) {
+	_, atHand := t.hand[k]
+	if k.Adapter == "" || !home && !atHand || now.Before(t.full) {
+		return 0, 0, false
+	}
+	price, wait = fetchPrice, b.transitTime()
+	if atHand {
+		price, wait = handPrice, handTransit
+	}
 	s := t.shelf
-	if s == nil || !s.Synced() || k.Adapter == "" || !s.Holds(k.Model) {
-		return 0, false
+	if s == nil {
+		_, owned := b.owners[t.Name]
+		_, model := t.Models[k.Model]
+		return price, wait, owned && model
 	}
-	state, _, due := s.Lookup(k)
-	if state == shelf.Coming {
-		return max(0, due.Sub(now)), true
+	if !s.Synced() || !s.Holds(k.Model) {
+		return 0, 0, false
 	}
+	state, _, due := s.Lookup(k)
 	waiting, room := s.Backlog(now)
-	if state == shelf.Wished {
-		return b.transitTime(), true
-	}
-	if !room {
-		return 0, false
+	switch {
+	case state == shelf.Coming:
+		return 0, max(0, due.Sub(now)), true
+	case state == shelf.Wished:
+		return 0, wait, true
+	case !room:
+		return 0, 0, false
 	}
-	return b.transitTime() + b.transitTime()*time.Duration(waiting)/4, true
+	return price, wait + wait*time.Duration(waiting)/4, true
 }
 
 func (b *Board) ticket(now time.Time, w Want, c *candidate) *Ticket {
 	t := c.target
 	ticket := &Ticket{
-		Target: t.Target, Expected: c.span, Running: t.running(now),
+		Target: t.Target, Expected: c.span,
 		board: b, target: t, want: w, sent: now,
 	}
+	ticket.Running, _ = b.running(now, t)
 	t.open++
 	if !t.shunned.IsZero() {
 		t.trial = true
@@ -195,11 +250,37 @@
 	if r, ok := b.newest[w.key()]; ok && w.Call.Adapter != "" && now.After(r.heard.Add(versionGrace)) {
 		ticket.Version = r.version
 	}
-	if t.shelf != nil && w.Call.Adapter != "" {
+	if w.Call.Adapter == "" {
+		return ticket
+	}
+	t.use(w.key())
+	switch {
+	case t.shelf != nil:
 		if c.load {
 			ticket.Arrived = t.shelf.Wish(now, w.key())
 		}
 		t.shelf.Use(now, w.key())
+	case c.load:
+		ticket.Owner = b.owners[t.Name]
 	}
 	return ticket
 }
+
+func (t *target) use(k shelf.Key) {
+	if t.usage == nil {
+		t.usage = make(map[shelf.Key]*usage)
+	}
+	u := t.usage[k]
+	if u == nil {
+		u = &usage{}
+		t.usage[k] = u
+	}
+	u.open++
+	u.begun++
+}
+
+func (t *target) unuse(k shelf.Key) {
+	if u := t.usage[k]; u != nil && u.open > 0 {
+		u.open--
+	}
+}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -12,6 +12,8 @@
 	// each further failure in a row up to shunMost.
 	shunFirst = 500 * time.Millisecond
 	shunMost  = 4 * time.Second
+	// fullPause is how long no load is asked of a runner whose owner refused one.
+	fullPause = 300 * time.Millisecond
 	// earlyPause is how long a request waits that came before its adapter.
 	earlyPause = 70 * time.Millisecond
 	// failureWeight is the weight of the newest answer in a target's share of failures.
@@ -60,6 +62,27 @@
 	return state == shelf.Resident
 }
 
+// Wished takes in how the owner of the ticket's runner answered the wish for its
+// adapter. It reports whether the adapter is there.
+func (k *Ticket) Wished(now time.Time, arrived bool) bool {
+	b := k.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := k.target
+	key := k.want.key()
+	if !arrived {
+		t.full = now.Add(fullPause)
+		return false
+	}
+	t.touch(now, key)
+	delete(t.absent, key)
+	if t.present == nil {
+		t.present = make(map[shelf.Key]time.Time)
+	}
+	t.present[key] = now
+	return true
+}
+
 // Started restarts the clock of a ticket that has waited for its adapter.
 func (k *Ticket) Started(now time.Time) { k.sent = now }
 
@@ -100,7 +123,7 @@
 	t := k.target
 	t.prefill -= k.tokens
 	k.tokens = 0
-	if k.want.engine() && k.Arrived == nil {
+	if k.want.engine() && k.Arrived == nil && k.Owner.Host == "" {
 		ratio := float64(now.Sub(k.sent)) / float64(max(k.Expected, stepTime))
 		ratio = min(max(ratio, 1/paceMost), paceMost)
 		t.pace = max(0.7, (1-paceWeight)*t.pace+paceWeight*ratio*t.pace)
@@ -115,6 +138,7 @@
 	t.prefill -= k.tokens
 	k.tokens = 0
 	t.trial = false
+	t.unuse(k.want.key())
 	if t.shelf != nil {
 		t.shelf.Unuse(k.want.key())
 	}
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -22,6 +22,9 @@
 	transitMost = 4
 	// reportLag is how much older than its answer a report may be.
 	reportLag = 300 * time.Millisecond
+	// reportOld is how long after the last order a report that shows fewer orders
+	// may just be old.
+	reportOld = time.Second
 	// retryPause is the time before an order that was refused is tried again.
 	retryPause = 150 * time.Millisecond
 	// leavePause is the time between two looks whether an adapter has left.
@@ -30,6 +33,15 @@
 	lateMost = 13 * time.Second
 	// answerMost is how long an order waits for its answer.
 	answerMost = 2 * time.Second
+	// peerAge is how long what another host told of its use counts.
+	peerAge = 2 * time.Second
+	// handTransit is the expected time of a load that the runner has at hand.
+	handTransit = 30 * time.Millisecond
+	// handAge is how long an adapter that made way is thought to be at hand.
+	handAge = 20 * time.Second
+	// confirmPause is the time from an order that found its adapter still on the
+	// way to the next look.
+	confirmPause = 30 * time.Millisecond
 	// halfLife is the time in which the weight of past use halves.
 	halfLife = 10 * time.Second
 	// wishMost is how long a wish waits for an order.
@@ -58,12 +70,20 @@
 	due     time.Time // when a Coming adapter is expected, a Leaving one looked for, a Wished one given up
 	ordered time.Time // when it was ordered to come
 	open    int       // requests of this host that use it
+	peers   map[string]peerUse
+	held    time.Time // when it was on the runner last; it is at hand for a while
 	used    time.Time
 	uses    float64 // aged number of uses
 	doubt   time.Time
 	arrived chan struct{} // closed when the wait ends
 }
 
+// A peerUse is what another host told of its use of an adapter.
+type peerUse struct {
+	open int
+	at   time.Time
+}
+
 // An Action is what a Shelf asks for: an Ask or a Give.
 type Action interface{ action() }
 
@@ -122,14 +142,14 @@
 // Backlog returns how many adapters wait for an order, and whether one that came
 // now would find a place.
 func (s *Shelf) Backlog(now time.Time) (waiting int, room bool) {
-	return len(s.wishes), s.Synced() && !now.Before(s.From) && s.spare() > len(s.wishes)
+	return len(s.wishes), s.Synced() && !now.Before(s.From) && s.spare(now) > len(s.wishes)
 }
 
 // spare returns the places that are free or held by adapters that nobody uses.
-func (s *Shelf) spare() int {
+func (s *Shelf) spare(now time.Time) int {
 	n := s.Slots
 	for k, e := range s.entries {
-		if k.Adapter != "" && s.takes(e) && !(e.state == Resident && e.open == 0) {
+		if k.Adapter != "" && s.takes(e) && !(e.state == Resident && !e.busy(now)) {
 			n--
 		}
 	}
@@ -198,6 +218,37 @@
 	}
 }
 
+// Peer notes what another host told of its use of an adapter: requests in
+// progress, and those that it began since it told last.
+func (s *Shelf) Peer(now time.Time, k Key, from string, open, begun int) {
+	e := s.entry(k)
+	if begun > 0 {
+		e.uses = float64(begun) + e.weight(now)
+		e.used = now
+	}
+	if e.peers == nil {
+		e.peers = make(map[string]peerUse)
+	}
+	e.peers[from] = peerUse{open: open, at: now}
+}
+
+// busy reports whether a request of any host uses an adapter.
+func (e *entry) busy(now time.Time) bool {
+	if e.open > 0 {
+		return true
+	}
+	for from, p := range e.peers {
+		if now.Sub(p.at) > peerAge {
+			delete(e.peers, from)
+			continue
+		}
+		if p.open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // weight returns the aged number of uses.
 func (e *entry) weight(now time.Time) float64 {
 	age := now.Sub(e.used).Seconds() / halfLife.Seconds()
@@ -287,9 +338,9 @@
 	}
 	switch {
 	case now.Before(e.due):
-	case e.state == Coming:
-		e.state = Resident
-		e.settle()
+	case e.state == Coming && now.Sub(e.ordered) > lateMost/4:
+		s.synced = false
+		e.due = now.Add(leavePause)
 	case e.state == Leaving:
 		s.synced = false
 		e.due = now.Add(leavePause)
@@ -310,8 +361,17 @@
 	}
 }
 
-// order returns the next order.
+// order returns the next order. The order of an adapter that should have come
+// is sent again: the reply tells whether it is there.
 func (s *Shelf) order(now time.Time) (call.Order, bool) {
+	for k, e := range s.entries {
+		if e.state == Coming && !now.Before(e.due) {
+			return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: e.version}, true
+		}
+	}
+	if o, ok := s.replacement(); ok {
+		return o, true
+	}
 	transit := 0
 	for _, e := range s.entries {
 		if e.state == Coming {
@@ -321,9 +381,6 @@
 	if transit >= transitMost {
 		return call.Order{}, false
 	}
-	if o, ok := s.replacement(); ok {
-		return o, true
-	}
 	if len(s.wishes) == 0 {
 		return call.Order{}, false
 	}
@@ -368,7 +425,7 @@
 		if e.state == Leaving {
 			return Key{}, false
 		}
-		if k.Adapter == "" || e.state != Resident || e.open > 0 {
+		if k.Adapter == "" || e.state != Resident || e.busy(now) {
 			continue
 		}
 		if w := e.weight(now); !found || w < least || w == least && k.Adapter < best.Adapter {
@@ -414,6 +471,7 @@
 		other.doubt = time.Time{}
 	}
 	if s.flight.Kind == call.Drop {
+		e.held = now
 		if reply == call.Holds {
 			e.state = Absent
 			return
@@ -423,16 +481,23 @@
 		return
 	}
 	s.unwish(k)
-	e.version = max(s.flight.Version, 1)
-	e.ordered = now
-	if reply == call.Holds {
+	e.version = max(e.version, s.flight.Version, 1)
+	switch {
+	case reply == call.Holds:
 		s.orders--
 		e.state = Resident
 		e.settle()
-		return
+	case e.state == Coming:
+		s.orders-- // an order for what is on its way already isn't counted
+		e.due = now.Add(confirmPause)
+	default:
+		e.state = Coming
+		e.ordered = now
+		e.due = now.Add(s.Transit)
+		if !e.held.IsZero() && now.Sub(e.held) < handAge {
+			e.due = now.Add(handTransit)
+		}
 	}
-	e.state = Coming
-	e.due = now.Add(s.Transit)
 }
 
 func (s *Shelf) unwish(k Key) {
@@ -467,7 +532,7 @@
 		return
 	}
 	s.asked = time.Time{}
-	if r.Orders < s.orders && s.last.Add(lateMost).After(now) {
+	if r.Orders < s.orders && now.Sub(s.last) < reportOld {
 		s.quiet = now.Add(retryPause)
 		return
 	}
