--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -231,6 +231,10 @@
 			}
 			p.pool.Sweep(func(a netip.AddrPort) bool { return wanted[a] })
 			p.handler.Meter.targets.Set(float64(len(wanted)))
+			for name, u := range p.board.Shelves(now) {
+				p.log.Info("shelf: places", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
+					zap.Int("coming", u.Coming), zap.Int("leaving", u.Leaving), zap.Int("doubt", u.Doubt))
+			}
 			if d := p.sink.Dropped(); d != dropped {
 				p.log.Warn("log: lines dropped", zap.Uint64("lines", d-dropped))
 				dropped = d
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -63,18 +63,18 @@
 		p.Board.Take(time.Now(), m.Digest)
 		return peer.Done{}
 	case peer.Wish:
-		return peer.Wished{Arrived: p.load(ctx, m)}
+		return p.load(ctx, m)
 	default:
 		return peer.Refusal{Verdict: verdict.NotRun, Code: verdict.Malformed, Text: "not a message of this kind of host"}
 	}
 }
 
 // load has an adapter loaded onto a runner that this host owns.
-func (p *Peers) load(ctx context.Context, m peer.Wish) bool {
+func (p *Peers) load(ctx context.Context, m peer.Wish) peer.Wished {
 	key := shelf.Key{Model: m.Model, Adapter: m.Adapter}
-	arrived := p.Board.Wish(time.Now(), m.Runner, key)
+	arrived, reason := p.Board.Wish(time.Now(), m.Runner, key)
 	if arrived == nil {
-		return false
+		return peer.Wished{Reason: reason}
 	}
 	p.Wake()
 	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
@@ -83,26 +83,33 @@
 	case <-arrived:
 	case <-ctx.Done():
 	}
-	return p.Board.Resident(time.Now(), m.Runner, key)
+	if !p.Board.Resident(time.Now(), m.Runner, key) {
+		return peer.Wished{Reason: "not loaded"}
+	}
+	return peer.Wished{Arrived: true}
 }
 
-// Wish asks the owner of a runner for an adapter. It reports whether it is there.
-func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (bool, error) {
+// Wish asks the owner of a runner for an adapter. It returns why it isn't there,
+// empty where it is.
+func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (reason string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
 	defer cancel()
 	address, err := netip.ParseAddrPort(owner.Address)
 	if err != nil {
-		return false, errors.WithStack(err)
+		return "owner without address", errors.WithStack(err)
 	}
 	m, err := p.Link.Call(ctx, address, owner.Host, peer.Wish{Runner: runner, Model: k.Model, Adapter: k.Adapter})
 	if err != nil {
-		return false, err
+		return "owner not reached", err
 	}
 	wished, ok := m.(peer.Wished)
-	if !ok {
-		return false, errors.Errorf("unexpected answer %T", m)
+	switch {
+	case !ok:
+		return "unexpected answer", errors.Errorf("unexpected answer %T", m)
+	case wished.Arrived:
+		return "", nil
 	}
-	return wished.Arrived, nil
+	return wished.Reason, nil
 }
 
 // Tell sends digests until ctx ends.
--- a/jacinthd/internal/direct/owner.go
+++ b/jacinthd/internal/direct/owner.go
@@ -162,7 +162,7 @@
 			owners[row.Runner] = dispatch.Owner{Host: m.Name, Address: m.Peer.String()}
 		}
 	}
-	o.Board.Owned(owners)
+	o.Board.Owned(owners, len(t.Members))
 	o.Peers.Members(t.Members)
 }
 
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -161,10 +161,10 @@
 // wish asks the owner of the ticket's runner for the adapter.
 func (j *job) wish(ctx context.Context, k *dispatch.Ticket) bool {
 	begun := time.Now()
-	arrived, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
+	reason, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
 	j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
-		zap.String("adapter", j.call.Adapter), zap.Bool("arrived", arrived), zap.Duration("took", time.Since(begun)), zap.Error(err))
-	return k.Wished(time.Now(), arrived)
+		zap.String("adapter", j.call.Adapter), zap.String("refused", reason), zap.Duration("took", time.Since(begun)), zap.Error(err))
+	return k.Wished(time.Now(), reason == "")
 }
 
 // ended handles a wait that ended without the adapter.
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -136,6 +136,7 @@
 type Wished struct {
 	_       struct{} `cbor:",toarray"`
 	Arrived bool
+	Reason  string // why it did not arrive
 }
 
 // Digest tells of the requests that the sender has in progress. The answer is Done.
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -111,9 +111,10 @@
 	Address string // of the link between hosts
 }
 
-// Owned tells which host orders each runner.
-func (b *Board) Owned(owners map[string]Owner) {
+// Owned tells which host orders each runner, and how many hosts there are.
+func (b *Board) Owned(owners map[string]Owner, hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.owners = owners
+	b.hosts = hosts
 }
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	transit  time.Duration        // expected time of a load of an adapter
 	told     map[string]time.Time // when each other host told of its requests last
 	owners   map[string]Owner     // by runner
+	hosts    int                  // members that share the rate of the weight store
+	nextBase time.Time            // first moment of the next load of a model
+	demand   map[string]float64   // aged number of requests by model
 }
 
 // A release is the newest version of an adapter, and when it was heard of.
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -66,6 +66,7 @@
 		if t.shelf == nil || t.State != catalog.Ready {
 			continue
 		}
+		b.base(now, t)
 		action, again := t.shelf.Next(now)
 		if action != nil {
 			out = append(out, Errand{Target: t.Target, Action: action})
@@ -77,21 +78,78 @@
 	return out, next
 }
 
+// base tells a shelf which model to load onto its runner if that is empty. The
+// loads of all hosts together stay below the rate of the weight store.
+func (b *Board) base(now time.Time, t *target) {
+	if !t.shelf.Empty() || b.config == nil {
+		return
+	}
+	engine := b.config.Services[t.Service].Engine
+	if engine == nil || now.Before(b.nextBase) {
+		t.shelf.Base = ""
+		return
+	}
+	model, ok := b.wanted(t.Service, engine)
+	if !ok {
+		return
+	}
+	t.shelf.Base, t.shelf.BaseTransit = model.Name, model.LoadTime
+	if engine.LoadRate > 0 {
+		hosts := max(1, b.hosts)
+		b.nextBase = now.Add(time.Duration(float64(hosts) / engine.LoadRate * float64(time.Second)))
+	}
+}
+
+// wanted returns the model of a service that is asked for most for each runner
+// that holds it.
+func (b *Board) wanted(service string, engine *catalog.Engine) (catalog.Model, bool) {
+	holders := make(map[string]int)
+	for _, t := range b.services[service] {
+		for name := range t.Models {
+			holders[name]++
+		}
+	}
+	best, found, most := catalog.Model{}, false, 0.0
+	for name, m := range engine.Models {
+		need := (b.demand[name] + 1) / float64(holders[name]+1)
+		if !found || need > most || need == most && name < best.Name {
+			best, found, most = m, true, need
+		}
+	}
+	return best, found
+}
+
+// ask counts a request for a model; past requests count less and less.
+func (b *Board) ask(model string) {
+	if b.demand == nil {
+		b.demand = make(map[string]float64)
+	}
+	for name := range b.demand {
+		b.demand[name] *= demandDecay
+	}
+	b.demand[model]++
+}
+
+// demandDecay is what is left of past demand after each request.
+const demandDecay = 0.998
+
 // Wish asks for an adapter on a runner that this host owns, for another host.
 // The channel is closed once it is there or the wait ended; nil says that this
-// host can't have it loaded.
-func (b *Board) Wish(now time.Time, name string, k shelf.Key) <-chan struct{} {
+// host can't have it loaded, and why.
+func (b *Board) Wish(now time.Time, name string, k shelf.Key) (arrived <-chan struct{}, reason string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[name]
-	if t == nil || t.shelf == nil || !t.shelf.Synced() || !t.shelf.Holds(k.Model) || !t.usable(now) {
-		return nil
+	switch {
+	case t == nil || t.shelf == nil:
+		return nil, "not the owner"
+	case !t.usable(now):
+		return nil, "runner not in use"
 	}
-	state, _, _ := t.shelf.Lookup(k)
-	if _, room := t.shelf.Backlog(now); state == shelf.Absent && !room {
-		return nil
+	if reason := t.shelf.Closed(now, k); reason != "" {
+		return nil, reason
 	}
-	return t.shelf.Wish(now, k)
+	return t.shelf.Wish(now, k), ""
 }
 
 // Resident reports whether a runner that this host owns holds an adapter.
@@ -146,3 +204,16 @@
 	}
 	return out, b.revision
 }
+
+// Shelves returns how the places of the runners that this host owns are used.
+func (b *Board) Shelves(now time.Time) map[string]shelf.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]shelf.Usage)
+	for name, t := range b.targets {
+		if t.shelf != nil && t.usable(now) {
+			out[name] = t.shelf.Usage(now)
+		}
+	}
+	return out
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -89,6 +89,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w.keys = prefix.Keys(w.Call)
+	if w.engine() {
+		b.ask(w.Call.Model)
+	}
 	best, usable := b.best(now, w)
 	switch {
 	case best == nil && usable:
@@ -214,20 +217,17 @@
 		_, model := t.Models[k.Model]
 		return price, wait, owned && model
 	}
-	if !s.Synced() || !s.Holds(k.Model) {
+	if s.Closed(now, k) != "" {
 		return 0, 0, false
 	}
 	state, _, due := s.Lookup(k)
-	waiting, room := s.Backlog(now)
-	switch {
-	case state == shelf.Coming:
+	switch state {
+	case shelf.Coming:
 		return 0, max(0, due.Sub(now)), true
-	case state == shelf.Wished:
+	case shelf.Wished:
 		return 0, wait, true
-	case !room:
-		return 0, 0, false
 	}
-	return price, wait + wait*time.Duration(waiting)/4, true
+	return price, wait + wait*time.Duration(s.Backlog())/4, true
 }
 
 func (b *Board) ticket(now time.Time, w Want, c *candidate) *Ticket {
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -22,6 +22,8 @@
 	transitMost = 4
 	// reportLag is how much older than its answer a report may be.
 	reportLag = 300 * time.Millisecond
+	// renewPause is the time between two orders for the same replacement.
+	renewPause = 300 * time.Millisecond
 	// reportOld is how long after the last order a report that shows fewer orders
 	// may just be old.
 	reportOld = time.Second
@@ -67,6 +69,7 @@
 type entry struct {
 	state   State
 	version int
+	renew   time.Time // when a replacement by the newest version is asked for again
 	due     time.Time // when a Coming adapter is expected, a Leaving one looked for, a Wished one given up
 	ordered time.Time // when it was ordered to come
 	open    int       // requests of this host that use it
@@ -104,8 +107,13 @@
 	Slots  int
 	// From is the first moment at which an order may go out.
 	From time.Time
-	// Transit is the expected time of a load.
+	// Transit is the expected time of a load of an adapter.
 	Transit time.Duration
+	// Base is the model to load onto a runner that holds none, BaseTransit the
+	// expected time of that, and BaseFrom the first moment at which it may begin.
+	Base        string
+	BaseTransit time.Duration
+	BaseFrom    time.Time
 
 	entries map[Key]*entry
 	wishes  []Key
@@ -139,10 +147,51 @@
 // Holds reports whether the runner holds a model.
 func (s *Shelf) Holds(model string) bool { return s.models[model] }
 
-// Backlog returns how many adapters wait for an order, and whether one that came
-// now would find a place.
-func (s *Shelf) Backlog(now time.Time) (waiting int, room bool) {
-	return len(s.wishes), s.Synced() && !now.Before(s.From) && s.spare(now) > len(s.wishes)
+// Backlog returns how many adapters wait for an order.
+func (s *Shelf) Backlog() int { return len(s.wishes) }
+
+// A Usage counts a runner's places by what holds them.
+type Usage struct{ Busy, Idle, Coming, Leaving, Doubt int }
+
+// Usage counts the runner's places.
+func (s *Shelf) Usage(now time.Time) Usage {
+	var u Usage
+	for k, e := range s.entries {
+		switch {
+		case k.Adapter == "":
+		case e.state == Coming:
+			u.Coming++
+		case e.state == Leaving:
+			u.Leaving++
+		case e.state == Resident && e.busy(now):
+			u.Busy++
+		case e.state == Resident:
+			u.Idle++
+		case !e.doubt.IsZero():
+			u.Doubt++
+		}
+	}
+	return u
+}
+
+// Closed returns why an adapter can't be had on the runner now, empty where it can.
+func (s *Shelf) Closed(now time.Time, k Key) string {
+	state, _, _ := s.Lookup(k)
+	switch {
+	case s.lost:
+		return "runner lost to another owner"
+	case now.Before(s.From):
+		return "not yet in turn"
+	case state == Coming || state == Resident || state == Wished:
+		return ""
+	case !s.synced:
+		return "content not known"
+	case !s.models[k.Model]:
+		return "model not there"
+	case s.spare(now) <= len(s.wishes):
+		return "no place"
+	}
+	return ""
 }
 
 // spare returns the places that are free or held by adapters that nobody uses.
@@ -338,7 +387,7 @@
 	}
 	switch {
 	case now.Before(e.due):
-	case e.state == Coming && now.Sub(e.ordered) > lateMost/4:
+	case e.state == Coming && now.Sub(e.ordered) > lateMost/4 && k.Adapter != "":
 		s.synced = false
 		e.due = now.Add(leavePause)
 	case e.state == Leaving:
@@ -369,7 +418,10 @@
 			return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: e.version}, true
 		}
 	}
-	if o, ok := s.replacement(); ok {
+	if len(s.models) == 0 {
+		return s.base(now)
+	}
+	if o, ok := s.replacement(now); ok {
 		return o, true
 	}
 	transit := 0
@@ -394,11 +446,33 @@
 	return call.Order{}, false
 }
 
+// base returns the order that loads a model onto an empty runner.
+func (s *Shelf) base(now time.Time) (call.Order, bool) {
+	state, _, _ := s.Lookup(Key{Model: s.Base})
+	if s.Base == "" || state == Coming || now.Before(s.BaseFrom) {
+		return call.Order{}, false
+	}
+	return call.Order{Kind: call.Fetch, Model: s.Base}, true
+}
+
+// Empty reports whether the runner is known to hold no model, and none is on its way.
+func (s *Shelf) Empty() bool {
+	if !s.Synced() || len(s.models) > 0 {
+		return false
+	}
+	for k, e := range s.entries {
+		if k.Adapter == "" && e.state == Coming {
+			return false
+		}
+	}
+	return true
+}
+
 // replacement returns the order that brings a resident adapter to its newest version.
-func (s *Shelf) replacement() (call.Order, bool) {
+func (s *Shelf) replacement(now time.Time) (call.Order, bool) {
 	for k, version := range s.newest {
 		e := s.entries[k]
-		if e != nil && e.state == Resident && e.version < version {
+		if e != nil && e.state == Resident && e.version < version && !now.Before(e.renew) {
 			return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: version}, true
 		}
 	}
@@ -481,12 +555,21 @@
 		return
 	}
 	s.unwish(k)
+	if reply == call.Accepted && e.state == Resident {
+		// A replacement waits for its runs and isn't counted before.
+		s.orders--
+		e.renew = now.Add(renewPause)
+		return
+	}
 	e.version = max(e.version, s.flight.Version, 1)
 	switch {
 	case reply == call.Holds:
 		s.orders--
 		e.state = Resident
 		e.settle()
+		if k.Adapter == "" {
+			s.models[k.Model] = true
+		}
 	case e.state == Coming:
 		s.orders-- // an order for what is on its way already isn't counted
 		e.due = now.Add(confirmPause)
@@ -494,6 +577,9 @@
 		e.state = Coming
 		e.ordered = now
 		e.due = now.Add(s.Transit)
+		if k.Adapter == "" {
+			e.due = now.Add(s.BaseTransit)
+		}
 		if !e.held.IsZero() && now.Sub(e.held) < handAge {
 			e.due = now.Add(handTransit)
 		}
@@ -542,12 +628,16 @@
 	there := make(map[Key]bool)
 	for _, m := range r.Models {
 		s.models[m.Model] = true
+		s.found(Key{Model: m.Model}, m.Version)
 		for _, a := range m.Adapters {
 			k := Key{Model: m.Model, Adapter: a.Name}
 			there[k] = true
 			s.found(k, a.Version)
 		}
 	}
+	for name := range s.models {
+		there[Key{Model: name}] = true
+	}
 	for _, a := range r.Coming {
 		k := Key{Model: a.Model, Adapter: a.Name}
 		there[k] = true
@@ -560,7 +650,7 @@
 		}
 	}
 	for k, e := range s.entries {
-		if !there[k] && e.state != Wished && k.Adapter != "" {
+		if !there[k] && e.state != Wished && !(k.Adapter == "" && e.state == Coming) {
 			e.settle()
 			e.state = Absent
 		}
