dispatch, shelf: any runner may take an adapter; refuse what would wait over half of its aim

Waiting for a place makes answers late: late ones stalled 1 s (p50), in-time ones 0. Ruled out: prompts read (first byte less stall: 0.2 to 0.4 s).

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -107,6 +107,7 @@
 		}
 	}
 	j.started = true
+	j.begun = time.Now()
 	j.status = response.StatusCode
 }
 
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -66,9 +66,11 @@
 	dials int // tries that reached none
 	early int // tries that came before their adapter
 
-	started bool   // the answer's head went to the caller
-	last    string // id of the last event that the caller has
-	status  int    // that the caller got
+	begun   time.Time     // when the answer's head went to the caller
+	stall   time.Duration // waited for the adapter, over all tries
+	started bool          // the answer's head went to the caller
+	last    string        // id of the last event that the caller has
+	status  int           // that the caller got
 }
 
 // ServeHTTP implements http.Handler.
@@ -183,7 +185,11 @@
 	j.Meter.ended(j.service, status, took)
 	fields = append(fields, zap.Int("status", status), zap.Duration("took", took), zap.Uint64("config", j.config),
 		zap.String("route", j.route.Name), zap.Int("sends", j.sends), zap.Int("dials", j.dials), zap.Int("runs", j.runs))
+	if j.started {
+		fields = append(fields, zap.Duration("first", j.begun.Sub(j.arrived)))
+	}
 	if j.call.Model != "" {
+		fields = append(fields, zap.Duration("stall", j.stall), zap.Int("input", j.call.Input))
 		fields = append(fields, zap.String("model", j.call.Model), zap.String("adapter", j.call.Adapter))
 	}
 	j.log.Info(message, fields...)
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -76,6 +76,7 @@
 	if arrived == nil {
 		return peer.Wished{Reason: reason}
 	}
+	defer p.Board.Unwish(m.Runner, key)
 	p.Wake()
 	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
 	defer cancel()
@@ -136,7 +137,7 @@
 }
 
 func (p *Peers) tell(ctx context.Context, to []host.Identity) {
-	digest := peer.Digest{Digest: p.Board.Digest()}
+	digest := peer.Digest{Digest: p.Board.Digest(time.Now())}
 	for _, m := range to {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, digestTimeout)
--- a/jacinthd/internal/direct/owner.go
+++ b/jacinthd/internal/direct/owner.go
@@ -189,7 +189,7 @@
 	}
 	o.owned[a.Runner] = fence
 	o.Log.Info("host: acquired a runner", zap.String("runner", a.Runner), zap.Uint64("fence", fence), zap.String("from", a.From))
-	o.Board.Own(a.Runner, fence, from)
+	o.Board.Own(a.Runner, fence, from, a.From == "")
 	o.Meter.owned.Set(float64(len(o.owned)))
 }
 
@@ -217,7 +217,7 @@
 	}
 	for name, fence := range o.owned {
 		if names[name] {
-			o.Board.Own(name, fence, time.Now())
+			o.Board.Own(name, fence, time.Now().Add(o.Turn), false)
 		}
 	}
 	if same {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -146,7 +146,6 @@
 		select {
 		case <-k.Arrived:
 		case <-ctx.Done():
-			return false
 		}
 		there = k.Ready(time.Now())
 	} else {
@@ -154,6 +153,7 @@
 	}
 	now := time.Now()
 	j.Meter.stalled(now.Sub(begun))
+	j.stall += now.Sub(begun)
 	k.Started(now)
 	return there
 }
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -14,6 +14,20 @@
 	_       struct{} `cbor:",toarray"`
 	From    string   // the host
 	Targets []Activity
+	Spaces  []Space
+}
+
+// A Space is how many adapters a runner that the sender owns has place for.
+type Space struct {
+	_      struct{} `cbor:",toarray"`
+	Runner string
+	Spare  int // negative where adapters wait for a place
+}
+
+// room is what a runner's owner told of its places.
+type room struct {
+	at    time.Time
+	spare int
 }
 
 // An Activity is the requests of one host on one target.
@@ -44,11 +58,14 @@
 }
 
 // Digest returns what other hosts should know of this host's requests.
-func (b *Board) Digest() Digest {
+func (b *Board) Digest(now time.Time) Digest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := Digest{From: b.Holder}
 	for _, t := range b.targets {
+		if t.shelf != nil {
+			d.Spaces = append(d.Spaces, Space{Runner: t.Name, Spare: t.shelf.Spare(now)})
+		}
 		if t.open == 0 && len(t.usage) == 0 {
 			continue
 		}
@@ -73,6 +90,11 @@
 		b.told = make(map[string]time.Time)
 	}
 	b.told[d.From] = now
+	for _, s := range d.Spaces {
+		if t := b.targets[s.Runner]; t != nil {
+			t.room = room{at: now, spare: s.Spare}
+		}
+	}
 	for _, a := range d.Targets {
 		t := b.targets[a.Target]
 		if t == nil {
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -106,6 +106,9 @@
 	// that of one that the runner has at hand.
 	fetchPrice = 0.30
 	handPrice  = 0.03
+	// homePrice is that of each runner that comes before in the order of an
+	// adapter: the next request looks there first.
+	homePrice = 0.012
 	// farPrice is that of 16 KB between regions.
 	farPrice = 0.03
 	farUnit  = 16 << 10 // bytes
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -8,8 +8,9 @@
 	"jacinthstage/stage/shelf"
 )
 
-// Own says that this host orders a runner from a moment on, under a fencing number.
-func (b *Board) Own(name string, fence uint64, from time.Time) {
+// Own says that this host orders a runner from a moment on, under a fencing
+// number; fresh says that the runner had no owner before.
+func (b *Board) Own(name string, fence uint64, from time.Time, fresh bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[name]
@@ -18,7 +19,7 @@
 	}
 	b.disown(t)
 	t.shelf = &shelf.Shelf{
-		Target: name, Holder: b.Holder, Fence: fence, Slots: b.slots(t.Service), From: from,
+		Target: name, Holder: b.Holder, Fence: fence, Slots: b.slots(t.Service), From: from, New: fresh,
 		Transit: b.transitTime(),
 	}
 	for k, r := range b.newest {
@@ -152,6 +153,15 @@
 	return t.shelf.Wish(now, k), ""
 }
 
+// Unwish ends a wait that Wish began.
+func (b *Board) Unwish(name string, k shelf.Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[name]; t != nil && t.shelf != nil {
+		t.shelf.Unwish(k)
+	}
+}
+
 // Resident reports whether a runner that this host owns holds an adapter.
 func (b *Board) Resident(now time.Time, name string, k shelf.Key) bool {
 	b.mu.Lock()
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// homes is the number of runners onto which an adapter may be loaded, by
-	// rendezvous hashing, beside those that have it at hand.
-	homes = 3
+	// placeSpan is how long it takes until one of a runner's places is free.
+	placeSpan = 440 * time.Millisecond
+	// waitShare is the part of its aim after which a request is refused rather
+	// than left to wait for an adapter.
+	waitShare = 0.5
 	// handTransit is the expected time of a load of an adapter that the runner has at hand.
 	handTransit = 40 * time.Millisecond
 	// comeBack is when a caller may come back that found no target.
@@ -100,6 +102,8 @@
 		return Refuse{Reason: "no target", After: spread(comeBack)}
 	case now.Add(best.span).After(w.Deadline):
 		return Refuse{Reason: "too late", After: spread(comeBack + best.span/4)}
+	case best.load && float64(best.span) > waitShare*float64(w.Aim.Sub(now)):
+		return Refuse{Reason: "no place for the adapter", After: spread(comeBack + best.span/4)}
 	}
 	return Send{Ticket: b.ticket(now, w, best)}
 }
@@ -123,37 +127,39 @@
 	return best, len(all) > 0
 }
 
-// homes returns the runners of this host's region, or of all where it has none,
-// onto which a request's adapter is loaded first.
-func (b *Board) homes(all []*target, w Want) map[*target]bool {
+// homes ranks the runners onto which a request's adapter may be loaded: by
+// rendezvous hashing, those of this host's region first.
+func (b *Board) homes(all []*target, w Want) map[*target]int {
 	if !w.engine() || w.Call.Adapter == "" {
 		return nil
 	}
 	type ranked struct {
 		target *target
+		far    bool
 		weight uint64
 	}
-	var order []ranked
+	order := make([]ranked, 0, len(all))
 	for _, t := range all {
-		if !b.far(t) {
-			order = append(order, ranked{t, xxhash.Sum64String(w.Call.Adapter + "@" + t.Name)})
-		}
+		order = append(order, ranked{t, b.far(t), xxhash.Sum64String(w.Call.Adapter + "@" + t.Name)})
 	}
-	if len(order) == 0 {
-		for _, t := range all {
-			order = append(order, ranked{t, xxhash.Sum64String(w.Call.Adapter + "@" + t.Name)})
+	slices.SortFunc(order, func(x, y ranked) int {
+		if x.far != y.far {
+			if x.far {
+				return 1
+			}
+			return -1
 		}
-	}
-	slices.SortFunc(order, func(x, y ranked) int { return cmp.Compare(x.weight, y.weight) })
-	out := make(map[*target]bool, homes)
-	for _, r := range order[:min(homes, len(order))] {
-		out[r.target] = true
+		return cmp.Compare(x.weight, y.weight)
+	})
+	out := make(map[*target]int, len(order))
+	for i, r := range order {
+		out[r.target] = i
 	}
 	return out
 }
 
 // weigh returns what a request would meet at a target, false where it can't go there.
-func (b *Board) weigh(now time.Time, t *target, w Want, home bool) (candidate, bool) {
+func (b *Board) weigh(now time.Time, t *target, w Want, home int) (candidate, bool) {
 	c := candidate{target: t, span: b.expected(now, t, w)}
 	c.cost = failPrice * t.failures
 	if b.far(t) {
@@ -201,22 +207,29 @@
 }
 
 // loadWait returns what a load onto a target would cost and take, false where
-// none can be had.
-func (b *Board) loadWait(now time.Time, t *target, k shelf.Key, home bool) (price float64, wait time.Duration, ok bool) {
-	_, atHand := t.hand[k]
-	if k.Adapter == "" || !home && !atHand || now.Before(t.full) {
+// none can be had. home is the target's rank among those of the adapter.
+func (b *Board) loadWait(now time.Time, t *target, k shelf.Key, home int) (price float64, wait time.Duration, ok bool) {
+	if k.Adapter == "" || now.Before(t.full) {
 		return 0, 0, false
 	}
 	price, wait = fetchPrice, b.transitTime()
-	if atHand {
+	if _, atHand := t.hand[k]; atHand {
 		price, wait = handPrice, handTransit
 	}
-	s := t.shelf
-	if s == nil {
-		_, owned := b.owners[t.Name]
-		_, model := t.Models[k.Model]
-		return price, wait, owned && model
+	price += homePrice * float64(home)
+	if t.shelf != nil {
+		return b.ownWait(now, t.shelf, k, price, wait)
+	}
+	_, owned := b.owners[t.Name]
+	_, model := t.Models[k.Model]
+	if now.Sub(t.room.at) < digestAge && t.room.spare <= 0 {
+		wait += time.Duration(1-t.room.spare) * placeSpan
 	}
+	return price, wait, owned && model
+}
+
+// ownWait is loadWait for a runner that this host orders.
+func (b *Board) ownWait(now time.Time, s *shelf.Shelf, k shelf.Key, price float64, wait time.Duration) (float64, time.Duration, bool) {
 	if s.Closed(now, k) != "" {
 		return 0, 0, false
 	}
@@ -225,9 +238,10 @@
 	case shelf.Coming:
 		return 0, max(0, due.Sub(now)), true
 	case shelf.Wished:
-		return 0, wait, true
+		return 0, wait + s.Wait(now), true
+	default:
+		return price, wait + s.Wait(now), true
 	}
-	return price, wait + wait*time.Duration(s.Backlog())/4, true
 }
 
 func (b *Board) ticket(now time.Time, w Want, c *candidate) *Ticket {
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -140,6 +140,9 @@
 	t.trial = false
 	t.unuse(k.want.key())
 	if t.shelf != nil {
+		if k.Arrived != nil {
+			t.shelf.Unwish(k.want.key())
+		}
 		t.shelf.Unuse(k.want.key())
 	}
 }
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -46,6 +46,8 @@
 	confirmPause = 30 * time.Millisecond
 	// halfLife is the time in which the weight of past use halves.
 	halfLife = 10 * time.Second
+	// meanHold is how long requests keep an adapter in use.
+	meanHold = 3500 * time.Millisecond
 	// wishMost is how long a wish waits for an order.
 	wishMost = 4 * time.Second
 )
@@ -79,6 +81,7 @@
 	uses    float64 // aged number of uses
 	doubt   time.Time
 	arrived chan struct{} // closed when the wait ends
+	waiting int           // requests that wait for it
 }
 
 // A peerUse is what another host told of its use of an adapter.
@@ -105,8 +108,10 @@
 	Holder string
 	Fence  uint64
 	Slots  int
-	// From is the first moment at which an order may go out.
+	// From is the first moment at which an order may go out. A runner that was
+	// New, and has accepted no order yet, needs no such pause.
 	From time.Time
+	New  bool
 	// Transit is the expected time of a load of an adapter.
 	Transit time.Duration
 	// Base is the model to load onto a runner that holds none, BaseTransit the
@@ -188,12 +193,33 @@
 		return "content not known"
 	case !s.models[k.Model]:
 		return "model not there"
-	case s.spare(now) <= len(s.wishes):
-		return "no place"
 	}
 	return ""
 }
 
+// Wait returns how long an adapter that is wished for now would wait for a place.
+func (s *Shelf) Wait(now time.Time) time.Duration {
+	return placeTime(len(s.wishes)-s.spare(now), s.Slots)
+}
+
+// placeTime returns how long it takes until a place is free where short wishes
+// are before it.
+func placeTime(short, slots int) time.Duration {
+	if short < 0 {
+		return 0
+	}
+	return time.Duration(short+1) * meanHold / time.Duration(max(1, slots))
+}
+
+// Spare returns the places that a wish could take at once; it is negative where
+// wishes wait.
+func (s *Shelf) Spare(now time.Time) int {
+	if !s.Synced() || now.Before(s.From) {
+		return 0
+	}
+	return s.spare(now) - len(s.wishes)
+}
+
 // spare returns the places that are free or held by adapters that nobody uses.
 func (s *Shelf) spare(now time.Time) int {
 	n := s.Slots
@@ -211,12 +237,14 @@
 }
 
 // Wish asks for an adapter. The channel is closed once it is expected to be
-// there, or the wait for it ended.
+// there, or the wait for it ended. Each Wish is ended by an Unwish.
 func (s *Shelf) Wish(now time.Time, k Key) <-chan struct{} {
 	e := s.entry(k)
 	if e.arrived == nil {
 		e.arrived = make(chan struct{})
 	}
+	arrived := e.arrived
+	e.waiting++
 	if e.state == Absent {
 		e.state = Wished
 		e.due = now.Add(wishMost)
@@ -225,7 +253,19 @@
 	if e.state == Resident {
 		e.settle()
 	}
-	return e.arrived
+	return arrived
+}
+
+// Unwish ends a wait. An adapter that nobody waits for any more isn't ordered.
+func (s *Shelf) Unwish(k Key) {
+	e := s.entries[k]
+	if e == nil || e.waiting == 0 {
+		return
+	}
+	e.waiting--
+	if e.waiting == 0 && e.state == Wished {
+		s.forget(k, e)
+	}
 }
 
 // settle ends the wait for an adapter.
@@ -335,7 +375,7 @@
 	switch {
 	case s.lost:
 		return nil, again
-	case now.Before(s.From):
+	case now.Before(s.From) && (!s.New || s.synced):
 		return nil, s.From
 	case !s.sent.IsZero() || !s.asked.IsZero():
 		return nil, s.arrivals(again)
@@ -624,6 +664,10 @@
 	}
 	s.orders = r.Orders
 	s.synced = true
+	if s.New && r.Orders == 0 {
+		s.From = time.Time{}
+	}
+	s.New = false
 	s.models = make(map[string]bool)
 	there := make(map[Key]bool)
 	for _, m := range r.Models {
