dispatch, shelf, direct: bounded wait for a place; failed idempotent requests are repeated

Cause: late answers had waited 0.5 to 2 s at an owner that expected 0.25 s (wishes queue behind loads in transit and lost answers); 8 in 100 reads of the registry failed by the service's own 500s, which may be repeated.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -23,6 +23,9 @@
 	// heldMost is the largest body that is read whole before the answer begins,
 	// in bytes.
 	heldMost = 1 << 20
+	// repeatLeast is the least time that a request must have left to be repeated
+	// after its target failed.
+	repeatLeast = 150 * time.Millisecond
 	// eventMost is the largest event of a stream, in bytes.
 	eventMost = 1 << 20
 )
@@ -72,6 +75,10 @@
 		k.Report(time.Now(), dispatch.Ended{Failed: true})
 		return broken{reason: "status " + strconv.Itoa(status) + " in place of the rest"}
 	}
+	if status >= http.StatusInternalServerError && j.mayRepeat() {
+		k.Report(time.Now(), dispatch.Ended{Failed: true})
+		return failure{status: status}
+	}
 	k.Report(time.Now(), dispatch.Ended{Failed: status >= http.StatusInternalServerError})
 	j.begin(x.Response)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -90,6 +97,13 @@
 	return answered{}
 }
 
+// mayRepeat reports whether the request may run once more, and takes the retry
+// from the budget.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeatable() && j.runs+1 < j.route.Attempts && time.Until(j.deadline) > repeatLeast &&
+		j.Budgets.Take(time.Now(), j.service)
+}
+
 // forbidden reports whether a status promises that a request did not run.
 func forbidden(status int) bool {
 	switch status {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,10 @@
 // broken: no whole answer came, and the request may have run.
 type broken struct{ reason string }
 
+// failure: the target ran the request and answered that it failed; the request
+// is repeated.
+type failure struct{ status int }
+
 // unreached: no connection could be opened.
 type unreached struct{ cause error }
 
@@ -54,6 +59,7 @@
 func (answered) outcome()  {}
 func (notRun) outcome()    {}
 func (broken) outcome()    {}
+func (failure) outcome()   {}
 func (unreached) outcome() {}
 func (left) outcome()      {}
 func (late) outcome()      {}
@@ -109,6 +115,11 @@
 	case notRun:
 		j.sends++
 		return j.again(j.sends < sendsMost, true, o.reason)
+	case failure:
+		j.sends++
+		j.runs++
+		j.avoid[k.Target.Name] = true
+		return true
 	case broken:
 		j.sends++
 		j.runs++
@@ -282,6 +293,8 @@
 		return "not run: " + o.reason
 	case broken:
 		return "broken: " + o.reason
+	case failure:
+		return "failed: status " + strconv.Itoa(o.status)
 	case unreached:
 		return "unreached: " + o.cause.Error()
 	case left:
--- /dev/null
+++ b/stage/dispatch/dispatch_test.go
@@ -0,0 +1,240 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/shelf"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	model   = "base"
+	service = "draft"
+	plain   = "registry"
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+var regions = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
+
+// board returns the board of a host that knows n runners of one zone, each with
+// the model and the adapters that hold lists, and two targets of a plain service.
+func board(host, zone string, n int, hold map[int][]string) *dispatch.Board {
+	b := &dispatch.Board{Holder: host, Zone: zone, Regions: regions}
+	engine := &catalog.Engine{Slots: 2, CacheLimit: 100000, LoadRate: 4, Models: map[string]catalog.Model{model: {Name: model, LoadTime: 600 * time.Millisecond}}}
+	b.Apply(start, catalog.Configured{Config: catalog.Build(1, nil, []catalog.Service{{Name: service, Engine: engine}, {Name: plain}}, catalog.Limits{})})
+	owners := make(map[string]dispatch.Owner)
+	var all []catalog.Target
+	for i := range n {
+		t := runner(i, zone, hold[i]...)
+		owners[t.Name] = dispatch.Owner{Host: "owner", Address: "127.0.0.1:1"}
+		all = append(all, t)
+	}
+	for i := range 2 {
+		all = append(all, catalog.Target{Name: fmt.Sprint("plain-", i), Service: plain, Zone: zone, Slots: 6})
+	}
+	b.Apply(start, catalog.Listed{Revision: 1, Targets: all})
+	b.Owned(owners, 3)
+	return b
+}
+
+func runner(i int, zone string, adapters ...string) catalog.Target {
+	held := catalog.Holding{Version: 1, Adapters: map[string]int{}}
+	for _, a := range adapters {
+		held.Adapters[a] = 1
+	}
+	return catalog.Target{
+		Name: fmt.Sprint("runner-", i), Service: service, Zone: zone, Slots: 64,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 80),
+		Models:  map[string]catalog.Holding{model: held},
+	}
+}
+
+func want(adapter string, input int, ms int) dispatch.Want {
+	return dispatch.Want{
+		Call:    call.Call{ID: "x", Model: model, Adapter: adapter, Input: input},
+		Service: service, Aim: at(ms + 1000), Deadline: at(ms + 6000),
+	}
+}
+
+func ticket(t *testing.T, b *dispatch.Board, w dispatch.Want, ms int) *dispatch.Ticket {
+	choice := b.Pick(at(ms), w)
+	require.IsType(t, dispatch.Send{}, choice)
+	return choice.(dispatch.Send).Ticket
+}
+
+func refused(t *testing.T, b *dispatch.Board, w dispatch.Want, ms int) dispatch.Refuse {
+	choice := b.Pick(at(ms), w)
+	require.IsType(t, dispatch.Refuse{}, choice)
+	return choice.(dispatch.Refuse)
+}
+
+// TestHitGoesWhereTheAdapterIs: a request goes to the runner that holds its adapter.
+func TestHitGoesWhereTheAdapterIs(t *testing.T) {
+	b := board("host-0", "north-a", 6, map[int][]string{4: {"a7"}})
+	k := ticket(t, b, want("a7", 800, 0), 0)
+	require.Equal(t, "runner-4", k.Target.Name)
+	require.Empty(t, k.Owner.Host)
+}
+
+// TestRareAdapterHasOneHome: hosts that see one request each for the same rare
+// adapter ask for it on the same runner, so that it is fetched once.
+func TestRareAdapterHasOneHome(t *testing.T) {
+	for i := range 20 {
+		adapter := fmt.Sprint("rare-", i)
+		one := ticket(t, board("host-0", "north-a", 12, nil), want(adapter, 800, 0), 0)
+		two := ticket(t, board("host-1", "north-a", 12, nil), want(adapter, 800, 0), 0)
+		require.Equal(t, one.Target.Name, two.Target.Name)
+		require.Equal(t, "owner", one.Owner.Host)
+	}
+}
+
+// TestPopularAdapterSpreads: an adapter whose runner has long prompts to read is
+// asked for on a second one.
+func TestPopularAdapterSpreads(t *testing.T) {
+	b := board("host-0", "north-a", 6, map[int][]string{0: {"hot"}})
+	used := make(map[string]bool)
+	for range 8 {
+		used[ticket(t, b, want("hot", 9000, 0), 0).Target.Name] = true
+	}
+	require.Greater(t, len(used), 1)
+	require.LessOrEqual(t, len(used), 4)
+}
+
+// TestOthersLoadCounts: what another host tells of its requests moves a request
+// to the next runner.
+func TestOthersLoadCounts(t *testing.T) {
+	b := board("host-0", "north-a", 2, map[int][]string{0: {"hot"}, 1: {"hot"}})
+	first := ticket(t, b, want("hot", 100, 0), 0)
+	first.Report(at(1), dispatch.Ended{})
+	b.Take(at(10), dispatch.Digest{From: "host-1", Targets: []dispatch.Activity{{Target: first.Target.Name, Open: 9, Unread: 40000}}})
+	require.NotEqual(t, first.Target.Name, ticket(t, b, want("hot", 100, 20), 20).Target.Name)
+	b.Take(at(30), dispatch.Digest{From: "host-1"})
+	require.Equal(t, first.Target.Name, ticket(t, b, want("hot", 100, 40), 40).Target.Name, "a digest that leaves it out ends it")
+}
+
+// TestPlacesTakenRefusesAtOnce: with every place in use by other adapters, a
+// request for a rare one is refused at once, with when to come back.
+func TestPlacesTakenRefusesAtOnce(t *testing.T) {
+	b := board("host-0", "north-a", 3, nil)
+	var spaces []dispatch.Space
+	for i := range 3 {
+		spaces = append(spaces, dispatch.Space{Runner: fmt.Sprint("runner-", i), Spare: -3})
+	}
+	b.Take(at(0), dispatch.Digest{From: "owner", Spaces: spaces})
+	r := refused(t, b, want("rare", 800, 10), 10)
+	require.Equal(t, "no place for the adapter", r.Reason)
+	require.Positive(t, r.After)
+	spaces[1].Spare = 1
+	b.Take(at(20), dispatch.Digest{From: "owner", Spaces: spaces})
+	require.Equal(t, "runner-1", ticket(t, b, want("rare", 800, 30), 30).Target.Name)
+}
+
+// TestFailedTargetIsShunned: a target that broke off is left alone for a while,
+// then tried with one request.
+func TestFailedTargetIsShunned(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	k := ticket(t, b, want("a", 100, 0), 0)
+	k.Report(at(5), dispatch.Broke{Reached: true})
+	require.Equal(t, "no target", refused(t, b, want("a", 100, 10), 10).Reason)
+	trial := ticket(t, b, want("a", 100, 600), 600)
+	require.Equal(t, "no target", refused(t, b, want("a", 100, 601), 601).Reason, "one trial at a time")
+	trial.Report(at(650), dispatch.Ended{})
+	ticket(t, b, want("a", 100, 700), 700)
+}
+
+// TestDrainingGetsNothing: a target that leaves gets no request, and one whose
+// entry went stays for a moment only.
+func TestDrainingGetsNothing(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	b.Apply(at(10), catalog.Batch{Revision: 2, Changes: []catalog.Change{catalog.Removed{Name: "runner-0"}}})
+	ticket(t, b, want("a", 100, 20), 20)
+	refused(t, b, want("a", 100, 3000), 3000)
+	leaving := runner(0, "north-a", "a")
+	leaving.State = catalog.Draining
+	b.Apply(at(3100), catalog.Batch{Revision: 3, Changes: []catalog.Change{catalog.Changed{Target: leaving}}})
+	refused(t, b, want("a", 100, 3200), 3200)
+}
+
+// TestNewVersion: the former version of an adapter serves for a while, then
+// only the new one may.
+func TestNewVersion(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	b.Apply(at(0), catalog.Versioned{Model: model, Adapter: "a", Version: 2})
+	k := ticket(t, b, want("a", 100, 1000), 1000)
+	require.Zero(t, k.Version)
+	require.Empty(t, k.Owner.Host)
+	k = ticket(t, b, want("a", 100, 4000), 4000)
+	require.Equal(t, 2, k.Version)
+	require.NotEmpty(t, k.Owner.Host, "the new version has to be loaded")
+}
+
+// TestOwnRunner: the owner of a runner waits for the load itself, and others ask it.
+func TestOwnRunner(t *testing.T) {
+	b := board("host-0", "north-a", 1, nil)
+	b.Own("runner-0", 3, start, false)
+	errands, _ := b.Errands(at(0))
+	require.Len(t, errands, 1)
+	require.Equal(t, shelf.Ask{}, errands[0].Action)
+	b.Reported(at(1), "runner-0", &call.Report{Models: []call.Resident{{Model: model, Version: 1}}})
+
+	k := ticket(t, b, want("a", 100, 10), 10)
+	require.NotNil(t, k.Arrived)
+	arrived, reason := b.Wish(at(11), "runner-0", shelf.Key{Model: model, Adapter: "a"})
+	require.Empty(t, reason)
+	errands, _ = b.Errands(at(12))
+	require.Len(t, errands, 1)
+	b.Replied(at(13), "runner-0", call.Holds)
+	for _, c := range []<-chan struct{}{arrived, k.Arrived} {
+		select {
+		case <-c:
+		default:
+			t.Fatal("the wait goes on")
+		}
+	}
+	require.True(t, k.Ready(at(14)))
+	require.True(t, b.Resident(at(14), "runner-0", shelf.Key{Model: model, Adapter: "a"}))
+
+	b.Disown("runner-0")
+	_, reason = b.Wish(at(20), "runner-0", shelf.Key{Model: model, Adapter: "a"})
+	require.Equal(t, "not the owner", reason)
+}
+
+// TestEmptyRunnersLoadInTurn: the loads of models that one host orders keep to its
+// part of the weight store's rate.
+func TestEmptyRunnersLoadInTurn(t *testing.T) {
+	b := board("host-0", "north-a", 2, nil)
+	for i := range 2 {
+		name := fmt.Sprint("runner-", i)
+		b.Own(name, 3, start, false)
+	}
+	b.Errands(at(0))
+	for i := range 2 {
+		b.Reported(at(1), fmt.Sprint("runner-", i), &call.Report{})
+	}
+	first, _ := b.Errands(at(2))
+	require.Len(t, first, 1)
+	later, _ := b.Errands(at(2 + 3*1000/4))
+	require.Len(t, later, 1)
+	require.NotEqual(t, first[0].Target.Name, later[0].Target.Name)
+}
+
+// TestPlainServiceSpreads: requests of a plain service go to the target with the
+// fewest in progress.
+func TestPlainServiceSpreads(t *testing.T) {
+	b := board("host-0", "north-a", 0, nil)
+	w := dispatch.Want{Call: call.Call{ID: "x"}, Service: plain, Aim: at(300), Deadline: at(1500)}
+	one, two := ticket(t, b, w, 0), ticket(t, b, w, 0)
+	require.NotEqual(t, one.Target.Name, two.Target.Name)
+	w.Avoid = map[string]bool{one.Target.Name: true, two.Target.Name: true}
+	require.Equal(t, "no target", refused(t, b, w, 1).Reason)
+}
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -150,9 +150,15 @@
 	if reason := t.shelf.Closed(now, k); reason != "" {
 		return nil, reason
 	}
+	if state, _, _ := t.shelf.Lookup(k); state == shelf.Absent && t.shelf.Wait(now) > placeMost {
+		return nil, "no place"
+	}
 	return t.shelf.Wish(now, k), ""
 }
 
+// placeMost is how long another host's wish may wait for a place.
+const placeMost = 250 * time.Millisecond
+
 // Unwish ends a wait that Wish began.
 func (b *Board) Unwish(name string, k shelf.Key) {
 	b.mu.Lock()
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -16,9 +16,11 @@
 const (
 	// placeSpan is how long it takes until one of a runner's places is free.
 	placeSpan = 440 * time.Millisecond
-	// waitShare is the part of its aim after which a request is refused rather
-	// than left to wait for an adapter.
-	waitShare = 0.5
+	// placeShare is the part of its aim for which a request may wait for a place,
+	// and loadShare that by which it must be expected to begin where it waits for
+	// its adapter at all. What would take longer is refused.
+	placeShare = 0.25
+	loadShare  = 0.9
 	// handTransit is the expected time of a load of an adapter that the runner has at hand.
 	handTransit = 40 * time.Millisecond
 	// comeBack is when a caller may come back that found no target.
@@ -83,6 +85,7 @@
 	cost   float64
 	span   time.Duration
 	load   bool
+	place  time.Duration // wait for a place, where the adapter is to be loaded
 }
 
 // Pick chooses a target. The reasons of a Refuse are "no target", "no adapter"
@@ -102,12 +105,18 @@
 		return Refuse{Reason: "no target", After: spread(comeBack)}
 	case now.Add(best.span).After(w.Deadline):
 		return Refuse{Reason: "too late", After: spread(comeBack + best.span/4)}
-	case best.load && float64(best.span) > waitShare*float64(w.Aim.Sub(now)):
+	case best.load && b.overdue(now, w, best):
 		return Refuse{Reason: "no place for the adapter", After: spread(comeBack + best.span/4)}
 	}
 	return Send{Ticket: b.ticket(now, w, best)}
 }
 
+// overdue reports whether a request would wait too long for its adapter.
+func (b *Board) overdue(now time.Time, w Want, c *candidate) bool {
+	aim := float64(w.Aim.Sub(now))
+	return float64(c.place) > placeShare*aim || float64(c.span) > loadShare*aim
+}
+
 // best returns the candidate of least cost, and whether any target is usable.
 func (b *Board) best(now time.Time, w Want) (*candidate, bool) {
 	var best *candidate
@@ -166,13 +175,14 @@
 		c.cost += farPrice * float64(w.Size) / farUnit
 	}
 	if w.engine() && !b.holds(now, t, w.key()) {
-		price, wait, ok := b.loadWait(now, t, w.key(), home)
+		l, ok := b.load(now, t, w.key(), home)
 		if !ok {
 			return c, false
 		}
 		c.load = true
-		c.span += wait
-		c.cost += price
+		c.place = l.place
+		c.span += l.place + l.transit
+		c.cost += l.price
 	}
 	c.cost += risk(c.span, w.Aim.Sub(now))
 	return c, true
@@ -206,42 +216,49 @@
 	return !ok || version >= r.version || now.Before(r.heard.Add(versionGrace))
 }
 
-// loadWait returns what a load onto a target would cost and take, false where
-// none can be had. home is the target's rank among those of the adapter.
-func (b *Board) loadWait(now time.Time, t *target, k shelf.Key, home int) (price float64, wait time.Duration, ok bool) {
+// A loading is what a load onto a target would cost and take.
+type loading struct {
+	price   float64
+	place   time.Duration // wait for a place
+	transit time.Duration
+}
+
+// load returns what a load onto a target would cost and take, false where none
+// can be had. home is the target's rank among those of the adapter.
+func (b *Board) load(now time.Time, t *target, k shelf.Key, home int) (loading, bool) {
 	if k.Adapter == "" || now.Before(t.full) {
-		return 0, 0, false
+		return loading{}, false
 	}
-	price, wait = fetchPrice, b.transitTime()
+	l := loading{price: fetchPrice, transit: b.transitTime()}
 	if _, atHand := t.hand[k]; atHand {
-		price, wait = handPrice, handTransit
+		l.price, l.transit = handPrice, handTransit
 	}
-	price += homePrice * float64(home)
+	l.price += homePrice * float64(home)
 	if t.shelf != nil {
-		return b.ownWait(now, t.shelf, k, price, wait)
+		return own(now, t.shelf, k, l)
 	}
 	_, owned := b.owners[t.Name]
 	_, model := t.Models[k.Model]
 	if now.Sub(t.room.at) < digestAge && t.room.spare <= 0 {
-		wait += time.Duration(1-t.room.spare) * placeSpan
+		l.place = time.Duration(1-t.room.spare) * placeSpan
 	}
-	return price, wait, owned && model
+	return l, owned && model
 }
 
-// ownWait is loadWait for a runner that this host orders.
-func (b *Board) ownWait(now time.Time, s *shelf.Shelf, k shelf.Key, price float64, wait time.Duration) (float64, time.Duration, bool) {
+// own returns what a load onto a runner that this host orders would take.
+func own(now time.Time, s *shelf.Shelf, k shelf.Key, l loading) (loading, bool) {
 	if s.Closed(now, k) != "" {
-		return 0, 0, false
+		return loading{}, false
 	}
 	state, _, due := s.Lookup(k)
 	switch state {
 	case shelf.Coming:
-		return 0, max(0, due.Sub(now)), true
+		return loading{transit: max(0, due.Sub(now))}, true
 	case shelf.Wished:
-		return 0, wait + s.Wait(now), true
-	default:
-		return price, wait + s.Wait(now), true
+		l.price = 0
 	}
+	l.place = s.Wait(now)
+	return l, true
 }
 
 func (b *Board) ticket(now time.Time, w Want, c *candidate) *Ticket {
--- /dev/null
+++ b/stage/shelf/random_test.go
@@ -0,0 +1,133 @@
+package shelf_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/shelf"
+)
+
+// A runner is a naive runner: it takes orders, also late ones, and would crash
+// if it were made to hold more adapters than it has places.
+type runner struct {
+	slots  int
+	orders uint64
+	held   map[string]bool
+	coming map[string]time.Time
+	late   []late
+}
+
+// A late is an order that is carried out after its sender gave up.
+type late struct {
+	order call.Order
+	due   time.Time
+}
+
+func (r *runner) settle(now time.Time) {
+	for name, due := range r.coming {
+		if !now.Before(due) {
+			r.held[name] = true
+			delete(r.coming, name)
+		}
+	}
+	rest := r.late[:0]
+	for _, l := range r.late {
+		if now.Before(l.due) {
+			rest = append(rest, l)
+			continue
+		}
+		r.take(now, l.order, time.Second)
+	}
+	r.late = rest
+}
+
+func (r *runner) take(now time.Time, o call.Order, span time.Duration) call.Reply {
+	there := r.held[o.Adapter]
+	_, moving := r.coming[o.Adapter]
+	switch {
+	case o.Kind == call.Fetch && there:
+		return call.Holds
+	case o.Kind == call.Fetch && moving:
+		return call.Accepted
+	case o.Orders != r.orders:
+		return call.Conflict
+	}
+	r.orders++
+	if o.Kind == call.Drop {
+		delete(r.held, o.Adapter)
+		return call.Holds
+	}
+	r.coming[o.Adapter] = now.Add(span)
+	return call.Accepted
+}
+
+func (r *runner) report() call.Report {
+	resident := call.Resident{Model: model, Version: 1}
+	for name := range r.held {
+		resident.Adapters = append(resident.Adapters, call.Adapter{Model: model, Name: name, Version: 1})
+	}
+	out := call.Report{Orders: r.orders, Models: []call.Resident{resident}}
+	for name := range r.coming {
+		out.Coming = append(out.Coming, call.Adapter{Model: model, Name: name, Version: 1})
+	}
+	return out
+}
+
+// TestNeverOverItsPlaces drives a shelf and a runner whose answers are lost and
+// whose orders come late: the runner is never made to hold more adapters than it
+// has places, and once the trouble ends a wish is met.
+func TestNeverOverItsPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		r := &runner{slots: slots, held: map[string]bool{}, coming: map[string]time.Time{}}
+		s := &shelf.Shelf{Slots: slots, Transit: 250 * time.Millisecond}
+		now := start
+		names := []string{"a", "b", "c", "d", "e"}
+		drive := func(faults bool) {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 20, 200, 800}).Draw(t, "pass")) * time.Millisecond)
+			r.settle(now)
+			action, _ := s.Next(now)
+			switch a := action.(type) {
+			case shelf.Ask:
+				s.Reported(now, r.report())
+			case shelf.Give:
+				lost := faults && rapid.IntRange(0, 3).Draw(t, "lost") == 0
+				switch {
+				case lost && rapid.Bool().Draw(t, "late"):
+					r.late = append(r.late, late{a.Order, now.Add(time.Duration(rapid.IntRange(2, 12).Draw(t, "delay")) * time.Second)})
+					s.Replied(now, call.Unanswered)
+				case lost:
+					r.take(now, a.Order, 250*time.Millisecond)
+					s.Replied(now, call.Unanswered)
+				default:
+					s.Replied(now, r.take(now, a.Order, 250*time.Millisecond))
+				}
+			}
+			require.LessOrEqual(t, len(r.held)+len(r.coming), slots)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				s.Wish(now, key(name))
+			case 1:
+				s.Unwish(key(name))
+			}
+			drive(true)
+		}
+		for range 60 {
+			drive(false)
+		}
+		now = now.Add(15 * time.Second)
+		arrived := s.Wish(now, key("last"))
+		for range 40 {
+			drive(false)
+		}
+		require.True(t, closed(arrived))
+		require.Equal(t, shelf.Resident, state(s, "last"))
+	})
+}
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -49,7 +49,7 @@
 	// meanHold is how long requests keep an adapter in use.
 	meanHold = 3500 * time.Millisecond
 	// wishMost is how long a wish waits for an order.
-	wishMost = 4 * time.Second
+	wishMost = 450 * time.Millisecond
 )
 
 // A Key names an adapter of a model, or the model itself where Adapter is empty.
@@ -497,7 +497,7 @@
 
 // Empty reports whether the runner is known to hold no model, and none is on its way.
 func (s *Shelf) Empty() bool {
-	if !s.Synced() || len(s.models) > 0 {
+	if !s.Synced() || len(s.models) > 0 || !s.sent.IsZero() {
 		return false
 	}
 	for k, e := range s.entries {
--- /dev/null
+++ b/stage/shelf/shelf_test.go
@@ -0,0 +1,237 @@
+package shelf_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/shelf"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const model = "base"
+
+func key(adapter string) shelf.Key { return shelf.Key{Model: model, Adapter: adapter} }
+
+// at returns the time some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// synced returns a shelf that knows its runner to hold adapters in version 1.
+func synced(t *testing.T, slots int, adapters ...string) *shelf.Shelf {
+	s := &shelf.Shelf{Target: "runner-0", Holder: "host-0", Fence: 7, Slots: slots, Transit: 250 * time.Millisecond}
+	action, _ := s.Next(at(0))
+	require.Equal(t, shelf.Ask{}, action)
+	resident := call.Resident{Model: model, Version: 1}
+	for _, a := range adapters {
+		resident.Adapters = append(resident.Adapters, call.Adapter{Model: model, Name: a, Version: 1})
+	}
+	s.Reported(at(1), call.Report{Orders: 5, Models: []call.Resident{resident}})
+	return s
+}
+
+// order returns the order that the shelf sends now.
+func order(t *testing.T, s *shelf.Shelf, ms int) call.Order {
+	action, _ := s.Next(at(ms))
+	require.IsType(t, shelf.Give{}, action)
+	return action.(shelf.Give).Order
+}
+
+func none(t *testing.T, s *shelf.Shelf, ms int) {
+	action, _ := s.Next(at(ms))
+	require.Nil(t, action)
+}
+
+func state(s *shelf.Shelf, adapter string) shelf.State {
+	got, _, _ := s.Lookup(key(adapter))
+	return got
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestLoadIsConfirmed: an adapter counts as there once the runner says so, and
+// an order that is sent again while it is on its way isn't counted.
+func TestLoadIsConfirmed(t *testing.T) {
+	s := synced(t, 2)
+	arrived := s.Wish(at(10), key("a"))
+	o := order(t, s, 10)
+	require.Equal(t, call.Order{Kind: call.Fetch, Model: model, Adapter: "a", Holder: "host-0", Fence: 7, Orders: 5, Target: "runner-0"}, o)
+	s.Replied(at(12), call.Accepted)
+	require.Equal(t, shelf.Coming, state(s, "a"))
+	none(t, s, 100)
+
+	require.EqualValues(t, 6, order(t, s, 263).Orders)
+	s.Replied(at(264), call.Accepted)
+	require.False(t, closed(arrived))
+	require.EqualValues(t, 6, order(t, s, 300).Orders, "the runner does not count an order for what is on its way")
+	s.Replied(at(301), call.Holds)
+	require.True(t, closed(arrived))
+	require.Equal(t, shelf.Resident, state(s, "a"))
+
+	s.Wish(at(400), key("b"))
+	require.EqualValues(t, 6, order(t, s, 400).Orders, "nor one for what is there")
+}
+
+// TestReplacementLeavesTheRunnerOpen: a new version of an adapter in use waits
+// at the runner for its runs; other orders go out meanwhile.
+func TestReplacementLeavesTheRunnerOpen(t *testing.T) {
+	s := synced(t, 3, "hot")
+	s.Newest(key("hot"), 2)
+	o := order(t, s, 10)
+	require.Equal(t, 2, o.Version)
+	s.Replied(at(11), call.Accepted)
+	require.Equal(t, shelf.Resident, state(s, "hot"))
+
+	s.Wish(at(20), key("a"))
+	o = order(t, s, 20)
+	require.Equal(t, "a", o.Adapter)
+	require.EqualValues(t, 5, o.Orders, "a replacement that waits isn't counted")
+	s.Replied(at(21), call.Accepted)
+	o = order(t, s, 330)
+	require.Contains(t, []string{"hot", "a"}, o.Adapter)
+}
+
+// TestLeastUsedMakesWay: of the adapters that nobody uses the one of least
+// recent use makes way, and none that another host uses.
+func TestLeastUsedMakesWay(t *testing.T) {
+	s := synced(t, 3, "busy", "warm", "cold")
+	s.Use(at(10), key("busy"))
+	s.Use(at(10), key("warm"))
+	s.Unuse(key("warm"))
+	s.Wish(at(20), key("a"))
+	o := order(t, s, 20)
+	require.Equal(t, call.Drop, o.Kind)
+	require.Equal(t, "cold", o.Adapter)
+	s.Replied(at(21), call.Holds)
+	require.Equal(t, "a", order(t, s, 22).Adapter)
+	s.Replied(at(23), call.Accepted)
+
+	s.Peer(at(30), key("warm"), "host-1", 1, 1)
+	s.Wish(at(31), key("b"))
+	require.Negative(t, s.Spare(at(31)))
+	none(t, s, 31)
+	s.Peer(at(100), key("warm"), "host-1", 0, 0)
+	require.Equal(t, "warm", order(t, s, 101).Adapter)
+}
+
+// TestUnansweredOrderKeepsItsPlace: a load whose answer was lost may take effect
+// seconds later, so its place isn't given away before a later order is accepted.
+func TestUnansweredOrderKeepsItsPlace(t *testing.T) {
+	s := synced(t, 1)
+	s.Wish(at(10), key("a"))
+	order(t, s, 10)
+	s.Replied(at(700), call.Unanswered)
+	none(t, s, 750)
+	action, _ := s.Next(at(1100))
+	require.Equal(t, shelf.Ask{}, action)
+	s.Reported(at(1101), call.Report{Orders: 5, Models: []call.Resident{{Model: model, Version: 1}}})
+	s.Unwish(key("a"))
+	s.Wish(at(1200), key("b"))
+	none(t, s, 1200)
+	s.Unwish(key("b"))
+	s.Wish(at(14000), key("b"))
+	o := order(t, s, 14000)
+	require.Equal(t, "b", o.Adapter)
+}
+
+// TestTurnOfHolders: the first order waits until the former owner's turn is
+// over, but not on a runner that never had an order.
+func TestTurnOfHolders(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fresh  bool
+		orders uint64
+		waits  bool
+	}{
+		{"taken over", false, 0, true},
+		{"first owner, no order yet", true, 0, false},
+		{"first owner of a runner that had orders", true, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &shelf.Shelf{Slots: 1, From: at(3000), New: c.fresh}
+			s.Wish(at(0), key("a"))
+			if c.fresh {
+				action, _ := s.Next(at(0))
+				require.Equal(t, shelf.Ask{}, action)
+				s.Reported(at(1), call.Report{Orders: c.orders, Models: []call.Resident{{Model: model}}})
+			}
+			action, _ := s.Next(at(2))
+			if c.waits {
+				require.Nil(t, action)
+				return
+			}
+			require.IsType(t, shelf.Give{}, action)
+		})
+	}
+}
+
+// TestEmptyRunnerGetsItsModel: a runner that came back from a crash holds no
+// model, and gets one before any adapter.
+func TestEmptyRunnerGetsItsModel(t *testing.T) {
+	s := &shelf.Shelf{Slots: 1}
+	s.Next(at(0))
+	s.Reported(at(1), call.Report{})
+	require.True(t, s.Empty())
+	none(t, s, 2)
+	s.Base, s.BaseTransit = model, 600*time.Millisecond
+	o := order(t, s, 3)
+	require.Equal(t, call.Order{Kind: call.Fetch, Model: model}, o)
+	s.Replied(at(4), call.Accepted)
+	require.False(t, s.Empty())
+	require.NotEmpty(t, s.Closed(at(5), key("a")))
+	order(t, s, 700)
+	s.Replied(at(701), call.Holds)
+	require.Empty(t, s.Closed(at(702), key("a")))
+	s.Wish(at(702), key("a"))
+	require.Equal(t, "a", order(t, s, 703).Adapter)
+}
+
+// TestFencedEndsAllOrders: after another holder was seen nothing goes out.
+func TestFencedEndsAllOrders(t *testing.T) {
+	s := synced(t, 2)
+	arrived := s.Wish(at(10), key("a"))
+	order(t, s, 10)
+	s.Replied(at(11), call.Fenced)
+	require.True(t, s.Lost())
+	require.True(t, closed(arrived))
+	none(t, s, 60000)
+}
+
+// TestWishWithoutWaiter: an adapter that nobody waits for any more isn't loaded.
+func TestWishWithoutWaiter(t *testing.T) {
+	s := synced(t, 1, "old")
+	s.Use(at(5), key("old"))
+	s.Wish(at(10), key("a"))
+	s.Wish(at(11), key("a"))
+	s.Unwish(key("a"))
+	require.Equal(t, shelf.Wished, state(s, "a"))
+	s.Unwish(key("a"))
+	require.Equal(t, shelf.Absent, state(s, "a"))
+	s.Unuse(key("old"))
+	none(t, s, 20)
+}
+
+// TestOldReport: a report that lags behind the orders is asked for again.
+func TestOldReport(t *testing.T) {
+	s := synced(t, 2)
+	s.Wish(at(10), key("a"))
+	order(t, s, 10)
+	s.Replied(at(11), call.Accepted)
+	s.Wish(at(12), key("b"))
+	order(t, s, 12)
+	s.Replied(at(13), call.Conflict)
+	action, _ := s.Next(at(320))
+	require.Equal(t, shelf.Ask{}, action)
+	s.Reported(at(321), call.Report{Orders: 5, Models: []call.Resident{{Model: model}}})
+	require.False(t, s.Synced())
+	require.Equal(t, shelf.Coming, state(s, "a"))
+}
