--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -40,7 +40,9 @@
 	Link    *peer.Link
 	Board   *dispatch.Board
 	Wake    func()
-	Log     *zap.Logger
+	// Behind is called where another host has a newer configuration.
+	Behind func()
+	Log    *zap.Logger
 
 	members atomic.Pointer[[]host.Identity]
 }
@@ -60,7 +62,10 @@
 func (p *Peers) answer(ctx context.Context, first peer.Message) peer.Message {
 	switch m := first.(type) {
 	case peer.Digest:
-		p.Board.Take(time.Now(), m.Digest)
+		if p.Board.Take(time.Now(), m.Digest) {
+			p.Log.Info("config: another host has a newer version", zap.String("host", m.Digest.From), zap.Uint64("version", m.Digest.Config))
+			p.Behind()
+		}
 		return peer.Done{}
 	case peer.Wish:
 		return p.load(ctx, m)
--- a/jacinthd/internal/direct/port.go
+++ b/jacinthd/internal/direct/port.go
@@ -47,5 +47,9 @@
 // A Follower tells what changes on the platform until ctx ends. It calls sink
 // from several goroutines.
 type Follower interface {
-	Follow(ctx context.Context, sink func(catalog.Event))
+	// Follow tells changes of targets together, at most once in the time that
+	// pace returns.
+	Follow(ctx context.Context, sink func(catalog.Event), pace func() time.Duration)
+	// Refresh has the configuration read now.
+	Refresh()
 }
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -28,7 +28,7 @@
 	patienceTimes = 3
 	patienceLeast = 700 * time.Millisecond
 	// comeBack is when a caller may come back whose request found no room.
-	comeBack = 400 * time.Millisecond
+	comeBack = 200 * time.Millisecond
 )
 
 // An outcome is how one try ended.
--- a/jacinthd/internal/outbound/outbound_test.go
+++ b/jacinthd/internal/outbound/outbound_test.go
@@ -110,10 +110,12 @@
 // the connection carries no other request.
 func TestConnectionsNotKept(t *testing.T) {
 	for name, answer := range map[string]func(id string) string{
-		"bytes behind the answer":      func(id string) string { return whole(id, "a") + "HTTP/1.1 200 OK\r\n" },
-		"a second answer":              func(id string) string { return whole(id, "a") + whole(id, "b") },
-		"the target closes":            func(id string) string { return strings.Replace(whole(id, "a"), "\r\n", "\r\nConnection: close\r\n", 1) },
-		"the target keeps it no time":  func(id string) string { return strings.Replace(whole(id, "a"), "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1) },
+		"bytes behind the answer": func(id string) string { return whole(id, "a") + "HTTP/1.1 200 OK\r\n" },
+		"a second answer":         func(id string) string { return whole(id, "a") + whole(id, "b") },
+		"the target closes":       func(id string) string { return strings.Replace(whole(id, "a"), "\r\n", "\r\nConnection: close\r\n", 1) },
+		"the target keeps it no time": func(id string) string {
+			return strings.Replace(whole(id, "a"), "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1)
+		},
 		"informational, then an extra": func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + whole(id, "a") + "x" },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -13,6 +13,7 @@
 type Digest struct {
 	_       struct{} `cbor:",toarray"`
 	From    string   // the host
+	Config  uint64   // version of the configuration in force there
 	Targets []Activity
 	Spaces  []Space
 }
@@ -62,6 +63,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := Digest{From: b.Holder}
+	if b.config != nil {
+		d.Config = b.config.Version
+	}
 	for _, t := range b.targets {
 		if t.shelf != nil {
 			d.Spaces = append(d.Spaces, Space{Runner: t.Name, Spare: t.shelf.Spare(now)})
@@ -82,10 +86,12 @@
 	return d
 }
 
-// Take takes in what another host told.
-func (b *Board) Take(now time.Time, d Digest) {
+// Take takes in what another host told. It reports whether that host has a newer
+// configuration.
+func (b *Board) Take(now time.Time, d Digest) (behind bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	behind = b.config == nil && d.Config > 0 || b.config != nil && d.Config > b.config.Version
 	if b.told == nil {
 		b.told = make(map[string]time.Time)
 	}
@@ -111,6 +117,7 @@
 			t.shelf.Peer(now, shelf.Key{Model: u.Model, Adapter: u.Adapter}, d.From, u.Open, u.Begun)
 		}
 	}
+	return behind
 }
 
 // others returns the requests of other hosts on a target, and the tokens of
@@ -133,6 +140,13 @@
 	Address string // of the link between hosts
 }
 
+// Hosts returns the number of hosts, 1 where it isn't known.
+func (b *Board) Hosts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(1, b.hosts)
+}
+
 // Owned tells which host orders each runner, and how many hosts there are.
 func (b *Board) Owned(owners map[string]Owner, hosts int) {
 	b.mu.Lock()
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -84,6 +84,7 @@
 	present  map[shelf.Key]time.Time
 	hand     map[shelf.Key]time.Time // adapters that it held, and when that was seen last
 	full     time.Time               // no load is asked for before
+	wished   map[shelf.Key]time.Time // asked of its owner, and when
 	room     room                    // places, as its owner told
 	faults   int                     // failures in a row
 	shunned  time.Time               // not used before, but for one trial
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -24,7 +24,9 @@
 	// handTransit is the expected time of a load of an adapter that the runner has at hand.
 	handTransit = 40 * time.Millisecond
 	// comeBack is when a caller may come back that found no target.
-	comeBack = 400 * time.Millisecond
+	comeBack = 200 * time.Millisecond
+	// wishFresh is how long an adapter that was asked for counts as on its way.
+	wishFresh = 600 * time.Millisecond
 	// freshNote is how long what a request showed of an adapter goes before the
 	// target's entry.
 	freshNote = 3 * time.Second
@@ -234,6 +236,10 @@
 		l.price, l.transit = handPrice, handTransit
 	}
 	l.price += homePrice * float64(home)
+	if at, ok := t.wished[k]; ok && now.Sub(at) < wishFresh {
+		// It is on its way for another request of this host.
+		l.price, l.transit = 0, max(0, l.transit-now.Sub(at))
+	}
 	if t.shelf != nil {
 		return own(now, t.shelf, k, l)
 	}
@@ -293,10 +299,26 @@
 		t.shelf.Use(now, w.key())
 	case c.load:
 		ticket.Owner = b.owners[t.Name]
+		t.asked(now, w.key())
 	}
 	return ticket
 }
 
+// asked notes that the owner of a runner is asked for an adapter.
+func (t *target) asked(now time.Time, k shelf.Key) {
+	if t.wished == nil {
+		t.wished = make(map[shelf.Key]time.Time)
+	}
+	for other, at := range t.wished {
+		if now.Sub(at) >= wishFresh {
+			delete(t.wished, other)
+		}
+	}
+	if _, ok := t.wished[k]; !ok {
+		t.wished[k] = now
+	}
+}
+
 func (t *target) use(k shelf.Key) {
 	if t.usage == nil {
 		t.usage = make(map[shelf.Key]*usage)
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -70,6 +70,7 @@
 	defer b.mu.Unlock()
 	t := k.target
 	key := k.want.key()
+	delete(t.wished, key)
 	if !arrived {
 		t.full = now.Add(fullPause)
 		return false
