--- a/jacinthd/internal/direct/courier.go
+++ b/jacinthd/internal/direct/courier.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/outbound"
@@ -29,6 +30,8 @@
 	Pool    *outbound.Pool
 	Meter   *Meter
 	Log     *zap.Logger
+	// Valid reports whether orders may still be sent.
+	Valid func() bool
 }
 
 // replies names the replies to orders in logs and metrics.
@@ -59,6 +62,10 @@
 	reply := call.Unanswered
 	status, body := 0, []byte(nil)
 	method, path, header, text, err := c.Runners.Order(o)
+	if err == nil && !c.Valid() {
+		err = errors.New("not sent: the lease has lapsed")
+		reply = call.Refused
+	}
 	if err == nil {
 		status, body, err = c.do(ctx, e.Target.Address, outbound.Request{Method: method, Target: path, Header: header, Body: text, Once: true})
 	}
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -106,6 +106,7 @@
 		Meter:   meter, Log: log, Fenced: s.Fenced, Turn: s.Turn,
 		Terms: lease.Terms{Term: leaseTerm, Renewal: leaseRenewal, Margin: leaseMargin},
 	}
+	out.owner.Courier.Valid = out.owner.Valid
 	out.owner.Open()
 	out.peers.Wake = out.owner.Wake
 	out.peers.Behind = p.Follower.Refresh
@@ -119,8 +120,8 @@
 }
 
 const (
-	leaseTerm    = 8 * time.Second
-	leaseRenewal = 2500 * time.Millisecond
+	leaseTerm    = 12 * time.Second
+	leaseRenewal = 3 * time.Second
 	leaseMargin  = 500 * time.Millisecond
 	// hostsGuess is the number of hosts that share the slack of retries while it isn't known.
 	hostsGuess = 12
@@ -149,8 +150,9 @@
 		return err
 	}
 	if p.settings.Admin.IsValid() {
+		// A host serves callers also where its metrics can't be served.
 		if err := p.listen(life, faults, &http.Server{Handler: p.admin(), ReadHeaderTimeout: headerTimeout}, p.settings.Admin); err != nil {
-			return err
+			p.log.Error("host: no metrics", zap.Error(err))
 		}
 	}
 	if err := p.link(life, faults); err != nil {
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -29,7 +29,7 @@
 	// digestTimeout limits the sending of one digest.
 	digestTimeout = time.Second
 	// wishTimeout is how long a wish waits for its adapter at the owner.
-	wishTimeout = 2 * time.Second
+	wishTimeout = 800 * time.Millisecond
 )
 
 // Peers talks with other hosts. Its fields must be set.
--- a/jacinthd/internal/direct/owner.go
+++ b/jacinthd/internal/direct/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 const (
 	// settleEvery is the time between two looks at what is to be done.
 	settleEvery = 500 * time.Millisecond
+	// unfencedTurns is how many times longer a turn is at runners that don't check
+	// fencing numbers.
+	unfencedTurns = 2
 	// inbox is the number of events that wait for the control goroutine.
 	inbox = 256
 )
@@ -46,7 +50,7 @@
 	stopped chan struct{}
 	member  host.Member
 	owned   map[string]uint64 // fencing numbers by runner
-	until   time.Time         // end of the lease, by the boot clock
+	until   atomic.Int64      // end of the lease, by the boot clock, in Unix nanoseconds; 0 without one
 	runners map[string]bool   // those last told to the membership
 }
 
@@ -136,16 +140,16 @@
 		o.release(a.Runner, "handed over")
 		o.post(ctx, host.Drained{Runner: a.Runner})
 	case host.Renewed:
-		o.until = a.Until
+		o.until.Store(a.Until.UnixNano())
 	case host.Lapsed:
 		o.Log.Warn("lease: lapsed", zap.Int("runners", len(o.owned)))
-		o.until = time.Time{}
+		o.until.Store(0)
 	case host.Members:
 		o.Log.Info("host: new table of owners", zap.Uint64("version", a.Version), zap.Int("members", len(a.Table.Members)), zap.Int("runners", len(a.Table.Rows)))
 		o.members(a.Table)
 	case host.Replaced:
 		o.Log.Error("lease: another process runs under this name")
-		o.until = time.Time{}
+		o.until.Store(0)
 	case host.Stopped:
 		o.Log.Info("lease: given up")
 		close(o.stopped)
@@ -185,7 +189,7 @@
 	}
 	from := time.Now()
 	if a.From != o.Self.Name {
-		from = from.Add(o.Turn)
+		from = from.Add(o.turn())
 	}
 	o.owned[a.Runner] = fence
 	o.Log.Info("host: acquired a runner", zap.String("runner", a.Runner), zap.Uint64("fence", fence), zap.String("from", a.From))
@@ -193,6 +197,15 @@
 	o.Meter.owned.Set(float64(len(o.owned)))
 }
 
+// turn returns the time between the orders of two holders. It is longer where
+// runners don't refuse an order that comes late.
+func (o *Owner) turn() time.Duration {
+	if o.Fenced {
+		return o.Turn
+	}
+	return unfencedTurns * o.Turn
+}
+
 func (o *Owner) release(runner, why string) {
 	if _, ok := o.owned[runner]; !ok {
 		return
@@ -217,7 +230,7 @@
 	}
 	for name, fence := range o.owned {
 		if names[name] {
-			o.Board.Own(name, fence, time.Now().Add(o.Turn), false)
+			o.Board.Own(name, fence, time.Now().Add(o.turn()), false)
 		}
 	}
 	if same {
@@ -228,21 +241,23 @@
 }
 
 func (o *Owner) rows(all []catalog.Target) []host.Runner {
-	var fencing host.Fencing = host.Ignored{}
-	if o.Fenced {
-		fencing = host.Checked{}
-	}
+	// A lease is broken a whole term after its last renewal, when its holder has
+	// stopped ordering by itself. So a lost owner's runner may move also where it
+	// would not refuse the former owner's orders.
 	rows := make([]host.Runner, 0, len(all))
 	for _, t := range all {
-		rows = append(rows, host.Runner{Name: t.Name, Zone: t.Zone, Fencing: fencing})
+		rows = append(rows, host.Runner{Name: t.Name, Zone: t.Zone, Fencing: host.Checked{}})
 	}
 	return rows
 }
 
+// Valid reports whether this host's lease is valid, so that it may send orders.
+func (o *Owner) Valid() bool { return boottime.Now().UnixNano() < o.until.Load() }
+
 // errands carries out what the shelves ask for, while the lease is valid. It
 // returns when to look again.
 func (o *Owner) errands(ctx context.Context) time.Time {
-	if !boottime.Now().Before(o.until) {
+	if !o.Valid() {
 		return time.Now().Add(settleEvery)
 	}
 	errands, next := o.Board.Errands(time.Now())
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -175,7 +175,7 @@
 	reason, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
 	j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
 		zap.String("adapter", j.call.Adapter), zap.String("refused", reason), zap.Duration("took", time.Since(begun)), zap.Error(err))
-	return k.Wished(time.Now(), reason == "")
+	return k.Wished(time.Now(), reason == "", err == nil)
 }
 
 // ended handles a wait that ended without the adapter.
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -238,3 +238,17 @@
 	w.Avoid = map[string]bool{one.Target.Name: true, two.Target.Name: true}
 	require.Equal(t, "no target", refused(t, b, w, 1).Reason)
 }
+
+// TestSilentOwner: a runner whose owner did not answer a wish is asked for no
+// load for a while; other runners are.
+func TestSilentOwner(t *testing.T) {
+	b := board("host-0", "north-a", 2, nil)
+	first := ticket(t, b, want("a", 100, 0), 0)
+	require.False(t, first.Wished(at(800), false, false))
+	first.Report(at(800), dispatch.Left{})
+	second := ticket(t, b, want("a", 100, 800), 800)
+	require.NotEqual(t, first.Target.Name, second.Target.Name)
+	second.Report(at(801), dispatch.Left{})
+	again := ticket(t, b, want("a", 100, 4000), 4000)
+	require.Equal(t, first.Target.Name, again.Target.Name)
+}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -14,6 +14,8 @@
 	shunMost  = 4 * time.Second
 	// fullPause is how long no load is asked of a runner whose owner refused one.
 	fullPause = 300 * time.Millisecond
+	// silentPause is the same where the owner did not answer.
+	silentPause = 2 * time.Second
 	// earlyPause is how long a request waits that came before its adapter.
 	earlyPause = 70 * time.Millisecond
 	// failureWeight is the weight of the newest answer in a target's share of failures.
@@ -63,15 +65,19 @@
 }
 
 // Wished takes in how the owner of the ticket's runner answered the wish for its
-// adapter. It reports whether the adapter is there.
-func (k *Ticket) Wished(now time.Time, arrived bool) bool {
+// adapter, or that it did not. It reports whether the adapter is there.
+func (k *Ticket) Wished(now time.Time, arrived, answered bool) bool {
 	b := k.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := k.target
 	key := k.want.key()
 	delete(t.wished, key)
-	if !arrived {
+	switch {
+	case !answered:
+		t.full = now.Add(silentPause)
+		return false
+	case !arrived:
 		t.full = now.Add(fullPause)
 		return false
 	}
