dispatch, shelf, direct: owners confirm and keep adapters; budgets by requests; another target before giving one up

Cause: an adapter loaded for another host's request made way before that request came (its use was told 250 ms later), and residency known from entries was old: 240 of 3,036 requests found their adapter gone. Broken streams were not resumed for want of budget, which counted successes. Requests that a target kept waiting were given up where no other could take them (502).

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -126,7 +126,6 @@
 }
 
 func (j *job) done(k *dispatch.Ticket, status int, err error) {
-	j.Budgets.Succeeded(time.Now(), j.service)
 	j.finish("request: answered", status, zap.String("target", k.Target.Name), zap.Duration("expected", k.Expected),
 		zap.Int("running", k.Running), zap.Bool("loaded", k.Arrived != nil), zap.NamedError("write", err))
 }
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -244,6 +244,7 @@
 				wanted[t.Address] = true
 			}
 			p.pool.Sweep(func(a netip.AddrPort) bool { return wanted[a] })
+			p.handler.Budgets.SetFloor(float64(p.settings.Slack) / float64(p.board.Hosts()+1))
 			p.handler.Meter.targets.Set(float64(len(wanted)))
 			for name, u := range p.board.Shelves(now) {
 				p.log.Info("shelf: places", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -333,3 +333,28 @@
 	require.Equal(t, "a", text)
 	require.True(t, response.Close)
 }
+
+// TestSlowTarget: a request that its target keeps waiting goes to another one,
+// and waits on where there is none.
+func TestSlowTarget(t *testing.T) {
+	for _, c := range []struct {
+		targets int
+		runs    int
+	}{{2, 2}, {1, 1}} {
+		w := serve(t, c.targets, func(w http.ResponseWriter, r *http.Request, count int) {
+			if count == 1 {
+				select {
+				case <-time.After(1100 * time.Millisecond):
+				case <-r.Context().Done():
+					return
+				}
+			}
+			good(w, "a")
+		})
+		response, text, err := w.ask(t, http.MethodGet, "/read/", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, "a", text)
+		require.EqualValues(t, c.runs, w.runs.Load())
+	}
+}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -66,11 +66,13 @@
 	dials int // tries that reached none
 	early int // tries that came before their adapter
 
-	begun   time.Time     // when the answer's head went to the caller
-	stall   time.Duration // waited for the adapter, over all tries
-	started bool          // the answer's head went to the caller
-	last    string        // id of the last event that the caller has
-	status  int           // that the caller got
+	begun   time.Time        // when the answer's head went to the caller
+	stall   time.Duration    // waited for the adapter, over all tries
+	started bool             // the answer's head went to the caller
+	fault   string           // of the last try that failed
+	next    *dispatch.Ticket // a place elsewhere, while a target keeps the request waiting
+	last    string           // id of the last event that the caller has
+	status  int              // that the caller got
 }
 
 // ServeHTTP implements http.Handler.
@@ -111,6 +113,7 @@
 		return false
 	}
 	j.service = j.route.Choose(rand.Float64())
+	j.Budgets.Count(j.arrived, j.service)
 	j.deadline = j.arrived.Add(longest)
 	for _, limit := range []time.Duration{j.call.Budget, j.route.Timeout} {
 		if limit > 0 && j.arrived.Add(limit).Before(j.deadline) {
@@ -170,7 +173,12 @@
 	j.w.Header().Set("Content-Type", "text/plain")
 	j.w.WriteHeader(status)
 	_, err := io.WriteString(j.w, reason+"\n")
-	j.finish("request: refused", status, zap.String("reason", reason), zap.Duration("after", after), zap.NamedError("write", err))
+	message := "request: refused"
+	if j.runs > 0 {
+		message = "request: failed"
+	}
+	j.finish(message, status, zap.String("reason", reason), zap.String("fault", j.fault),
+		zap.Duration("after", after), zap.NamedError("write", err))
 }
 
 // cut ends an answer that has begun so that the caller sees that it isn't whole.
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -28,6 +28,9 @@
 	farFan = 6
 	// digestTimeout limits the sending of one digest.
 	digestTimeout = time.Second
+	// confirmTimeout is how long a host waits for an owner to confirm that an
+	// adapter is there.
+	confirmTimeout = 60 * time.Millisecond
 	// wishTimeout is how long a wish waits for its adapter at the owner.
 	wishTimeout = 800 * time.Millisecond
 )
@@ -95,11 +98,9 @@
 	return peer.Wished{Arrived: true}
 }
 
-// Wish asks the owner of a runner for an adapter. It returns why it isn't there,
-// empty where it is.
+// Wish asks the owner of a runner for an adapter until ctx ends. It returns why
+// it isn't there, empty where it is.
 func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (reason string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
-	defer cancel()
 	address, err := netip.ParseAddrPort(owner.Address)
 	if err != nil {
 		return "owner without address", errors.WithStack(err)
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +29,8 @@
 	// at least so long.
 	patienceTimes = 3
 	patienceLeast = 700 * time.Millisecond
+	// patienceMore is the time between two looks for another target after that.
+	patienceMore = 200 * time.Millisecond
 	// comeBack is when a caller may come back whose request found no room.
 	comeBack = 200 * time.Millisecond
 )
@@ -69,33 +73,56 @@
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
 	j.avoid = make(map[string]bool)
+	defer j.release()
 	for {
-		choice := j.Board.Pick(time.Now(), dispatch.Want{
-			Call: j.call, Service: j.service, Size: len(j.body),
-			Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid,
-		})
-		switch c := choice.(type) {
-		case dispatch.Refuse:
-			j.giveUp(c.Reason, c.After)
+		k := j.pick()
+		if k == nil || !j.send(ctx, k) {
 			return
-		case dispatch.Send:
-			if !j.next(ctx, c.Ticket) {
-				return
-			}
-		default:
-			panic("direct: unknown choice")
 		}
 	}
 }
 
-// next makes one try. It returns true where another is to follow.
-func (j *job) next(ctx context.Context, k *dispatch.Ticket) bool {
+// pick returns the ticket of the next try. It gives the request up and returns
+// nil where there is none.
+func (j *job) pick() *dispatch.Ticket {
+	if k := j.next; k != nil {
+		j.next = nil
+		return k
+	}
+	switch c := j.Board.Pick(time.Now(), j.want()).(type) {
+	case dispatch.Refuse:
+		j.giveUp(c.Reason, c.After)
+		return nil
+	case dispatch.Send:
+		return c.Ticket
+	default:
+		panic("direct: unknown choice")
+	}
+}
+
+// release gives back the place elsewhere that was not used.
+func (j *job) release() {
+	if j.next != nil {
+		j.next.Report(time.Now(), dispatch.Left{})
+	}
+}
+
+func (j *job) want() dispatch.Want {
+	return dispatch.Want{
+		Call: j.call, Service: j.service, Size: len(j.body),
+		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid,
+	}
+}
+
+// send makes one try. It returns true where another is to follow.
+func (j *job) send(ctx context.Context, k *dispatch.Ticket) bool {
 	if !j.await(ctx, k) {
 		return j.ended(ctx, k)
 	}
 	o := j.try(ctx, k)
 	if _, ok := o.(answered); !ok {
-		j.log.Info("request: try failed", zap.String("target", k.Target.Name), zap.String("outcome", describe(o)),
+		j.fault = describe(o)
+		j.log.Info("request: try failed", zap.String("target", k.Target.Name), zap.String("outcome", j.fault),
 			zap.Duration("expected", k.Expected), zap.Int("running", k.Running), zap.Duration("since", time.Since(j.arrived)))
 	}
 	switch o := o.(type) {
@@ -169,12 +196,22 @@
 	return there
 }
 
-// wish asks the owner of the ticket's runner for the adapter.
+// wish asks the owner of the ticket's runner for the adapter. It reports whether
+// to send the request.
 func (j *job) wish(ctx context.Context, k *dispatch.Ticket) bool {
 	begun := time.Now()
+	limit := wishTimeout
+	if k.Confirm {
+		limit = confirmTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	reason, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
-	j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
-		zap.String("adapter", j.call.Adapter), zap.String("refused", reason), zap.Duration("took", time.Since(begun)), zap.Error(err))
+	if reason != "" || !k.Confirm {
+		j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
+			zap.String("adapter", j.call.Adapter), zap.Bool("confirm", k.Confirm), zap.String("refused", reason),
+			zap.Duration("took", time.Since(begun)), zap.Error(err))
+	}
 	return k.Wished(time.Now(), reason == "", err == nil)
 }
 
@@ -216,13 +253,58 @@
 func (j *job) try(ctx context.Context, k *dispatch.Ticket) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	patience := j.patience(k)
-	if patience > 0 {
-		timer := time.AfterFunc(patience, cancel)
-		defer timer.Stop()
-		return j.exchange(ctx, k, timer)
+	w := &watchdog{}
+	if patience := j.patience(k); patience > 0 {
+		w.start(patience, func() { j.elsewhere(w, k, cancel) })
+		defer w.stop()
+	}
+	return j.exchange(ctx, k, w)
+}
+
+// A watchdog looks for another target while one keeps a request waiting.
+type watchdog struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	done  bool
+}
+
+func (w *watchdog) start(patience time.Duration, look func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(patience, look)
+}
+
+// stop ends the watchdog. It reports whether the wait goes on.
+func (w *watchdog) stop() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	went := !w.done
+	w.done = true
+	return went
+}
+
+// elsewhere ends a try where the request can be served by another target, and
+// otherwise lets it wait on.
+func (j *job) elsewhere(w *watchdog, k *dispatch.Ticket, cancel func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return
+	}
+	want := j.want()
+	want.Avoid = maps.Clone(j.avoid)
+	want.Avoid[k.Target.Name] = true
+	send, ok := j.Board.Pick(time.Now(), want).(dispatch.Send)
+	if !ok {
+		w.timer.Reset(patienceMore)
+		return
 	}
-	return j.exchange(ctx, k, nil)
+	w.done = true
+	j.next = send.Ticket
+	cancel()
 }
 
 // patience returns how long the target may take for the head of its answer; 0
@@ -234,7 +316,7 @@
 	return max(patienceLeast, patienceTimes*k.Expected, j.route.Aim)
 }
 
-func (j *job) exchange(ctx context.Context, k *dispatch.Ticket, timer *time.Timer) outcome {
+func (j *job) exchange(ctx context.Context, k *dispatch.Ticket, w *watchdog) outcome {
 	rest := time.Until(j.deadline)
 	send := call.Send{Target: k.Target.Name, Rank: j.route.Rank, Version: k.Version, After: j.last}
 	if j.call.Budget > 0 {
@@ -249,7 +331,7 @@
 		return j.failed(ctx, k, err)
 	}
 	defer x.Close()
-	if timer != nil && !timer.Stop() {
+	if !w.stop() {
 		return j.failed(ctx, k, ctx.Err())
 	}
 	head := j.Headers.Answer(x.Response.StatusCode, x.Response.Header)
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -27,6 +27,9 @@
 	comeBack = 200 * time.Millisecond
 	// wishFresh is how long an adapter that was asked for counts as on its way.
 	wishFresh = 600 * time.Millisecond
+	// proofFresh is how long after a request found its adapter the next goes there
+	// without asking the runner's owner.
+	proofFresh = 700 * time.Millisecond
 	// freshNote is how long what a request showed of an adapter goes before the
 	// target's entry.
 	freshNote = 3 * time.Second
@@ -70,8 +73,10 @@
 	Expected time.Duration   // to the first byte
 	Arrived  <-chan struct{} // not nil where the request waits for its adapter; closed then
 	Running  int             // requests thought to run there
-	// Owner is not empty where the adapter is to be loaded by another host.
-	Owner Owner
+	// Owner is not empty where another host is to be asked for the adapter. It
+	// loads the adapter or, where Confirm is set, says whether it is still there.
+	Owner   Owner
+	Confirm bool
 
 	board  *Board
 	target *target
@@ -300,6 +305,9 @@
 	case c.load:
 		ticket.Owner = b.owners[t.Name]
 		t.asked(now, w.key())
+	case !b.far(t) && now.Sub(t.present[w.key()]) > proofFresh:
+		ticket.Owner = b.owners[t.Name]
+		ticket.Confirm = true
 	}
 	return ticket
 }
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -65,7 +65,8 @@
 }
 
 // Wished takes in how the owner of the ticket's runner answered the wish for its
-// adapter, or that it did not. It reports whether the adapter is there.
+// adapter, or that it did not. It reports whether to send the request: where an
+// owner that was only to confirm did not answer, the adapter may well be there.
 func (k *Ticket) Wished(now time.Time, arrived, answered bool) bool {
 	b := k.board
 	b.mu.Lock()
@@ -74,20 +75,37 @@
 	key := k.want.key()
 	delete(t.wished, key)
 	switch {
+	case arrived:
+		t.touch(now, key)
+		t.proved(now, key)
+		return true
 	case !answered:
 		t.full = now.Add(silentPause)
-		return false
-	case !arrived:
-		t.full = now.Add(fullPause)
-		return false
+		return k.Confirm
 	}
-	t.touch(now, key)
-	delete(t.absent, key)
+	if k.Confirm {
+		t.lacks(now, key)
+	}
+	t.full = now.Add(fullPause)
+	return false
+}
+
+// proved notes that a runner held an adapter.
+func (t *target) proved(now time.Time, k shelf.Key) {
+	delete(t.absent, k)
 	if t.present == nil {
 		t.present = make(map[shelf.Key]time.Time)
 	}
-	t.present[key] = now
-	return true
+	t.present[k] = now
+}
+
+// lacks notes that a runner did not hold an adapter.
+func (t *target) lacks(now time.Time, k shelf.Key) {
+	delete(t.present, k)
+	if t.absent == nil {
+		t.absent = make(map[shelf.Key]time.Time)
+	}
+	t.absent[k] = now
 }
 
 // Started restarts the clock of a ticket that has waited for its adapter.
@@ -107,6 +125,9 @@
 	case Head:
 		t.hear(now, r.Load)
 		k.read(now)
+		if k.want.Call.Adapter != "" {
+			t.proved(now, k.want.key())
+		}
 		return
 	case Ended:
 		t.succeeded(r.Failed)
@@ -166,10 +187,7 @@
 		t.shelf.Missed(now, key, earlyPause)
 		return
 	}
-	if t.absent == nil {
-		t.absent = make(map[shelf.Key]time.Time)
-	}
-	t.absent[key] = now
+	t.lacks(now, key)
 }
 
 func (t *target) succeeded(failed bool) {
--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -24,20 +24,20 @@
 // Budgets are the budgets of all services. The zero value is ready for use, by
 // several goroutines at once.
 type Budgets struct {
-	Share float64 // retries for each success in the window
-	Floor float64 // retries in the window that need no successes
+	Share float64 // retries for each request in the window
+	Floor float64 // retries in the window that need no requests; see SetFloor
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
-// A window counts successes and retries in each of the last seconds.
+// A window counts requests and retries in each of the last seconds.
 type window struct{ seconds [span]second }
 
 // A second is one second of a window.
 type second struct {
 	unix               int64 // which second, since 1970
-	successes, retries int
+	counted, retries int
 }
 
 // at returns the second of now, emptied where it was an older one.
@@ -52,14 +52,21 @@
 
 // room reports whether the budget has room for one more retry.
 func (w *window) room(now time.Time, floor, share float64) bool {
-	successes, retries := 0, 0
+	counted, retries := 0, 0
 	for _, s := range w.seconds {
 		if s.unix > now.Unix()-span && s.unix <= now.Unix() {
-			successes += s.successes
+			counted += s.counted
 			retries += s.retries
 		}
 	}
-	return float64(retries) < floor+share*float64(successes)
+	return float64(retries) < floor+share*float64(counted)
+}
+
+// SetFloor changes Floor of budgets in use.
+func (b *Budgets) SetFloor(floor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Floor = floor
 }
 
 func (b *Budgets) limits() (floor, share float64) {
@@ -79,11 +86,11 @@
 	return b.services[service]
 }
 
-// Succeeded notes that a request of the service succeeded.
-func (b *Budgets) Succeeded(now time.Time, service string) {
+// Count notes a request of the service, by which its budget grows.
+func (b *Budgets) Count(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).at(now).successes++
+	b.window(service).at(now).counted++
 }
 
 // Take takes one retry from the budget of the service, false where it is used up.
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -35,6 +35,9 @@
 	lateMost = 13 * time.Second
 	// answerMost is how long an order waits for its answer.
 	answerMost = 2 * time.Second
+	// keepSpan is how long an adapter that a request asked for does not make way,
+	// so that the request finds it.
+	keepSpan = 500 * time.Millisecond
 	// peerAge is how long what another host told of its use counts.
 	peerAge = 2 * time.Second
 	// handTransit is the expected time of a load that the runner has at hand.
@@ -76,6 +79,7 @@
 	ordered time.Time // when it was ordered to come
 	open    int       // requests of this host that use it
 	peers   map[string]peerUse
+	kept    time.Time // it does not make way before, since a request is about to use it
 	held    time.Time // when it was on the runner last; it is at hand for a while
 	used    time.Time
 	uses    float64 // aged number of uses
@@ -251,11 +255,15 @@
 		s.wishes = append(s.wishes, k)
 	}
 	if e.state == Resident {
+		e.keep(now)
 		e.settle()
 	}
 	return arrived
 }
 
+// keep has an adapter stay for a request that is about to use it.
+func (e *entry) keep(now time.Time) { e.kept = now.Add(keepSpan) }
+
 // Unwish ends a wait. An adapter that nobody waits for any more isn't ordered.
 func (s *Shelf) Unwish(k Key) {
 	e := s.entries[k]
@@ -323,7 +331,7 @@
 
 // busy reports whether a request of any host uses an adapter.
 func (e *entry) busy(now time.Time) bool {
-	if e.open > 0 {
+	if e.open > 0 || now.Before(e.kept) {
 		return true
 	}
 	for from, p := range e.peers {
@@ -606,6 +614,7 @@
 	case reply == call.Holds:
 		s.orders--
 		e.state = Resident
+		e.keep(now)
 		e.settle()
 		if k.Adapter == "" {
 			s.models[k.Model] = true
