--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -75,11 +75,10 @@
 		k.Report(time.Now(), dispatch.Ended{Failed: true})
 		return broken{reason: "status " + strconv.Itoa(status) + " in place of the rest"}
 	}
-	if status >= http.StatusInternalServerError && j.mayRepeat() {
-		k.Report(time.Now(), dispatch.Ended{Failed: true})
+	k.Report(time.Now(), dispatch.Ended{Failed: status >= http.StatusInternalServerError})
+	if status >= http.StatusInternalServerError && j.mayRepeat(k) {
 		return failure{status: status}
 	}
-	k.Report(time.Now(), dispatch.Ended{Failed: status >= http.StatusInternalServerError})
 	j.begin(x.Response)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(status)
@@ -97,11 +96,13 @@
 	return answered{}
 }
 
-// mayRepeat reports whether the request may run once more, and takes the retry
-// from the budget.
-func (j *job) mayRepeat() bool {
-	return j.route.Repeatable() && j.runs+1 < j.route.Attempts && time.Until(j.deadline) > repeatLeast &&
-		j.Budgets.Take(time.Now(), j.service)
+// mayRepeat reports whether a request that failed at its target may run at
+// another one, and takes the retry from the budget.
+func (j *job) mayRepeat(k *dispatch.Ticket) bool {
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || time.Until(j.deadline) < repeatLeast {
+		return false
+	}
+	return j.other(k) && j.Budgets.Take(time.Now(), j.service)
 }
 
 // forbidden reports whether a status promises that a request did not run.
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -110,10 +110,23 @@
 func (j *job) want() dispatch.Want {
 	return dispatch.Want{
 		Call: j.call, Service: j.service, Size: len(j.body),
-		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid,
+		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid, Begun: j.started,
 	}
 }
 
+// other looks for another target than that of k, and keeps the place there for
+// the next try.
+func (j *job) other(k *dispatch.Ticket) bool {
+	want := j.want()
+	want.Avoid = maps.Clone(j.avoid)
+	want.Avoid[k.Target.Name] = true
+	send, ok := j.Board.Pick(time.Now(), want).(dispatch.Send)
+	if ok {
+		j.next = send.Ticket
+	}
+	return ok
+}
+
 // send makes one try. It returns true where another is to follow.
 func (j *job) send(ctx context.Context, k *dispatch.Ticket) bool {
 	if !j.await(ctx, k) {
@@ -294,16 +307,11 @@
 	if w.done {
 		return
 	}
-	want := j.want()
-	want.Avoid = maps.Clone(j.avoid)
-	want.Avoid[k.Target.Name] = true
-	send, ok := j.Board.Pick(time.Now(), want).(dispatch.Send)
-	if !ok {
+	if !j.other(k) {
 		w.timer.Reset(patienceMore)
 		return
 	}
 	w.done = true
-	j.next = send.Ticket
 	cancel()
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -90,7 +90,8 @@
 	shunned  time.Time               // not used before, but for one trial
 	trial    bool
 	pace     float64 // how much slower than expected it is
-	failures float64 // aged share of failed answers
+	failures float64 // share of failed answers when it was rated last
+	rated    time.Time
 }
 
 // Apply takes in what a follower of the platform told.
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -85,9 +85,15 @@
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
 }
 
-// usable reports whether new requests may go to a target.
+// listed reports whether a target takes new requests by its entry.
+func (t *target) listed(now time.Time) bool {
+	return t.State == catalog.Ready && (t.gone.IsZero() || !now.After(t.gone))
+}
+
+// usable reports whether new requests should go to a target: it is listed, and
+// not shunned or up for a trial.
 func (t *target) usable(now time.Time) bool {
-	if t.State != catalog.Ready || !t.gone.IsZero() && now.After(t.gone) {
+	if !t.listed(now) {
 		return false
 	}
 	return t.shunned.IsZero() || now.After(t.shunned) && !t.trial
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -43,6 +43,7 @@
 	Aim      time.Time // an answer that comes later is worth less
 	Deadline time.Time
 	Avoid    map[string]bool // targets that it was sent to already
+	Begun    bool            // the caller has a part of the answer
 
 	keys []uint64
 }
@@ -112,7 +113,7 @@
 		return Refuse{Reason: "no target", After: spread(comeBack)}
 	case now.Add(best.span).After(w.Deadline):
 		return Refuse{Reason: "too late", After: spread(comeBack + best.span/4)}
-	case best.load && b.overdue(now, w, best):
+	case best.load && !w.Begun && b.overdue(now, w, best):
 		return Refuse{Reason: "no place for the adapter", After: spread(comeBack + best.span/4)}
 	}
 	return Send{Ticket: b.ticket(now, w, best)}
@@ -127,11 +128,9 @@
 // best returns the candidate of least cost, and whether any target is usable.
 func (b *Board) best(now time.Time, w Want) (*candidate, bool) {
 	var best *candidate
-	var all []*target
-	for _, t := range b.services[w.Service] {
-		if t.usable(now) && !w.Avoid[t.Name] {
-			all = append(all, t)
-		}
+	all := b.choose(w, func(t *target) bool { return t.usable(now) })
+	if len(all) == 0 {
+		all = b.choose(w, func(t *target) bool { return t.listed(now) })
 	}
 	near := b.homes(all, w)
 	for _, t := range all {
@@ -143,6 +142,18 @@
 	return best, len(all) > 0
 }
 
+// choose returns the targets of a request's service that it wasn't sent to yet
+// and for which good holds.
+func (b *Board) choose(w Want, good func(*target) bool) []*target {
+	var all []*target
+	for _, t := range b.services[w.Service] {
+		if !w.Avoid[t.Name] && good(t) {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
 // homes ranks the runners onto which a request's adapter may be loaded: by
 // rendezvous hashing, those of this host's region first.
 func (b *Board) homes(all []*target, w Want) map[*target]int {
@@ -177,7 +188,7 @@
 // weigh returns what a request would meet at a target, false where it can't go there.
 func (b *Board) weigh(now time.Time, t *target, w Want, home int) (candidate, bool) {
 	c := candidate{target: t, span: b.expected(now, t, w)}
-	c.cost = failPrice * t.failures
+	c.cost = failPrice * t.failing(now)
 	if b.far(t) {
 		c.cost += farPrice * float64(w.Size) / farUnit
 	}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -12,6 +12,10 @@
 	// each further failure in a row up to shunMost.
 	shunFirst = 500 * time.Millisecond
 	shunMost  = 4 * time.Second
+	// lateTimes and lateLeast say when a target that did not answer in time counts
+	// as failed: it took a multiple of what was expected, and at least so long.
+	lateTimes = 4
+	lateLeast = time.Second
 	// fullPause is how long no load is asked of a runner whose owner refused one.
 	fullPause = 300 * time.Millisecond
 	// silentPause is the same where the owner did not answer.
@@ -20,6 +24,8 @@
 	earlyPause = 70 * time.Millisecond
 	// failureWeight is the weight of the newest answer in a target's share of failures.
 	failureWeight = 0.1
+	// failureAge is the time in which a target's share of failures halves.
+	failureAge = 2 * time.Second
 	// paceWeight is the weight of the newest answer in a target's pace.
 	paceWeight = 0.15
 	paceMost   = 8.0
@@ -42,7 +48,7 @@
 // had taken the connection.
 type Broke struct{ Reached bool }
 
-// Left says that the caller has left, or the time was over.
+// Left says that the caller has left or, with Late, that the request's time was over.
 type Left struct{ Late bool }
 
 func (Head) result()    {}
@@ -130,7 +136,7 @@
 		}
 		return
 	case Ended:
-		t.succeeded(r.Failed)
+		t.succeeded(now, r.Failed)
 	case Missing:
 		k.missing(now, r)
 	case Broke:
@@ -139,7 +145,7 @@
 			t.failed(now)
 		}
 	case Left:
-		if r.Late {
+		if r.Late && now.Sub(k.sent) > max(lateTimes*k.Expected, lateLeast) {
 			t.failed(now)
 		}
 	}
@@ -190,20 +196,32 @@
 	t.lacks(now, key)
 }
 
-func (t *target) succeeded(failed bool) {
+// succeeded takes in that the target answered to the end, be it with a failure.
+func (t *target) succeeded(now time.Time, failed bool) {
 	t.faults = 0
 	t.shunned = time.Time{}
 	share := 0.0
 	if failed {
 		share = 1
 	}
-	t.failures = (1-failureWeight)*t.failures + failureWeight*share
+	t.rate(now, share)
+}
+
+// rate takes an answer into the target's share of failures.
+func (t *target) rate(now time.Time, share float64) {
+	t.failures = (1-failureWeight)*t.failing(now) + failureWeight*share
+	t.rated = now
+}
+
+// failing returns the target's share of failures. What is long ago counts less.
+func (t *target) failing(now time.Time) float64 {
+	return t.failures / (1 + now.Sub(t.rated).Seconds()/failureAge.Seconds())
 }
 
 // failed shuns the target for a time that grows with each failure in a row.
 func (t *target) failed(now time.Time) {
 	t.faults++
-	t.failures = (1-failureWeight)*t.failures + failureWeight
+	t.rate(now, 1)
 	pause := min(shunFirst<<min(t.faults-1, 4), shunMost)
 	t.shunned = now.Add(pause)
 }
--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -36,7 +36,7 @@
 
 // A second is one second of a window.
 type second struct {
-	unix               int64 // which second, since 1970
+	unix             int64 // which second, since 1970
 	counted, retries int
 }
 
