--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -25,7 +25,6 @@
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/retry"
-	"jacinthstage/stage/store"
 )
 
 const (
@@ -44,11 +43,6 @@
 	leaveMost = 2 * time.Second
 	// linkSilence is how long a peer may be silent before its connection ends.
 	linkSilence = 1500 * time.Millisecond
-	// paceEach is the time between two looks at the targets for each host of the
-	// system, within paceLeast and paceMost.
-	paceEach  = 40 * time.Millisecond
-	paceLeast = 800 * time.Millisecond
-	paceMost  = 2 * time.Second
 	// sweepEvery is the time between two looks for connections to close.
 	sweepEvery = time.Second
 	// memoryShare is the part of the process's memory that the heap may use
@@ -58,7 +52,7 @@
 
 // A Platform is what the process meets around it.
 type Platform struct {
-	Store    store.Store
+	Store    Store
 	Follower Follower
 	Headers  Headers
 	Runners  Runners
@@ -158,7 +152,7 @@
 	if err := p.link(life, faults); err != nil {
 		return err
 	}
-	go p.platform.Follower.Follow(life, p.apply, p.pace)
+	go p.platform.Follower.Follow(life, p.apply, p.board.Hosts)
 	go p.owner.Run(life)
 	go p.sweep(life)
 	select {
@@ -194,12 +188,6 @@
 	return nil
 }
 
-// pace returns how often changes of targets are asked for. Many hosts ask less
-// often, since the store bears a number of calls for all of them.
-func (p *Process) pace() time.Duration {
-	return min(max(paceLeast, time.Duration(p.board.Hosts())*paceEach), paceMost)
-}
-
 func (p *Process) serve(server *http.Server, listener net.Listener, faults chan<- error) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		faults <- err
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -21,11 +21,11 @@
 	// digestEvery is the time between two digests to one host of the same region.
 	digestEvery = 250 * time.Millisecond
 	// farTimes is how many times rarer they go to hosts of other regions.
-	farTimes = 4
+	farTimes = 2
 	// digestFan is the number of hosts of the same region that get one digest.
 	digestFan = 12
 	// farFan is the number of hosts of other regions that get one.
-	farFan = 6
+	farFan = 4
 	// digestTimeout limits the sending of one digest.
 	digestTimeout = time.Second
 	// confirmTimeout is how long a host waits for an owner to confirm that an
--- a/jacinthd/internal/direct/owner.go
+++ b/jacinthd/internal/direct/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +34,7 @@
 // carries out what the shelves of its runners ask for. Its fields must be set.
 type Owner struct {
 	Self    host.Identity
-	Store   store.Store
+	Store   Store
 	Board   *dispatch.Board
 	Courier *Courier
 	Peers   *Peers
@@ -271,7 +272,13 @@
 }
 
 func (o *Owner) get(ctx context.Context, a host.Get) {
-	object, err := o.Store.Get(ctx, a.Key)
+	read := o.Store.Get
+	if strings.HasPrefix(a.Key, lease.Prefix(region)) && a.Key != lease.Key(region, o.Self.Name) {
+		// Another host's lease is broken at the version that was seen, which fails
+		// where that was an old one.
+		read = o.Store.GetStale
+	}
+	object, err := read(ctx, a.Key)
 	switch {
 	case err == nil:
 		o.post(ctx, host.Found{Call: a.Call, Version: object.Version, Value: object.Value})
--- a/jacinthd/internal/direct/port.go
+++ b/jacinthd/internal/direct/port.go
@@ -20,6 +20,7 @@
 
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/store"
 )
 
 // Headers translates the headers of requests and answers.
@@ -47,9 +48,15 @@
 // A Follower tells what changes on the platform until ctx ends. It calls sink
 // from several goroutines.
 type Follower interface {
-	// Follow tells changes of targets together, at most once in the time that
-	// pace returns.
-	Follow(ctx context.Context, sink func(catalog.Event), pace func() time.Duration)
+	// Follow is told the number of hosts that follow, on which its pace depends.
+	Follow(ctx context.Context, sink func(catalog.Event), hosts func() int)
 	// Refresh has the configuration read now.
 	Refresh()
 }
+
+// A Store is the platform's object API. GetStale may return a former version of
+// an object, and costs less.
+type Store interface {
+	store.Store
+	GetStale(ctx context.Context, key string) (store.Object, error)
+}
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -134,6 +134,29 @@
 	return open, unread
 }
 
+const (
+	// silenceLeast, and silenceEach for each host of the system, is how long the
+	// owner of a runner may go without a digest before no load is asked of it.
+	silenceLeast = time.Second
+	silenceEach  = 60 * time.Millisecond
+	// silenceFar is how many times longer it may be silent in another region.
+	silenceFar = 3
+)
+
+// silent reports whether the owner of a runner told nothing for too long. One
+// that never told anything may just have started.
+func (b *Board) silent(now time.Time, t *target) bool {
+	told, ok := b.told[b.owners[t.Name].Host]
+	if !ok {
+		return false
+	}
+	limit := silenceLeast + time.Duration(b.hosts)*silenceEach
+	if b.far(t) {
+		limit *= silenceFar
+	}
+	return now.Sub(told) > limit
+}
+
 // An Owner is the host that orders a runner.
 type Owner struct {
 	Host    string
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	targets  map[string]*target
 	services map[string]map[string]*target
 	newest   map[shelf.Key]release
-	transit  time.Duration        // expected time of a load of an adapter
+	owned    map[string]*target   // runners that this host orders
 	told     map[string]time.Time // when each other host told of its requests last
 	owners   map[string]Owner     // by runner
 	hosts    int                  // members that share the rate of the weight store
@@ -222,9 +222,7 @@
 }
 
 func (b *Board) drop(t *target) {
-	if t.shelf != nil {
-		t.shelf.End()
-	}
+	b.disown(t)
 	delete(b.targets, t.Name)
 	delete(b.services[t.Service], t.Name)
 }
@@ -260,12 +258,18 @@
 	return all
 }
 
-// transitTime returns the expected time of a load of an adapter.
-func (b *Board) transitTime() time.Duration {
-	if b.transit == 0 {
+// transitTime returns the expected time of a load of an adapter, as the runners
+// that this host owns show it.
+func (b *Board) transitTime(now time.Time) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, t := range b.owned {
+		sum += t.shelf.Expected(now)
+		n++
+	}
+	if n == 0 {
 		return transitFirst
 	}
-	return b.transit
+	return sum / time.Duration(n)
 }
 
 // spread returns d with a random part, so that callers don't come back at once.
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -20,8 +20,12 @@
 	b.disown(t)
 	t.shelf = &shelf.Shelf{
 		Target: name, Holder: b.Holder, Fence: fence, Slots: b.slots(t.Service), From: from, New: fresh,
-		Transit: b.transitTime(),
+		Transit: transitFirst,
 	}
+	if b.owned == nil {
+		b.owned = make(map[string]*target)
+	}
+	b.owned[name] = t
 	for k, r := range b.newest {
 		t.shelf.Newest(k, r.version)
 	}
@@ -40,6 +44,7 @@
 	if t.shelf != nil {
 		t.shelf.End()
 		t.shelf = nil
+		delete(b.owned, t.Name)
 	}
 }
 
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -247,7 +247,7 @@
 	if k.Adapter == "" || now.Before(t.full) {
 		return loading{}, false
 	}
-	l := loading{price: fetchPrice, transit: b.transitTime()}
+	l := loading{price: fetchPrice, transit: b.transitTime(now)}
 	if _, atHand := t.hand[k]; atHand {
 		l.price, l.transit = handPrice, handTransit
 	}
@@ -264,7 +264,7 @@
 	if now.Sub(t.room.at) < digestAge && t.room.spare <= 0 {
 		l.place = time.Duration(1-t.room.spare) * placeSpan
 	}
-	return l, owned && model
+	return l, owned && model && !b.silent(now, t)
 }
 
 // own returns what a load onto a runner that this host orders would take.
@@ -316,7 +316,7 @@
 	case c.load:
 		ticket.Owner = b.owners[t.Name]
 		t.asked(now, w.key())
-	case !b.far(t) && now.Sub(t.present[w.key()]) > proofFresh:
+	case !b.far(t) && now.Sub(t.present[w.key()]) > proofFresh && !b.silent(now, t):
 		ticket.Owner = b.owners[t.Name]
 		ticket.Confirm = true
 	}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -85,9 +85,11 @@
 		t.touch(now, key)
 		t.proved(now, key)
 		return true
+	case !answered && k.Confirm:
+		return true
 	case !answered:
 		t.full = now.Add(silentPause)
-		return k.Confirm
+		return false
 	}
 	if k.Confirm {
 		t.lacks(now, key)
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -20,6 +20,19 @@
 const (
 	// transitMost is the number of adapters that may be on their way to a runner.
 	transitMost = 4
+	// transitBrisk and transitSlow are the times of a load from which on fewer
+	// adapters may be on their way to a runner.
+	transitBrisk = 400 * time.Millisecond
+	transitSlow  = 700 * time.Millisecond
+	// transitLongest is the most that one load says of the time of a load: one that
+	// took longer was held up by something else.
+	transitLongest = 1200 * time.Millisecond
+	// transitLeast is the least expected time of a load.
+	transitLeast = 20 * time.Millisecond
+	// excessAge is the time in which what was seen of slow loads counts half.
+	excessAge = time.Second
+	// transitWeight is the weight of the newest load in the expected time of one.
+	transitWeight = 0.3
 	// reportLag is how much older than its answer a report may be.
 	reportLag = 300 * time.Millisecond
 	// renewPause is the time between two orders for the same replacement.
@@ -44,9 +57,11 @@
 	handTransit = 30 * time.Millisecond
 	// handAge is how long an adapter that made way is thought to be at hand.
 	handAge = 20 * time.Second
-	// confirmPause is the time from an order that found its adapter still on the
-	// way to the next look.
-	confirmPause = 30 * time.Millisecond
+	// confirmShare is the part of its time on the way after which an adapter that
+	// did not come when it was expected is looked for again, and confirmLeast the
+	// least time between two looks.
+	confirmShare = 0.15
+	confirmLeast = 30 * time.Millisecond
 	// halfLife is the time in which the weight of past use halves.
 	halfLife = 10 * time.Second
 	// meanHold is how long requests keep an adapter in use.
@@ -116,7 +131,7 @@
 	// New, and has accepted no order yet, needs no such pause.
 	From time.Time
 	New  bool
-	// Transit is the expected time of a load of an adapter.
+	// Transit is the usual time of a load of an adapter.
 	Transit time.Duration
 	// Base is the model to load onto a runner that holds none, BaseTransit the
 	// expected time of that, and BaseFrom the first moment at which it may begin.
@@ -130,11 +145,13 @@
 	synced  bool
 	orders  uint64
 	flight  call.Order
-	sent    time.Time // when flight was sent; zero where none is
-	asked   time.Time // when the report was asked for; zero where none is
-	quiet   time.Time // nothing goes out before
-	last    time.Time // when the last order was sent
-	lost    bool      // another holder took the runner
+	sent    time.Time     // when flight was sent; zero where none is
+	asked   time.Time     // when the report was asked for; zero where none is
+	quiet   time.Time     // nothing goes out before
+	last    time.Time     // when the last order was sent
+	lost    bool          // another holder took the runner
+	excess  time.Duration // how much longer than Transit loads took of late
+	learned time.Time     // when excess was learned
 	newest  map[Key]int
 }
 
@@ -474,17 +491,17 @@
 	}
 	transit := 0
 	for _, e := range s.entries {
-		if e.state == Coming {
+		if e.state == Coming && now.Sub(e.ordered) < 2*transitLongest {
 			transit++
 		}
 	}
-	if transit >= transitMost {
+	if transit >= s.transitLimit(now) {
 		return call.Order{}, false
 	}
 	if len(s.wishes) == 0 {
 		return call.Order{}, false
 	}
-	k := s.wishes[0]
+	k := s.mostWanted()
 	if k.Adapter == "" || s.taken() < s.Slots {
 		return call.Order{Kind: call.Fetch, Model: k.Model, Adapter: k.Adapter, Version: s.newest[k]}, true
 	}
@@ -494,6 +511,17 @@
 	return call.Order{}, false
 }
 
+// mostWanted returns the wish that most requests wait for, the oldest of them.
+func (s *Shelf) mostWanted() Key {
+	best := s.wishes[0]
+	for _, k := range s.wishes[1:] {
+		if s.entries[k].waiting > s.entries[best].waiting {
+			best = k
+		}
+	}
+	return best
+}
+
 // base returns the order that loads a model onto an empty runner.
 func (s *Shelf) base(now time.Time) (call.Order, bool) {
 	state, _, _ := s.Lookup(Key{Model: s.Base})
@@ -613,6 +641,7 @@
 	switch {
 	case reply == call.Holds:
 		s.orders--
+		s.learn(now, k, e)
 		e.state = Resident
 		e.keep(now)
 		e.settle()
@@ -621,11 +650,11 @@
 		}
 	case e.state == Coming:
 		s.orders-- // an order for what is on its way already isn't counted
-		e.due = now.Add(confirmPause)
+		e.due = now.Add(max(confirmLeast, time.Duration(confirmShare*float64(now.Sub(e.ordered)))))
 	default:
 		e.state = Coming
 		e.ordered = now
-		e.due = now.Add(s.Transit)
+		e.due = now.Add(s.Expected(now))
 		if k.Adapter == "" {
 			e.due = now.Add(s.BaseTransit)
 		}
@@ -635,6 +664,39 @@
 	}
 }
 
+// learn takes in how long an adapter was on its way from the weight store.
+func (s *Shelf) learn(now time.Time, k Key, e *entry) {
+	atHand := !e.held.IsZero() && e.ordered.Sub(e.held) < handAge
+	if k.Adapter == "" || e.state != Coming || atHand {
+		return
+	}
+	took := min(now.Sub(e.ordered), transitLongest)
+	excess := s.Expected(now) - s.Transit
+	s.excess = excess + time.Duration(transitWeight*float64(took-s.Transit-excess))
+	s.learned = now
+}
+
+// Expected returns the time that a load takes now. What was seen of slow loads
+// counts less as time goes by, so that loads are tried again.
+func (s *Shelf) Expected(now time.Time) time.Duration {
+	age := now.Sub(s.learned).Seconds() / excessAge.Seconds()
+	return max(transitLeast, s.Transit+time.Duration(float64(s.excess)/(1+age*age)))
+}
+
+// transitLimit returns how many adapters may be on their way: few where loads
+// take long, since more at once would take longer still for all runners.
+func (s *Shelf) transitLimit(now time.Time) int {
+	expected := s.Expected(now)
+	switch {
+	case expected < transitBrisk:
+		return transitMost
+	case expected < transitSlow:
+		return transitMost / 2
+	default:
+		return 1
+	}
+}
+
 func (s *Shelf) unwish(k Key) {
 	for i, w := range s.wishes {
 		if w == k {
@@ -699,7 +761,7 @@
 			e.state = Coming
 			e.version = a.Version
 			e.ordered = now
-			e.due = now.Add(s.Transit)
+			e.due = now.Add(s.Expected(now))
 		}
 	}
 	for k, e := range s.entries {
