--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -82,7 +82,7 @@
 	key := shelf.Key{Model: m.Model, Adapter: m.Adapter}
 	arrived, reason := p.Board.Wish(time.Now(), m.Runner, key)
 	if arrived == nil {
-		return peer.Wished{Reason: reason}
+		return peer.Wished{Reason: reason, Absent: reason == dispatch.NoPlace}
 	}
 	defer p.Board.Unwish(m.Runner, key)
 	p.Wake()
@@ -93,30 +93,26 @@
 	case <-ctx.Done():
 	}
 	if !p.Board.Resident(time.Now(), m.Runner, key) {
-		return peer.Wished{Reason: "not loaded"}
+		return peer.Wished{Reason: "not loaded", Absent: true}
 	}
 	return peer.Wished{Arrived: true}
 }
 
-// Wish asks the owner of a runner for an adapter until ctx ends. It returns why
-// it isn't there, empty where it is.
-func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (reason string, err error) {
+// Wish asks the owner of a runner for an adapter until ctx ends.
+func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (peer.Wished, error) {
 	address, err := netip.ParseAddrPort(owner.Address)
 	if err != nil {
-		return "owner without address", errors.WithStack(err)
+		return peer.Wished{Reason: "owner without address"}, errors.WithStack(err)
 	}
 	m, err := p.Link.Call(ctx, address, owner.Host, peer.Wish{Runner: runner, Model: k.Model, Adapter: k.Adapter})
 	if err != nil {
-		return "owner not reached", err
+		return peer.Wished{Reason: "owner not reached"}, err
 	}
 	wished, ok := m.(peer.Wished)
-	switch {
-	case !ok:
-		return "unexpected answer", errors.Errorf("unexpected answer %T", m)
-	case wished.Arrived:
-		return "", nil
+	if !ok {
+		return peer.Wished{Reason: "unexpected answer"}, errors.Errorf("unexpected answer %T", m)
 	}
-	return wished.Reason, nil
+	return wished, nil
 }
 
 // Tell sends digests until ctx ends.
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -219,13 +220,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	reason, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
-	if reason != "" || !k.Confirm {
+	wished, err := j.Peers.Wish(ctx, k.Owner, k.Target.Name, shelf.Key{Model: j.call.Model, Adapter: j.call.Adapter})
+	if !wished.Arrived || !k.Confirm {
 		j.log.Info("request: asked for its adapter", zap.String("owner", k.Owner.Host), zap.String("target", k.Target.Name),
-			zap.String("adapter", j.call.Adapter), zap.Bool("confirm", k.Confirm), zap.String("refused", reason),
+			zap.String("adapter", j.call.Adapter), zap.Bool("confirm", k.Confirm), zap.String("refused", wished.Reason),
 			zap.Duration("took", time.Since(begun)), zap.Error(err))
 	}
-	return k.Wished(time.Now(), reason == "", err == nil)
+	return k.Wished(time.Now(), reply(wished, err))
+}
+
+// reply returns what the owner's answer to a wish means for the decision.
+func reply(w peer.Wished, err error) dispatch.Reply {
+	switch {
+	case err != nil:
+		return dispatch.Silent{}
+	case w.Arrived:
+		return dispatch.There{}
+	default:
+		return dispatch.Denied{Absent: w.Absent}
+	}
 }
 
 // ended handles a wait that ended without the adapter.
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -137,6 +137,7 @@
 	_       struct{} `cbor:",toarray"`
 	Arrived bool
 	Reason  string // why it did not arrive
+	Absent  bool   // the sender orders the runner and knows that it isn't there
 }
 
 // Digest tells of the requests that the sender has in progress. The answer is Done.
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -84,7 +84,7 @@
 	k := ticket(t, b, want("a7", 800, 0), 0)
 	require.Equal(t, "runner-4", k.Target.Name)
 	require.True(t, k.Confirm, "its owner says whether it is still there")
-	require.True(t, k.Wished(at(1), false, false), "an owner that does not answer stops no request")
+	require.True(t, k.Wished(at(1), dispatch.Silent{}), "an owner that does not answer stops no request")
 	k.Report(at(5), dispatch.Head{})
 	require.Empty(t, ticket(t, b, want("a7", 800, 6), 6).Owner.Host, "it was there a moment ago")
 }
@@ -281,7 +281,7 @@
 func TestSilentOwner(t *testing.T) {
 	b := board("host-0", "north-a", 2, nil)
 	first := ticket(t, b, want("a", 100, 0), 0)
-	require.False(t, first.Wished(at(800), false, false))
+	require.False(t, first.Wished(at(800), dispatch.Silent{}))
 	first.Report(at(800), dispatch.Left{})
 	second := ticket(t, b, want("a", 100, 800), 800)
 	require.NotEqual(t, first.Target.Name, second.Target.Name)
@@ -300,3 +300,18 @@
 	b.Take(at(3100), dispatch.Digest{From: "owner"})
 	ticket(t, b, want("a", 100, 3101), 3101)
 }
+
+// TestOwnerThatKnowsNothing: after a restart of all hosts an owner does not know
+// yet what its runner holds; a request for what its entry shows goes there all
+// the same. Where the owner knows that the adapter has gone, it does not.
+func TestOwnerThatKnowsNothing(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	k := ticket(t, b, want("a", 100, 0), 0)
+	require.True(t, k.Confirm)
+	require.True(t, k.Wished(at(1), dispatch.Denied{}))
+	k.Report(at(5), dispatch.Ended{})
+	k = ticket(t, b, want("a", 100, 10), 10)
+	require.False(t, k.Wished(at(11), dispatch.Denied{Absent: true}))
+	k.Report(at(11), dispatch.Left{})
+	require.False(t, ticket(t, b, want("a", 100, 1000), 1000).Confirm, "it has to be loaded")
+}
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -156,11 +156,14 @@
 		return nil, reason
 	}
 	if state, _, _ := t.shelf.Lookup(k); state == shelf.Absent && t.shelf.Wait(now) > placeMost {
-		return nil, "no place"
+		return nil, NoPlace
 	}
 	return t.shelf.Wish(now, k), ""
 }
 
+// NoPlace is the reason of a Wish for an adapter that would wait too long for a place.
+const NoPlace = "no place"
+
 // placeMost is how long another host's wish may wait for a place.
 const placeMost = 250 * time.Millisecond
 
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -70,32 +70,55 @@
 	return state == shelf.Resident
 }
 
+// A Reply is how the owner of a runner answered a wish: There, Denied or Silent.
+type Reply interface{ reply() }
+
+// There says that the adapter is on the runner.
+type There struct{}
+
+// Denied says that it can't be had there now. Absent says that the owner knows
+// it not to be there; otherwise the owner knows nothing of it.
+type Denied struct{ Absent bool }
+
+// Silent says that the owner did not answer.
+type Silent struct{}
+
+func (There) reply()  {}
+func (Denied) reply() {}
+func (Silent) reply() {}
+
 // Wished takes in how the owner of the ticket's runner answered the wish for its
-// adapter, or that it did not. It reports whether to send the request: where an
-// owner that was only to confirm did not answer, the adapter may well be there.
-func (k *Ticket) Wished(now time.Time, arrived, answered bool) bool {
+// adapter. It reports whether to send the request: where the owner was only to
+// confirm that the adapter is there and doesn't know, it may well be.
+func (k *Ticket) Wished(now time.Time, r Reply) bool {
 	b := k.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := k.target
 	key := k.want.key()
 	delete(t.wished, key)
-	switch {
-	case arrived:
+	switch r := r.(type) {
+	case There:
 		t.touch(now, key)
 		t.proved(now, key)
 		return true
-	case !answered && k.Confirm:
-		return true
-	case !answered:
-		t.full = now.Add(silentPause)
+	case Denied:
+		if k.Confirm && !r.Absent {
+			return true
+		}
+		if r.Absent {
+			t.lacks(now, key)
+		}
+		t.full = now.Add(fullPause)
 		return false
+	case Silent:
+		if !k.Confirm {
+			t.full = now.Add(silentPause)
+		}
+		return k.Confirm
+	default:
+		panic("dispatch: unknown reply")
 	}
-	if k.Confirm {
-		t.lacks(now, key)
-	}
-	t.full = now.Add(fullPause)
-	return false
 }
 
 // proved notes that a runner held an adapter.
