--- /dev/null
+++ b/stage/shelf/report.go
@@ -0,0 +1,77 @@
+package shelf
+
+import (
+	"time"
+
+	"jacinthstage/stage/call"
+)
+
+// Unreported notes that a report did not come.
+func (s *Shelf) Unreported(now time.Time) {
+	s.asked = time.Time{}
+	s.quiet = now.Add(reportLag)
+}
+
+// Reported takes the runner's report in.
+func (s *Shelf) Reported(now time.Time, r call.Report) {
+	if s.asked.IsZero() {
+		return
+	}
+	s.asked = time.Time{}
+	if r.Orders < s.orders && now.Sub(s.last) < reportOld {
+		s.quiet = now.Add(retryPause)
+		return
+	}
+	s.orders = r.Orders
+	s.synced = true
+	if s.New && r.Orders == 0 {
+		s.From = time.Time{}
+	}
+	s.New = false
+	s.models = make(map[string]bool)
+	there := make(map[Key]bool)
+	for _, m := range r.Models {
+		s.models[m.Model] = true
+		s.found(Key{Model: m.Model}, m.Version)
+		for _, a := range m.Adapters {
+			k := Key{Model: m.Model, Adapter: a.Name}
+			there[k] = true
+			s.found(k, a.Version)
+		}
+	}
+	for name := range s.models {
+		there[Key{Model: name}] = true
+	}
+	for _, a := range r.Coming {
+		k := Key{Model: a.Model, Adapter: a.Name}
+		there[k] = true
+		if e := s.entry(k); e.state != Coming {
+			s.unwish(k)
+			e.state = Coming
+			e.version = a.Version
+			e.ordered = now
+			e.due = now.Add(s.Expected(now))
+		}
+	}
+	for k, e := range s.entries {
+		if !there[k] && e.state != Wished && !(k.Adapter == "" && e.state == Coming) {
+			e.settle()
+			e.state = Absent
+		}
+		if e.state == Absent && e.open == 0 && e.doubt.IsZero() && now.Sub(e.used) > 2*halfLife {
+			delete(s.entries, k)
+		}
+	}
+}
+
+// found notes an adapter that a report shows as resident.
+func (s *Shelf) found(k Key, version int) {
+	e := s.entry(k)
+	s.unwish(k)
+	if e.state == Leaving {
+		return
+	}
+	e.state = Resident
+	e.version = version
+	e.settle()
+}
