--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -146,6 +146,7 @@
 			return j.failed(ctx, k, errors.Wrap(err, "stream"))
 		}
 		j.open(x.Response)
+		j.paused(time.Now())
 		if _, err := j.w.Write(event); err != nil {
 			k.Report(time.Now(), dispatch.Left{})
 			return left{}
@@ -160,6 +161,14 @@
 	}
 }
 
+// paused notes the pause before an event.
+func (j *job) paused(now time.Time) {
+	if !j.event.IsZero() {
+		j.pause = max(j.pause, now.Sub(j.event))
+	}
+	j.event = now
+}
+
 // open begins the answer of a stream with its first event.
 func (j *job) open(response *http.Response) {
 	if !j.started {
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -72,6 +72,8 @@
 	fault   string           // of the last try that failed
 	next    *dispatch.Ticket // a place elsewhere, while a target keeps the request waiting
 	last    string           // id of the last event that the caller has
+	event   time.Time        // when it came
+	pause   time.Duration    // the longest between two events
 	status  int              // that the caller got
 }
 
@@ -197,7 +199,7 @@
 		fields = append(fields, zap.Duration("first", j.begun.Sub(j.arrived)))
 	}
 	if j.call.Model != "" {
-		fields = append(fields, zap.Duration("stall", j.stall), zap.Int("input", j.call.Input))
+		fields = append(fields, zap.Duration("stall", j.stall), zap.Duration("pause", j.pause), zap.Int("input", j.call.Input))
 		fields = append(fields, zap.String("model", j.call.Model), zap.String("adapter", j.call.Adapter))
 	}
 	j.log.Info(message, fields...)
