--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -72,7 +71,7 @@
 	owner    *Owner
 	peers    *Peers
 	handler  *Handler
-	stopping atomic.Bool
+	life     *life
 }
 
 // New returns a process that serves as s says.
@@ -84,7 +83,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	meter := Metrics(registry)
-	out := &Process{settings: s, platform: p, log: log, sink: sink, registry: registry}
+	out := &Process{settings: s, platform: p, log: log, sink: sink, registry: registry, life: newLife(log)}
 	out.board = &dispatch.Board{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	out.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, Opened: meter.opened.Inc}
 	out.peers = &Peers{
@@ -108,7 +107,7 @@
 		Peers: out.peers,
 		Board: out.board, Headers: p.Headers, Pool: out.pool, Meter: meter, Log: log,
 		Budgets:  &retry.Budgets{Share: s.Share, Floor: float64(s.Slack) / hostsGuess},
-		Stopping: out.stopping.Load, Wake: out.owner.Wake,
+		Stopping: out.life.leaving, Wake: out.owner.Wake,
 	}
 	return out, nil
 }
@@ -204,7 +203,7 @@
 func (p *Process) readiness() http.Handler {
 	r := chi.NewRouter()
 	r.Get(p.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if p.stopping.Load() || p.board.Config() == nil {
+		if !p.life.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -250,8 +249,7 @@
 // taken, then all requests in progress end.
 func (p *Process) stop(callers *http.Server) error {
 	begun := boottime.Now()
-	p.stopping.Store(true)
-	p.log.Info("host: stops", zap.Duration("grace", p.settings.Grace))
+	p.life.take(stop)
 	limit := p.settings.Grace - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -263,6 +261,7 @@
 	case <-ctx.Done():
 	}
 	err := callers.Shutdown(ctx)
-	p.log.Info("host: stopped", zap.Duration("took", boottime.Now().Sub(begun)), zap.Error(err))
+	p.life.take(ended)
+	p.log.Info("host: ends", zap.Duration("took", boottime.Now().Sub(begun)), zap.Error(err))
 	return nil
 }
--- /dev/null
+++ b/jacinthd/internal/direct/life_test.go
@@ -0,0 +1,39 @@
+package direct_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/jacinthd/internal/direct"
+)
+
+// A slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (w *slowWriter) Write(line []byte) (int, error) {
+	<-w.release
+	return w.text.Write(line)
+}
+
+// TestSinkNeverBlocks: log lines that find no room are dropped and counted.
+func TestSinkNeverBlocks(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	s := direct.Open(w)
+	began := time.Now()
+	for range 10000 {
+		_, err := s.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.Less(t, time.Since(began), time.Second)
+	require.Positive(t, s.Dropped())
+	close(w.release)
+	s.Close()
+	require.EqualValues(t, 10000, uint64(strings.Count(w.text.String(), "\n"))+s.Dropped())
+}
