--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -19,7 +19,7 @@
 
 const (
 	// digestEvery is the time between two digests to one host of the same region.
-	digestEvery = 250 * time.Millisecond
+	digestEvery = 100 * time.Millisecond
 	// farTimes is how many times rarer they go to hosts of other regions.
 	farTimes = 2
 	// digestFan is the number of hosts of the same region that get one digest.
