--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -18,9 +18,13 @@
 )
 
 const (
-	// digestEvery is the time between two digests to one host of the same region.
-	digestEvery = 100 * time.Millisecond
-	// farTimes is how many times rarer they go to hosts of other regions.
+	// digestEach is the time between two digests to hosts of the same region for
+	// each host of the system, within digestLeast and digestMost.
+	digestEach  = 8 * time.Millisecond
+	digestLeast = 75 * time.Millisecond
+	digestMost  = 300 * time.Millisecond
+	// farTimes is how many times rarer they go to hosts of other regions, whose
+	// links are slow and dear.
 	farTimes = 2
 	// digestFan is the number of hosts of the same region that get one digest.
 	digestFan = 12
@@ -117,14 +121,15 @@
 
 // Tell sends digests until ctx ends.
 func (p *Peers) Tell(ctx context.Context) {
-	ticker := time.NewTicker(digestEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(digestLeast)
+	defer timer.Stop()
 	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(min(max(digestLeast, time.Duration(p.Board.Hosts())*digestEach), digestMost))
 		members := p.members.Load()
 		if members == nil {
 			continue
