--- a/jacinthd/internal/direct/apply.go
+++ b/jacinthd/internal/direct/apply.go
@@ -24,7 +24,7 @@
 	case catalog.Versioned:
 		p.log.Info("adapter: new version", zap.String("model", e.Model), zap.String("adapter", e.Adapter), zap.Int("version", e.Version))
 	}
-	p.owner.Wake()
+	p.keeper.Wake()
 }
 
 func (p *Process) configured(before, after *catalog.Config) {
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -18,6 +18,7 @@
 
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/ownership"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/stage/dispatch"
@@ -51,10 +52,10 @@
 
 // A Platform is what the process meets around it.
 type Platform struct {
-	Store    Store
+	Store    ownership.Store
 	Follower Follower
 	Headers  Headers
-	Runners  Runners
+	Runners  ownership.Runners
 	// ReadyPath is the path at which readiness is asked for.
 	ReadyPath string
 }
@@ -68,7 +69,7 @@
 	registry *prometheus.Registry
 	board    *dispatch.Board
 	pool     *outbound.Pool
-	owner    *Owner
+	keeper   *ownership.Keeper
 	peers    *Peers
 	handler  *Handler
 	life     *life
@@ -90,24 +91,24 @@
 		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Board: out.board, Log: log,
 		Link: &peer.Link{Identity: identity, Silence: linkSilence, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
-	out.owner = &Owner{
-		Peers:   out.peers,
+	out.keeper = &ownership.Keeper{
 		Self:    host.Identity{Name: s.Name, Incarnation: incarnation(), Peer: s.Peer, Zone: s.Zone},
 		Store:   p.Store,
 		Board:   out.board,
-		Courier: &Courier{Board: out.board, Runners: p.Runners, Pool: out.pool, Meter: meter, Log: log},
-		Meter:   meter, Log: log, Fenced: s.Fenced, Turn: s.Turn,
+		Courier: &ownership.Courier{Board: out.board, Runners: p.Runners, Pool: out.pool, Log: log, Counted: meter.ordered},
+		Log:     log, Fenced: s.Fenced, Turn: s.Turn,
+		Members: out.peers.Members, Owned: meter.own,
 		Terms: lease.Terms{Term: leaseTerm, Renewal: leaseRenewal, Margin: leaseMargin},
 	}
-	out.owner.Courier.Valid = out.owner.Valid
-	out.owner.Open()
-	out.peers.Wake = out.owner.Wake
+	out.keeper.Courier.Valid = out.keeper.Valid
+	out.keeper.Open()
+	out.peers.Wake = out.keeper.Wake
 	out.peers.Behind = p.Follower.Refresh
 	out.handler = &Handler{
 		Peers: out.peers,
 		Board: out.board, Headers: p.Headers, Pool: out.pool, Meter: meter, Log: log,
 		Budgets:  &retry.Budgets{Share: s.Share, Floor: float64(s.Slack) / hostsGuess},
-		Stopping: out.life.leaving, Wake: out.owner.Wake,
+		Stopping: out.life.leaving, Wake: out.keeper.Wake,
 	}
 	return out, nil
 }
@@ -152,7 +153,7 @@
 		return err
 	}
 	go p.platform.Follower.Follow(life, p.apply, p.board.Hosts)
-	go p.owner.Run(life)
+	go p.keeper.Run(life)
 	go p.sweep(life)
 	select {
 	case err := <-faults:
@@ -255,7 +256,7 @@
 	defer cancel()
 	leaving, left := context.WithTimeout(ctx, leaveMost)
 	defer left()
-	go p.owner.Leave(leaving)
+	go p.keeper.Leave(leaving)
 	select {
 	case <-time.After(min(acceptMore, limit/2)):
 	case <-ctx.Done():
--- a/jacinthd/internal/direct/meter.go
+++ b/jacinthd/internal/direct/meter.go
@@ -56,3 +56,9 @@
 }
 
 func (m *Meter) stalled(wait time.Duration) { m.stalls.Observe(wait.Seconds()) }
+
+// own tells how many runners this host owns.
+func (m *Meter) own(runners int) { m.owned.Set(float64(runners)) }
+
+// ordered counts an order by its reply.
+func (m *Meter) ordered(reply string) { m.orders.WithLabelValues(reply).Inc() }
--- a/jacinthd/internal/direct/port.go
+++ b/jacinthd/internal/direct/port.go
@@ -20,7 +20,6 @@
 
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
-	"jacinthstage/stage/store"
 )
 
 // Headers translates the headers of requests and answers.
@@ -37,14 +36,6 @@
 	Refuse(h http.Header, id string, after time.Duration)
 }
 
-// Runners translates the calls that runners take.
-type Runners interface {
-	Order(call.Order) (method, path string, h http.Header, body []byte, err error)
-	Replied(status int) call.Reply
-	Report(target string) (method, path string, h http.Header)
-	Reported(body []byte) (call.Report, error)
-}
-
 // A Follower tells what changes on the platform until ctx ends. It calls sink
 // from several goroutines.
 type Follower interface {
@@ -53,10 +44,3 @@
 	// Refresh has the configuration read now.
 	Refresh()
 }
-
-// A Store is the platform's object API. GetStale may return a former version of
-// an object, and costs less.
-type Store interface {
-	store.Store
-	GetStale(ctx context.Context, key string) (store.Object, error)
-}
--- a/jacinthd/internal/direct/courier.go
+++ b/jacinthd/internal/ownership/courier.go
@@ -1,8 +1,9 @@
-package direct
+package ownership
 
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -22,14 +23,23 @@
 	reportMost = 1 << 20
 )
 
+// Runners translates the calls that runners take.
+type Runners interface {
+	Order(call.Order) (method, path string, h http.Header, body []byte, err error)
+	Replied(status int) call.Reply
+	Report(target string) (method, path string, h http.Header)
+	Reported(body []byte) (call.Report, error)
+}
+
 // A Courier carries orders to runners and fetches their reports. Its fields
 // must be set.
 type Courier struct {
 	Board   *dispatch.Board
 	Runners Runners
 	Pool    *outbound.Pool
-	Meter   *Meter
 	Log     *zap.Logger
+	// Counted is called with the reply to each order.
+	Counted func(reply string)
 	// Valid reports whether orders may still be sent.
 	Valid func() bool
 }
@@ -53,7 +63,7 @@
 	case shelf.Give:
 		c.Board.Replied(time.Now(), e.Target.Name, c.order(ctx, e, a.Order))
 	default:
-		panic("direct: unknown errand")
+		panic("ownership: unknown errand")
 	}
 }
 
@@ -72,7 +82,7 @@
 	if err == nil {
 		reply = c.Runners.Replied(status)
 	}
-	c.Meter.orders.WithLabelValues(replies[reply]).Inc()
+	c.Counted(replies[reply])
 	c.Log.Info("order: sent", zap.String("runner", e.Target.Name), zap.String("operation", operations[o.Kind]),
 		zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.Int("version", o.Version), zap.Uint64("fence", o.Fence),
 		zap.Uint64("orders", o.Orders), zap.String("reply", replies[reply]), zap.Int("status", status),
