--- a/jacinthd/internal/control/membership.go
+++ b/jacinthd/internal/control/membership.go
@@ -7,11 +7,10 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/errand"
 	"jacinthstage/stage/host"
-	"jacinthstage/stage/lease"
 	"jacinthstage/stage/runner"
 	"jacinthstage/stage/service"
 	"jacinthstage/stage/store"
@@ -35,13 +34,13 @@
 func (l *Loop) memberAct(action host.Action) {
 	switch a := action.(type) {
 	case host.Get:
-		go l.get(a)
+		go func() { l.carried(errand.Get(l.ctx, l.Store.Get, a)) }()
 	case host.List:
-		go l.list(a)
+		go func() { l.carried(errand.List(l.ctx, l.Store, a)) }()
 	case host.Put:
-		go l.put(a)
+		go func() { l.carried(errand.Put(l.ctx, l.Store, a)) }()
 	case host.Delete:
-		go l.remove(a)
+		go func() { l.carried(errand.Delete(l.ctx, l.Store, a)) }()
 	case host.Acquire:
 		l.acquire(a)
 	case host.Release:
@@ -111,70 +110,12 @@
 // Stopped is closed once this host's membership has ended for good.
 func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
 
-func (l *Loop) get(a host.Get) {
-	object, err := l.Store.Get(l.ctx, a.Key)
-	switch {
-	case err == nil:
-		l.post(stored{host.Found{Call: a.Call, Version: object.Version, Value: object.Value}})
-	case errors.Is(err, store.ErrMissing):
-		l.post(stored{host.Missing{Call: a.Call}})
-	default:
-		l.post(stored{failed(a.Call, err)})
-	}
-}
-
-func (l *Loop) list(a host.List) {
-	var objects []host.Object
-	after := ""
-	for {
-		page, err := l.Store.List(l.ctx, a.Prefix, after)
-		if err != nil {
-			l.post(stored{failed(a.Call, err)})
-			return
-		}
-		for _, o := range page.Objects {
-			objects = append(objects, host.Object{Key: o.Key, Version: o.Version, Value: o.Value})
-			after = o.Key
-		}
-		if !page.More {
-			l.post(stored{host.Listed{Call: a.Call, Objects: objects}})
-			return
-		}
-	}
-}
-
-func (l *Loop) put(a host.Put) {
-	var object store.Object
-	var err error
-	if a.Version == 0 {
-		object, err = l.Store.Create(l.ctx, a.Key, a.Value)
-	} else {
-		object, err = l.Store.Update(l.ctx, a.Key, a.Version, a.Value)
-	}
+// carried tells the membership how a call on the object API went.
+func (l *Loop) carried(event host.Event, err error) {
 	if err != nil {
-		l.post(stored{failed(a.Call, err)})
-		return
-	}
-	l.post(stored{host.Wrote{Call: a.Call, Version: object.Version}})
-}
-
-func (l *Loop) remove(a host.Delete) {
-	if err := l.Store.Delete(l.ctx, a.Key, a.Version); err != nil {
-		l.post(stored{failed(a.Call, err)})
-		return
-	}
-	l.post(stored{host.Deleted{Call: a.Call}})
-}
-
-func failed(call uint64, err error) host.Failed {
-	cause := lease.Unknown
-	switch {
-	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrMissing):
-		cause = lease.Conflict
-	case errors.Is(err, store.ErrUnavailable):
-		cause = lease.Unavailable
+		l.Log.Debug("host: call on the object API failed", zap.Error(err))
 	}
-	return host.Failed{Call: call, Cause: cause}
+	l.post(stored{event})
 }
 
 // watchTables follows the tables of all regions until ctx ends.
--- a/jacinthd/internal/ownership/calls.go
+++ b/jacinthd/internal/ownership/calls.go
@@ -5,14 +5,25 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/errand"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/store"
 )
 
+// carry carries out a call on the store and tells the membership how it went.
+func (k *Keeper) carry(ctx context.Context, what, key string, call func() (host.Event, error)) {
+	go func() {
+		event, err := call()
+		if err != nil {
+			k.Log.Warn("lease: call on the store failed", zap.String("call", what), zap.String("key", key), zap.Error(err))
+		}
+		k.post(ctx, event)
+	}()
+}
+
 func (k *Keeper) get(ctx context.Context, a host.Get) {
 	read := k.Store.Get
 	if strings.HasPrefix(a.Key, lease.Prefix(region)) && a.Key != lease.Key(region, k.Self.Name) {
@@ -20,70 +31,7 @@
 		// where that was an old one.
 		read = k.Store.GetStale
 	}
-	object, err := read(ctx, a.Key)
-	switch {
-	case err == nil:
-		k.post(ctx, host.Found{Call: a.Call, Version: object.Version, Value: object.Value})
-	case errors.Is(err, store.ErrMissing):
-		k.post(ctx, host.Missing{Call: a.Call})
-	default:
-		k.failed(ctx, a.Call, "read", a.Key, err)
-	}
-}
-
-func (k *Keeper) list(ctx context.Context, a host.List) {
-	var objects []host.Object
-	after := ""
-	for {
-		page, err := k.Store.List(ctx, a.Prefix, after)
-		if err != nil {
-			k.failed(ctx, a.Call, "list", a.Prefix, err)
-			return
-		}
-		for _, object := range page.Objects {
-			objects = append(objects, host.Object{Key: object.Key, Version: object.Version, Value: object.Value})
-			after = object.Key
-		}
-		if !page.More {
-			k.post(ctx, host.Listed{Call: a.Call, Objects: objects})
-			return
-		}
-	}
-}
-
-func (k *Keeper) put(ctx context.Context, a host.Put) {
-	var object store.Object
-	var err error
-	if a.Version == 0 {
-		object, err = k.Store.Create(ctx, a.Key, a.Value)
-	} else {
-		object, err = k.Store.Update(ctx, a.Key, a.Version, a.Value)
-	}
-	if err != nil {
-		k.failed(ctx, a.Call, "write", a.Key, err)
-		return
-	}
-	k.post(ctx, host.Wrote{Call: a.Call, Version: object.Version})
-}
-
-func (k *Keeper) remove(ctx context.Context, a host.Delete) {
-	if err := k.Store.Delete(ctx, a.Key, a.Version); err != nil {
-		k.failed(ctx, a.Call, "delete", a.Key, err)
-		return
-	}
-	k.post(ctx, host.Deleted{Call: a.Call})
-}
-
-func (k *Keeper) failed(ctx context.Context, call uint64, what, key string, err error) {
-	cause := lease.Unknown
-	switch {
-	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrMissing):
-		cause = lease.Conflict
-	case errors.Is(err, store.ErrUnavailable):
-		cause = lease.Unavailable
-	}
-	k.Log.Warn("lease: call on the store failed", zap.String("call", what), zap.String("key", key), zap.Error(err))
-	k.post(ctx, host.Failed{Call: call, Cause: cause})
+	k.carry(ctx, "read", a.Key, func() (host.Event, error) { return errand.Get(ctx, read, a) })
 }
 
 // watch follows the table of owners until ctx ends.
--- a/jacinthd/internal/ownership/ownership.go
+++ b/jacinthd/internal/ownership/ownership.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/boottime"
+	"jacinthstage/jacinthd/internal/errand"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
@@ -139,13 +140,13 @@
 func (k *Keeper) act(ctx context.Context, action host.Action) {
 	switch a := action.(type) {
 	case host.Get:
-		go k.get(ctx, a)
+		k.get(ctx, a)
 	case host.List:
-		go k.list(ctx, a)
+		k.carry(ctx, "list", a.Prefix, func() (host.Event, error) { return errand.List(ctx, k.Store, a) })
 	case host.Put:
-		go k.put(ctx, a)
+		k.carry(ctx, "write", a.Key, func() (host.Event, error) { return errand.Put(ctx, k.Store, a) })
 	case host.Delete:
-		go k.remove(ctx, a)
+		k.carry(ctx, "delete", a.Key, func() (host.Event, error) { return errand.Delete(ctx, k.Store, a) })
 	case host.Acquire:
 		k.acquire(a)
 	case host.Release:
