direct, platform: a plain target that refused is not asked again; tests without bounds on elapsed time

Cause: a refusal without a load header did not keep the request from the same target, which was asked up to six times (found by TestRefusalIsTrue, which now counts).

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -39,9 +39,9 @@
 		full := status == http.StatusServiceUnavailable && head.Load.Known && head.Load.Waiting > 0
 		j.drain(x)
 		k.Report(now, dispatch.Missing{Full: full})
-		if full || status == http.StatusMisdirectedRequest {
-			j.avoid[k.Target.Name] = true
-		}
+		// A runner that holds the request back for its adapter may take it soon.
+		soon := j.call.Model != "" && !full && status != http.StatusMisdirectedRequest
+		j.avoid[k.Target.Name] = !soon
 		return notRun{reason: "status " + strconv.Itoa(status)}
 	case !head.Signed || head.Encoded || head.ID != j.call.ID:
 		k.Report(now, dispatch.Broke{Reached: true})
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -29,6 +29,9 @@
 	"jacinthstage/stage/verdict"
 )
 
+// patience limits each wait of a test.
+const patience = 10 * time.Second
+
 // headers is a translation with names of its own.
 type headers struct{}
 
@@ -210,12 +213,11 @@
 // request did not run and when to come back, at once.
 func TestRefusalIsTrue(t *testing.T) {
 	w := serve(t, 2, func(w http.ResponseWriter, _ *http.Request, _ int) { refuse(w) })
-	began := time.Now()
 	response, _, err := w.ask(t, http.MethodPost, "/once/", "")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
-	require.Less(t, time.Since(began), time.Second)
+	require.EqualValues(t, 2, w.runs.Load(), "each target was asked once, and nothing was waited for")
 }
 
 // TestStreamGoesOn: a stream that breaks goes on at another target behind the
@@ -265,7 +267,7 @@
 	require.Error(t, err)
 	select {
 	case <-ended:
-	case <-time.After(400 * time.Millisecond):
+	case <-time.After(patience):
 		t.Fatal("the target still works")
 	}
 }
@@ -278,7 +280,7 @@
 	response, _, err := w.ask(t, http.MethodPost, "/once/", "")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
-	require.InDelta(t, 1.5, time.Since(began).Seconds(), 0.3)
+	require.GreaterOrEqual(t, time.Since(began), 1500*time.Millisecond)
 }
 
 func TestBadRequests(t *testing.T) {
@@ -340,11 +342,12 @@
 	for _, c := range []struct {
 		targets int
 		runs    int
-	}{{2, 2}, {1, 1}} {
+		slow    time.Duration
+	}{{2, 2, patience}, {1, 1, 950 * time.Millisecond}} {
 		w := serve(t, c.targets, func(w http.ResponseWriter, r *http.Request, count int) {
 			if count == 1 {
 				select {
-				case <-time.After(1100 * time.Millisecond):
+				case <-time.After(c.slow):
 				case <-r.Context().Done():
 					return
 				}
--- a/jacinthd/internal/direct/life_test.go
+++ b/jacinthd/internal/direct/life_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -22,16 +21,15 @@
 	return w.text.Write(line)
 }
 
-// TestSinkNeverBlocks: log lines that find no room are dropped and counted.
+// TestSinkNeverBlocks: log lines that find no room are dropped and counted. A
+// sink that blocked would never come to the release of its writer.
 func TestSinkNeverBlocks(t *testing.T) {
 	w := &slowWriter{release: make(chan struct{})}
 	s := direct.Open(w)
-	began := time.Now()
 	for range 10000 {
 		_, err := s.Write([]byte("line\n"))
 		require.NoError(t, err)
 	}
-	require.Less(t, time.Since(began), time.Second)
 	require.Positive(t, s.Dropped())
 	close(w.release)
 	s.Close()
