--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -86,12 +86,12 @@
 	return d
 }
 
-// Take takes in what another host told. It reports whether that host has a newer
-// configuration.
+// Take takes in what another host told. It reports whether the configuration
+// should be read now: another host has had a newer one for a while.
 func (b *Board) Take(now time.Time, d Digest) (behind bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	behind = b.config == nil && d.Config > 0 || b.config != nil && d.Config > b.config.Version
+	behind = b.behind(now, d.Config)
 	if b.told == nil {
 		b.told = make(map[string]time.Time)
 	}
@@ -120,6 +120,29 @@
 	return behind
 }
 
+// behindLeast is how long another host must have had a newer configuration
+// before it is read again: it usually is on its way, and large ones take time.
+const behindLeast = 1200 * time.Millisecond
+
+// behind reports whether the configuration should be read now, given the version
+// that another host has.
+func (b *Board) behind(now time.Time, version uint64) bool {
+	switch {
+	case version == 0 || b.config != nil && version <= b.config.Version:
+		return false
+	case b.config != nil && b.behindFrom != b.config.Version || b.behindSince.IsZero():
+		b.behindSince = now
+		if b.config != nil {
+			b.behindFrom = b.config.Version
+		}
+		return false
+	case now.Sub(b.behindSince) < behindLeast:
+		return false
+	}
+	b.behindSince = now
+	return true
+}
+
 // others returns the requests of other hosts on a target, and the tokens of
 // their prompts that aren't read yet.
 func (b *Board) others(now time.Time, t *target) (open, unread int) {
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -33,18 +33,20 @@
 	Zone    string            // of this host
 	Regions map[string]string // region of each zone
 
-	mu       sync.Mutex
-	config   *catalog.Config
-	revision uint64 // of the platform's store, as of which the targets are
-	targets  map[string]*target
-	services map[string]map[string]*target
-	newest   map[shelf.Key]release
-	owned    map[string]*target   // runners that this host orders
-	told     map[string]time.Time // when each other host told of its requests last
-	owners   map[string]Owner     // by runner
-	hosts    int                  // members that share the rate of the weight store
-	nextBase time.Time            // first moment of the next load of a model
-	demand   map[string]float64   // aged number of requests by model
+	mu          sync.Mutex
+	config      *catalog.Config
+	revision    uint64 // of the platform's store, as of which the targets are
+	targets     map[string]*target
+	services    map[string]map[string]*target
+	newest      map[shelf.Key]release
+	owned       map[string]*target   // runners that this host orders
+	behindSince time.Time            // when another host was first seen with a newer configuration
+	behindFrom  uint64               // the version that this host had then
+	told        map[string]time.Time // when each other host told of its requests last
+	owners      map[string]Owner     // by runner
+	hosts       int                  // members that share the rate of the weight store
+	nextBase    time.Time            // first moment of the next load of a model
+	demand      map[string]float64   // aged number of requests by model
 }
 
 // A release is the newest version of an adapter, and when it was heard of.
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -315,3 +315,20 @@
 	k.Report(at(11), dispatch.Left{})
 	require.False(t, ticket(t, b, want("a", 100, 1000), 1000).Confirm, "it has to be loaded")
 }
+
+// TestBehind: a newer configuration elsewhere is waited for a moment, since it
+// usually is on its way, and then asked for now and again.
+func TestBehind(t *testing.T) {
+	b := board("host-0", "north-a", 1, nil)
+	newer := dispatch.Digest{From: "host-1", Config: 2}
+	require.False(t, b.Take(at(0), dispatch.Digest{From: "host-1", Config: 1}))
+	require.False(t, b.Take(at(10), newer))
+	require.False(t, b.Take(at(1000), newer))
+	require.True(t, b.Take(at(1300), newer))
+	require.False(t, b.Take(at(1400), newer))
+	require.True(t, b.Take(at(2600), newer))
+	b.Apply(at(2700), catalog.Configured{Config: catalog.Build(2, nil, nil, catalog.Limits{})})
+	require.False(t, b.Take(at(9000), newer))
+	newer.Config = 3
+	require.False(t, b.Take(at(9001), newer))
+}
