--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -71,7 +71,7 @@
 func (j *job) want() dispatch.Want {
 	return dispatch.Want{
 		Call: j.call, Service: j.service, Size: len(j.body),
-		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid, Begun: j.started,
+		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid, Begun: j.runs > 0,
 	}
 }
 
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -332,3 +332,14 @@
 	newer.Config = 3
 	require.False(t, b.Take(at(9001), newer))
 }
+
+// TestBrokenRequestIsNotRefused: a request whose runner broke off goes on also
+// where it has to wait for its adapter beyond its aim.
+func TestBrokenRequestIsNotRefused(t *testing.T) {
+	b := board("host-0", "north-a", 1, nil)
+	w := want("a", 100, 0)
+	w.Aim = at(100)
+	refused(t, b, w, 50)
+	w.Begun = true
+	ticket(t, b, w, 50)
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -43,7 +43,7 @@
 	Aim      time.Time // an answer that comes later is worth less
 	Deadline time.Time
 	Avoid    map[string]bool // targets that it was sent to already
-	Begun    bool            // the caller has a part of the answer
+	Begun    bool            // it may have run already: late is better than never
 
 	keys []uint64
 }
@@ -67,7 +67,7 @@
 func (Send) choice()   {}
 func (Refuse) choice() {}
 
-// A Ticket is one request on one target. Done must be called.
+// A Ticket is one request on one target. Report ends it.
 type Ticket struct {
 	Target   catalog.Target
 	Version  int             // version that the target must hold; 0 takes any
@@ -96,8 +96,8 @@
 	place  time.Duration // wait for a place, where the adapter is to be loaded
 }
 
-// Pick chooses a target. The reasons of a Refuse are "no target", "no adapter"
-// and "too late".
+// Pick chooses a target. The reasons of a Refuse are "no target", "no adapter",
+// "too late" and "no place for the adapter".
 func (b *Board) Pick(now time.Time, w Want) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
