--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -60,7 +60,8 @@
 	}
 }
 
-// plain hands on an answer that is read whole before the caller gets any of it.
+// plain hands on an answer that is read whole before the caller gets any of it,
+// or as far as heldMost where it is larger.
 func (j *job) plain(ctx context.Context, k *dispatch.Ticket, x *outbound.Exchange) outcome {
 	body, err := io.ReadAll(io.LimitReader(x, heldMost))
 	if err != nil {
@@ -80,15 +81,14 @@
 		return failure{status: status}
 	}
 	j.begin(x.Response)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	j.w.WriteHeader(status)
-	if len(body) == heldMost {
-		j.w.Header().Del("Content-Length")
+	whole := len(body) < heldMost
+	if whole {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	j.w.WriteHeader(status)
 	_, err = j.w.Write(body)
-	if err == nil && len(body) == heldMost {
-		_, err = io.Copy(j.w, x)
-		if err != nil {
+	if err == nil && !whole {
+		if _, err = io.Copy(j.w, x); err != nil {
 			j.cut(err.Error())
 		}
 	}
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -114,9 +114,14 @@
 }
 
 const (
-	leaseTerm    = 12 * time.Second
+	// leaseTerm is how long a lease lasts from the sending of its renewal: longer
+	// than most outages of the store, and as long as a lost host's runners get no
+	// orders.
+	leaseTerm = 12 * time.Second
+	// leaseRenewal is the time between renewals.
 	leaseRenewal = 3 * time.Second
-	leaseMargin  = 500 * time.Millisecond
+	// leaseMargin is what a holder takes off the term, for clocks that differ in rate.
+	leaseMargin = 500 * time.Millisecond
 	// hostsGuess is the number of hosts that share the slack of retries while it isn't known.
 	hostsGuess = 12
 )
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -361,3 +361,24 @@
 		require.EqualValues(t, c.runs, w.runs.Load())
 	}
 }
+
+// TestLargeAnswer: an answer too large to be held goes through whole, and one
+// that breaks off on the way does not look whole.
+func TestLargeAnswer(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		text := strings.Repeat("x", 3<<20)
+		w := serve(t, 1, func(w http.ResponseWriter, _ *http.Request, _ int) {
+			good(w, text)
+			if broken {
+				cut()
+			}
+		})
+		_, got, err := w.ask(t, http.MethodPost, "/once/", "")
+		if broken {
+			require.Error(t, err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, text, got)
+	}
+}
