relay: hosts report to a few relays, which pass on digests and the store's objects

The link between regions was full from 17 to 34 s; 3,746 connections timed out, the store couldn't be reached, and hosts of the far region kept version 11 of the configuration. Each host also sent its digest to 12 + 4 random hosts every 300 ms: 4,000 messages a second, and still another host's requests were known after a second (in the other region mostly never).

Change: stage/relay ranks the hosts of a region; beyond 12 hosts a few are relays, the others report to one and get in answer what all hosts together tell. stage/mirror keeps copies of the store's objects; a host reads the store only where its relay doesn't show that the copy is recent. Use of adapters goes to the runner's owner only. Hosts tell where they could not connect.

--- a/jacinthd/direct.go
+++ b/jacinthd/direct.go
@@ -18,6 +18,7 @@
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/platform"
+	"jacinthstage/stage/mirror"
 )
 
 // settingsVariable names the settings file where no flag does.
@@ -75,9 +76,10 @@
 		DialContext: outbound.Dialer().DialContext, MaxIdleConnsPerHost: storeConnections,
 		IdleConnTimeout: storeIdle, DisableCompression: true,
 	}
-	client := platform.New(d.Store, transport, log)
+	copies := new(mirror.Set)
+	client := platform.New(d.Store, transport, copies, log)
 	p, err := direct.New(d, direct.Platform{
-		Store: client, Follower: client, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
+		Store: client, Follower: client, Copies: copies, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
 	}, log, sink)
 	if err != nil {
 		log.Error("host: not started", zap.Error(err))
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -24,6 +24,7 @@
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/mirror"
 	"jacinthstage/stage/retry"
 )
 
@@ -54,6 +55,7 @@
 type Platform struct {
 	Store    ownership.Store
 	Follower Follower
+	Copies   *mirror.Set // of what the follower reads
 	Headers  Headers
 	Runners  ownership.Runners
 	// ReadyPath is the path at which readiness is asked for.
@@ -88,7 +90,7 @@
 	out.board = &dispatch.Board{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	out.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, Opened: meter.opened.Inc}
 	out.peers = &Peers{
-		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Board: out.board, Log: log,
+		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Board: out.board, Copies: p.Copies, Log: log,
 		Link: &peer.Link{Identity: identity, Silence: linkSilence, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
 	out.keeper = &ownership.Keeper{
@@ -157,7 +159,7 @@
 	if err := p.link(life, faults); err != nil {
 		return err
 	}
-	go p.platform.Follower.Follow(life, p.apply, p.board.Hosts)
+	go p.platform.Follower.Follow(life, p.apply, p.peers.Pace)
 	go p.keeper.Run(life)
 	go p.sweep(life)
 	select {
--- a/jacinthd/internal/direct/port.go
+++ b/jacinthd/internal/direct/port.go
@@ -20,6 +20,7 @@
 
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/mirror"
 )
 
 // Headers translates the headers of requests and answers.
@@ -39,8 +40,8 @@
 // A Follower tells what changes on the platform until ctx ends. It calls sink
 // from several goroutines.
 type Follower interface {
-	// Follow is told the number of hosts that follow, on which its pace depends.
-	Follow(ctx context.Context, sink func(catalog.Event), hosts func() int)
+	// Follow is told on what the pace of its calls depends.
+	Follow(ctx context.Context, sink func(catalog.Event), pace func() mirror.Pace)
 	// Refresh has the configuration read now.
 	Refresh()
 }
--- a/jacinthd/internal/errand/errand.go
+++ b/jacinthd/internal/errand/errand.go
@@ -26,7 +26,7 @@
 }
 
 // List reads all objects under a prefix and returns them.
-func List(ctx context.Context, s store.Store, a host.List) (host.Event, error) {
+func List(ctx context.Context, s store.Objects, a host.List) (host.Event, error) {
 	var objects []host.Object
 	after := ""
 	for {
@@ -45,7 +45,7 @@
 }
 
 // Put creates or updates an object.
-func Put(ctx context.Context, s store.Store, a host.Put) (host.Event, error) {
+func Put(ctx context.Context, s store.Objects, a host.Put) (host.Event, error) {
 	var object store.Object
 	var err error
 	if a.Version == 0 {
@@ -60,7 +60,7 @@
 }
 
 // Delete deletes an object.
-func Delete(ctx context.Context, s store.Store, a host.Delete) (host.Event, error) {
+func Delete(ctx context.Context, s store.Objects, a host.Delete) (host.Event, error) {
 	if err := s.Delete(ctx, a.Key, a.Version); err != nil {
 		return failed(a.Call, err), err
 	}
--- a/jacinthd/internal/ownership/calls.go
+++ b/jacinthd/internal/ownership/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -34,31 +33,7 @@
 	k.carry(ctx, "read", a.Key, func() (host.Event, error) { return errand.Get(ctx, read, a) })
 }
 
-// watch follows the table of owners until ctx ends.
-func (k *Keeper) watch(ctx context.Context) {
-	prefix := host.Key("")
-	for ctx.Err() == nil {
-		page, err := k.Store.List(ctx, prefix, "")
-		if err == nil {
-			for _, object := range page.Objects {
-				k.see(ctx, object)
-			}
-			err = k.Store.Watch(ctx, prefix, page.Revision, func(c store.Change) {
-				if put, ok := c.(store.Put); ok {
-					k.see(ctx, put.Object)
-				}
-			})
-		}
-		if ctx.Err() == nil {
-			k.Log.Warn("host: watch of the owners ended", zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(settleEvery):
-		}
-	}
-}
-
+// see takes in an object of the kind that holds the table of owners.
 func (k *Keeper) see(ctx context.Context, object store.Object) {
 	if object.Key != host.Key(region) {
 		return
--- a/jacinthd/internal/ownership/ownership.go
+++ b/jacinthd/internal/ownership/ownership.go
@@ -35,11 +35,14 @@
 	inbox = 256
 )
 
-// A Store is the platform's object API. GetStale may return a former version of
-// an object, and costs less.
+// A Store is the platform's object API.
 type Store interface {
-	store.Store
+	store.Objects
+	// GetStale is Get, but may return a former version of an object, and costs less.
 	GetStale(ctx context.Context, key string) (store.Object, error)
+	// Keep tells change the present objects whose keys start with prefix, and then
+	// each change, until ctx ends.
+	Keep(ctx context.Context, prefix string, change func(store.Change))
 }
 
 // A Keeper is the control goroutine: it keeps the membership of this host and
@@ -89,7 +92,11 @@
 // Run keeps the membership until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	k.step(ctx, host.Started{})
-	go k.watch(ctx)
+	go k.Store.Keep(ctx, host.Key(""), func(c store.Change) {
+		if put, ok := c.(store.Put); ok {
+			k.see(ctx, put.Object)
+		}
+	})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/jacinthd/internal/ownership/ownership_test.go
+++ b/jacinthd/internal/ownership/ownership_test.go
@@ -31,6 +31,20 @@
 	return o.Get(ctx, key)
 }
 
+func (o objects) Keep(ctx context.Context, prefix string, change func(store.Change)) {
+	for ctx.Err() == nil {
+		page, err := o.List(ctx, prefix, "")
+		if err != nil {
+			continue
+		}
+		for _, object := range page.Objects {
+			change(store.Put{Object: object, Revision: page.Revision})
+		}
+		// It ends with an error where it breaks, and all is listed again.
+		_ = o.Watch(ctx, prefix, page.Revision, change)
+	}
+}
+
 // quiet translates calls that nobody answers.
 type quiet struct{}
 
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -29,7 +29,7 @@
 	Forward{}, Admission{}, Token{}, End{}, Refusal{}, Done{},
 	Drained{}, Config{}, Ask{}, Suspect{},
 	Want{}, Permits{}, Share{},
-	Wish{}, Wished{}, Digest{},
+	Wish{}, Wished{}, Digest{}, Fetch{}, Packed{},
 }
 
 var numbers = func() map[reflect.Type]byte {
@@ -177,7 +177,9 @@
 		whole = m.Version > 0 && !slices.ContainsFunc(m.Patches, func(p Patch) bool { return p.Number == 0 || len(p.Data) == 0 })
 	case Wish:
 		whole = m.Runner != "" && m.Model != "" && m.Adapter != ""
-	case Admission, End, Done, Drained, Config, Wished, Digest:
+	case Fetch:
+		whole = m.Kind != ""
+	case Admission, End, Done, Drained, Config, Wished, Digest, Packed:
 	default:
 		return errors.Errorf("peer: no check for %T", m)
 	}
--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -13,6 +13,7 @@
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/adapter"
 	"jacinthstage/stage/load"
+	"jacinthstage/stage/relay"
 	"jacinthstage/stage/verdict"
 )
 
@@ -40,6 +41,15 @@
 		peer.Want{Request: load.Request{Host: "entry-1/a", Epoch: 2, Sequence: 3, Held: []uint64{7}, Wants: []load.Want{{Runner: "r", Ref: fees}}}},
 		peer.Permits{Reply: load.Reply{Epoch: 2, Number: 4, Grants: []load.Grant{{Permit: 7, Runner: "r", Ref: fees}}, Rate: 1.5}},
 		peer.Suspect{Print: "f", Crash: "r/i"},
+		peer.Wish{Runner: "r", Model: "m", Adapter: "a"},
+		peer.Wished{Reason: "no place", Absent: true},
+		peer.Digest{Digest: relay.Digest{
+			From: "h", Below: true, Config: 3, Loads: []relay.Load{{Target: 1 << 31, Open: 2, Unread: 3}},
+			Spaces: []relay.Space{{Runner: 7, Spare: -1, Age: 5}}, Uses: []relay.Use{{Owner: "o", Runner: "r", Model: "m", Adapter: "a", Open: 1, Begun: 1}},
+			Heads: []relay.Head{{Kind: "k", Revision: 9, Changed: 8, Age: 7}},
+		}},
+		peer.Fetch{Kind: "k", After: 8},
+		peer.Packed{Data: []byte{5}},
 	}
 }
 
--- a/jacinthd/internal/peer/link_test.go
+++ b/jacinthd/internal/peer/link_test.go
@@ -179,19 +179,19 @@
 	}, 20*time.Second, 10*time.Millisecond)
 }
 
-// A relay hands datagrams on between one client and a server, or drops them.
-type relay struct {
+// A wire hands datagrams on between one client and a server, or drops them.
+type wire struct {
 	front, back *net.UDPConn
 	drop        atomic.Bool
 	client      atomic.Pointer[netip.AddrPort]
 }
 
-func newRelay(t testing.TB, to netip.AddrPort) (*relay, netip.AddrPort) {
+func newWire(t testing.TB, to netip.AddrPort) (*wire, netip.AddrPort) {
 	front, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	require.NoError(t, err)
 	back, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
 	require.NoError(t, err)
-	r := &relay{front: front, back: back}
+	r := &wire{front: front, back: back}
 	t.Cleanup(func() {
 		_ = front.Close()
 		_ = back.Close()
@@ -201,7 +201,7 @@
 	return r, netip.MustParseAddrPort(front.LocalAddr().String())
 }
 
-func (r *relay) forth() {
+func (r *wire) forth() {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, from, err := r.front.ReadFromUDPAddrPort(buffer)
@@ -215,7 +215,7 @@
 	}
 }
 
-func (r *relay) homeward() {
+func (r *wire) homeward() {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := r.back.Read(buffer)
@@ -242,19 +242,19 @@
 		<-ctx.Done()
 		ended <- stream.Lost()
 	})
-	relay, addr := newRelay(t, addrOf(server))
+	wire, addr := newWire(t, addrOf(server))
 	link := client(t, a.identity("entry-2"))
 	stream, err := link.Open(bounded(t), addr, "entry-1", peer.Drained{})
 	require.NoError(t, err)
 	defer stream.Close()
 	_, err = stream.Recv()
 	require.NoError(t, err)
-	relay.drop.Store(true)
+	wire.drop.Store(true)
 	_, err = stream.Recv()
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.True(t, stream.Lost())
 	require.True(t, <-ended, "the server's end must see a lost connection")
-	relay.drop.Store(false)
+	wire.drop.Store(false)
 	require.Eventually(t, func() bool {
 		_, err := link.Call(bounded(t), addr, "entry-1", peer.Done{})
 		return err == nil
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"jacinthstage/stage/adapter"
-	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/relay"
 	"jacinthstage/stage/verdict"
 )
 
@@ -140,12 +140,29 @@
 	Absent  bool   // the sender orders the runner and knows that it isn't there
 }
 
-// Digest tells of the requests that the sender has in progress. The answer is Done.
+// Digest tells of requests in progress. The answer to one from a host that
+// reports to the receiver is a Digest, to others Done.
 type Digest struct {
 	_      struct{} `cbor:",toarray"`
-	Digest dispatch.Digest
+	Digest relay.Digest
 }
 
+// Fetch asks for what the sender lacks of a kind of the platform's objects that
+// it has up to a revision. The answer is Packed.
+type Fetch struct {
+	_     struct{} `cbor:",toarray"`
+	Kind  string
+	After uint64
+}
+
+// Packed answers a Fetch; Data is empty where the receiver has no such objects.
+type Packed struct {
+	_    struct{} `cbor:",toarray"`
+	Data []byte
+}
+
+func (Fetch) message()  {}
+func (Packed) message() {}
 func (Wish) message()   {}
 func (Wished) message() {}
 func (Digest) message() {}
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -3,121 +3,106 @@
 import (
 	"time"
 
+	"jacinthstage/stage/relay"
 	"jacinthstage/stage/shelf"
 )
 
-// digestAge is how long what another host told of its requests counts.
-const digestAge = 2 * time.Second
-
-// A Digest is what one host tells others of its requests in progress.
-type Digest struct {
-	_       struct{} `cbor:",toarray"`
-	From    string   // the host
-	Config  uint64   // version of the configuration in force there
-	Targets []Activity
-	Spaces  []Space
-}
-
-// A Space is how many adapters a runner that the sender owns has place for.
-type Space struct {
-	_      struct{} `cbor:",toarray"`
-	Runner string
-	Spare  int // negative where adapters wait for a place
-}
-
-// room is what a runner's owner told of its places.
-type room struct {
-	at    time.Time
-	spare int
-}
-
-// An Activity is the requests of one host on one target.
-type Activity struct {
-	_        struct{} `cbor:",toarray"`
-	Target   string
-	Open     int // in progress
-	Unread   int // tokens of their prompts that aren't read yet
-	Adapters []Usage
-}
-
-// A Usage is the requests of one host for one adapter on one runner.
-type Usage struct {
-	_       struct{} `cbor:",toarray"`
-	Model   string
-	Adapter string
-	Open    int // in progress
-	Begun   int // since the last digest
-}
+// placesAge is how long what the owner of a runner told of its places counts.
+const placesAge = 2 * time.Second
 
 // usage counts this host's requests for one adapter on one runner.
 type usage struct{ open, begun int }
 
-// A share is what another host told of its requests on a target.
-type share struct {
-	at           time.Time
-	open, unread int
-}
-
-// Digest returns what other hosts should know of this host's requests.
-func (b *Board) Digest(now time.Time) Digest {
+// Digest returns what to tell another host. over returns the host to which to
+// send what is meant for a runner's owner that doesn't report to this host.
+func (b *Board) Digest(now time.Time, to string, path relay.Path, over func(owner string) string) relay.Digest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := Digest{From: b.Holder}
+	b.exchange.Expire(now)
+	next := func(owner string) string {
+		if b.exchange.Below(owner) {
+			return owner
+		}
+		return over(owner)
+	}
+	d := relay.Digest{From: b.Holder}
 	if b.config != nil {
 		d.Config = b.config.Version
 	}
+	var own []relay.Load
 	for _, t := range b.targets {
 		if t.shelf != nil {
-			d.Spaces = append(d.Spaces, Space{Runner: t.Name, Spare: t.shelf.Spare(now)})
+			d.Spaces = append(d.Spaces, relay.Space{Runner: t.mark, Spare: t.shelf.Spare(now)})
 		}
-		if t.open == 0 && len(t.usage) == 0 {
-			continue
-		}
-		a := Activity{Target: t.Name, Open: t.open, Unread: t.prefill}
-		for k, u := range t.usage {
-			a.Adapters = append(a.Adapters, Usage{Model: k.Model, Adapter: k.Adapter, Open: u.open, Begun: u.begun})
-			u.begun = 0
-			if u.open == 0 {
-				delete(t.usage, k)
+		if t.open > 0 || t.unreached(now) {
+			l := relay.Load{Target: t.mark, Open: t.open, Unread: t.prefill}
+			if t.unreached(now) {
+				l.Lost = 1
 			}
+			own = append(own, l)
+		}
+		owner := b.owners[t.Name].Host
+		switch {
+		case t.shelf != nil || owner == "":
+			t.trim()
+		case len(t.usage) > 0 && next(owner) == to:
+			d.Uses = append(d.Uses, t.uses(owner)...)
 		}
-		d.Targets = append(d.Targets, a)
 	}
+	d.Loads = b.exchange.Loads(to, path, own)
+	d.Spaces = append(d.Spaces, b.exchange.Spaces(now, to, path)...)
+	d.Uses = append(d.Uses, b.exchange.Uses(now, to, next)...)
 	return d
 }
 
+// uses returns this host's uses of a target's adapters since it told last.
+func (t *target) uses(owner string) []relay.Use {
+	out := make([]relay.Use, 0, len(t.usage))
+	for k, u := range t.usage {
+		out = append(out, relay.Use{Owner: owner, Runner: t.Name, Model: k.Model, Adapter: k.Adapter, Open: u.open, Begun: u.begun})
+		u.begun = 0
+		if u.open == 0 {
+			delete(t.usage, k)
+		}
+	}
+	return out
+}
+
+// trim drops uses that have ended and that nobody has to be told of.
+func (t *target) trim() {
+	for k, u := range t.usage {
+		if u.open == 0 {
+			delete(t.usage, k)
+		}
+	}
+}
+
 // Take takes in what another host told. It reports whether the configuration
 // should be read now: another host has had a newer one for a while.
-func (b *Board) Take(now time.Time, d Digest) (behind bool) {
+func (b *Board) Take(now time.Time, d relay.Digest) (behind bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	behind = b.behind(now, d.Config)
-	if b.told == nil {
-		b.told = make(map[string]time.Time)
-	}
-	b.told[d.From] = now
-	for _, s := range d.Spaces {
-		if t := b.targets[s.Runner]; t != nil {
-			t.room = room{at: now, spare: s.Spare}
-		}
-	}
-	for _, a := range d.Targets {
-		t := b.targets[a.Target]
-		if t == nil {
-			continue
-		}
-		if t.shares == nil {
-			t.shares = make(map[string]share)
-		}
-		t.shares[d.From] = share{at: now, open: a.Open, unread: a.Unread}
-		if t.shelf == nil {
-			continue
-		}
-		for _, u := range a.Adapters {
+	for _, u := range b.exchange.Take(now, b.Holder, d) {
+		if t := b.targets[u.Runner]; t != nil && t.shelf != nil {
 			t.shelf.Peer(now, shelf.Key{Model: u.Model, Adapter: u.Adapter}, d.From, u.Open, u.Begun)
 		}
 	}
-	return behind
+	return b.behind(now, d.Config)
+}
+
+// Forget drops what a host told of its requests, as where another one tells the
+// same from now on.
+func (b *Board) Forget(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.exchange.Forget(name)
+}
+
+// Serving reports whether other hosts report to this one.
+func (b *Board) Serving() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.exchange.Serving()
 }
 
 // behindLeast is how long another host must have had a newer configuration
@@ -143,41 +128,26 @@
 	return true
 }
 
-// others returns the requests of other hosts on a target, and the tokens of
-// their prompts that aren't read yet.
-func (b *Board) others(now time.Time, t *target) (open, unread int) {
-	for from, s := range t.shares {
-		if s.at != b.told[from] || now.Sub(s.at) > digestAge {
-			delete(t.shares, from)
-			continue
-		}
-		open += s.open
-		unread += s.unread
-	}
-	return open, unread
-}
-
 const (
-	// silenceLeast, and silenceEach for each host of the system, is how long the
-	// owner of a runner may go without a digest before no load is asked of it.
-	silenceLeast = time.Second
-	silenceEach  = 60 * time.Millisecond
+	// silenceLeast is how long the owner of a runner may tell nothing before no
+	// load is asked of it.
+	silenceLeast = 1500 * time.Millisecond
 	// silenceFar is how many times longer it may be silent in another region.
-	silenceFar = 3
+	silenceFar = 2
 )
 
 // silent reports whether the owner of a runner told nothing for too long. One
 // that never told anything may just have started.
 func (b *Board) silent(now time.Time, t *target) bool {
-	told, ok := b.told[b.owners[t.Name].Host]
-	if !ok {
+	_, at := b.exchange.Space(t.mark)
+	if at.IsZero() {
 		return false
 	}
-	limit := silenceLeast + time.Duration(b.hosts)*silenceEach
+	limit := silenceLeast
 	if b.far(t) {
 		limit *= silenceFar
 	}
-	return now.Sub(told) > limit
+	return now.Sub(at) > limit
 }
 
 // An Owner is the host that orders a runner.
@@ -197,6 +167,11 @@
 func (b *Board) Owned(owners map[string]Owner, hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for runner, owner := range owners {
+		if b.owners[runner].Host != owner.Host {
+			b.exchange.Moved(relay.Of(runner))
+		}
+	}
 	b.owners = owners
 	b.hosts = hosts
 }
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/prefix"
+	"jacinthstage/stage/relay"
 	"jacinthstage/stage/shelf"
 )
 
@@ -39,14 +40,14 @@
 	targets     map[string]*target
 	services    map[string]map[string]*target
 	newest      map[shelf.Key]release
-	owned       map[string]*target   // runners that this host orders
-	behindSince time.Time            // when another host was first seen with a newer configuration
-	behindFrom  uint64               // the version that this host had then
-	told        map[string]time.Time // when each other host told of its requests last
-	owners      map[string]Owner     // by runner
-	hosts       int                  // members that share the rate of the weight store
-	nextBase    time.Time            // first moment of the next load of a model
-	demand      map[string]float64   // aged number of requests by model
+	owned       map[string]*target // runners that this host orders
+	behindSince time.Time          // when another host was first seen with a newer configuration
+	behindFrom  uint64             // the version that this host had then
+	exchange    relay.Exchange     // what other hosts told
+	owners      map[string]Owner   // by runner
+	hosts       int                // members that share the rate of the weight store
+	nextBase    time.Time          // first moment of the next load of a model
+	demand      map[string]float64 // aged number of requests by model
 }
 
 // A release is the newest version of an adapter, and when it was heard of.
@@ -72,6 +73,7 @@
 // A target is one target with what this host knows of it.
 type target struct {
 	catalog.Target
+	mark     relay.Mark
 	gone     time.Time // no longer used from then on; zero while it is listed
 	open     int       // requests of this host in progress
 	prefill  int       // tokens of them that are still to be read
@@ -79,20 +81,20 @@
 	at       time.Time // when
 	opened   int       // what open was then
 	memory   prefix.Memory
-	shelf    *shelf.Shelf     // where this host owns it
-	shares   map[string]share // of other hosts
+	shelf    *shelf.Shelf // where this host owns it
 	usage    map[shelf.Key]*usage
 	absent   map[shelf.Key]time.Time
 	present  map[shelf.Key]time.Time
 	hand     map[shelf.Key]time.Time // adapters that it held, and when that was seen last
 	full     time.Time               // no load is asked for before
 	wished   map[shelf.Key]time.Time // asked of its owner, and when
-	room     room                    // places, as its owner told
 	faults   int                     // failures in a row
 	shunned  time.Time               // not used before, but for one trial
 	trial    bool
-	pace     float64 // how much slower than expected it is
-	failures float64 // share of failed answers when it was rated last
+	missed   time.Time // when this host could not connect to it last, zero once it could again
+	reached  time.Time // when it answered last
+	pace     float64   // how much slower than expected it is
+	failures float64   // share of failed answers when it was rated last
 	rated    time.Time
 }
 
@@ -166,7 +168,7 @@
 		old = nil
 	}
 	if old == nil {
-		old = &target{memory: prefix.Memory{Limit: b.cacheLimit(t.Service)}, pace: 1}
+		old = &target{mark: relay.Of(t.Name), memory: prefix.Memory{Limit: b.cacheLimit(t.Service)}, pace: 1}
 		b.targets[t.Name] = old
 		if b.services[t.Service] == nil {
 			b.services[t.Service] = make(map[string]*target)
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/relay"
 	"jacinthstage/stage/shelf"
 )
 
@@ -119,9 +120,9 @@
 	b := board("host-0", "north-a", 2, map[int][]string{0: {"hot"}, 1: {"hot"}})
 	first := ticket(t, b, want("hot", 100, 0), 0)
 	first.Report(at(1), dispatch.Ended{})
-	b.Take(at(10), dispatch.Digest{From: "host-1", Targets: []dispatch.Activity{{Target: first.Target.Name, Open: 9, Unread: 40000}}})
+	b.Take(at(10), relay.Digest{From: "host-1", Loads: []relay.Load{{Target: relay.Of(first.Target.Name), Open: 9, Unread: 40000}}})
 	require.NotEqual(t, first.Target.Name, ticket(t, b, want("hot", 100, 20), 20).Target.Name)
-	b.Take(at(30), dispatch.Digest{From: "host-1"})
+	b.Take(at(30), relay.Digest{From: "host-1"})
 	require.Equal(t, first.Target.Name, ticket(t, b, want("hot", 100, 40), 40).Target.Name, "a digest that leaves it out ends it")
 }
 
@@ -129,16 +130,16 @@
 // request for a rare one is refused at once, with when to come back.
 func TestPlacesTakenRefusesAtOnce(t *testing.T) {
 	b := board("host-0", "north-a", 3, nil)
-	var spaces []dispatch.Space
+	var spaces []relay.Space
 	for i := range 3 {
-		spaces = append(spaces, dispatch.Space{Runner: fmt.Sprint("runner-", i), Spare: -3})
+		spaces = append(spaces, relay.Space{Runner: relay.Of(fmt.Sprint("runner-", i)), Spare: -3})
 	}
-	b.Take(at(0), dispatch.Digest{From: "owner", Spaces: spaces})
+	b.Take(at(0), relay.Digest{From: "owner", Spaces: spaces})
 	r := refused(t, b, want("rare", 800, 10), 10)
 	require.Equal(t, "no place for the adapter", r.Reason)
 	require.Positive(t, r.After)
 	spaces[1].Spare = 1
-	b.Take(at(20), dispatch.Digest{From: "owner", Spaces: spaces})
+	b.Take(at(20), relay.Digest{From: "owner", Spaces: spaces})
 	require.Equal(t, "runner-1", ticket(t, b, want("rare", 800, 30), 30).Target.Name)
 }
 
@@ -160,8 +161,8 @@
 
 // open returns the requests in progress on a target, as the board tells others.
 func open(b *dispatch.Board, name string) int {
-	for _, a := range b.Digest(at(3000)).Targets {
-		if a.Target == name {
+	for _, a := range b.Digest(at(3000), "host-1", relay.Over, func(string) string { return "" }).Loads {
+		if a.Target == relay.Of(name) {
 			return a.Open
 		}
 	}
@@ -294,10 +295,11 @@
 // any request has waited for it in vain.
 func TestOwnerWithoutDigests(t *testing.T) {
 	b := board("host-0", "north-a", 1, nil)
-	b.Take(at(0), dispatch.Digest{From: "owner"})
+	told := relay.Digest{From: "owner", Spaces: []relay.Space{{Runner: relay.Of("runner-0"), Spare: 1}}}
+	b.Take(at(0), told)
 	ticket(t, b, want("a", 100, 500), 500).Report(at(501), dispatch.Left{})
 	require.Equal(t, "no adapter", refused(t, b, want("a", 100, 3000), 3000).Reason)
-	b.Take(at(3100), dispatch.Digest{From: "owner"})
+	b.Take(at(3100), told)
 	ticket(t, b, want("a", 100, 3101), 3101)
 }
 
@@ -320,8 +322,8 @@
 // usually is on its way, and then asked for now and again.
 func TestBehind(t *testing.T) {
 	b := board("host-0", "north-a", 1, nil)
-	newer := dispatch.Digest{From: "host-1", Config: 2}
-	require.False(t, b.Take(at(0), dispatch.Digest{From: "host-1", Config: 1}))
+	newer := relay.Digest{From: "host-1", Config: 2}
+	require.False(t, b.Take(at(0), relay.Digest{From: "host-1", Config: 1}))
 	require.False(t, b.Take(at(10), newer))
 	require.False(t, b.Take(at(1000), newer))
 	require.True(t, b.Take(at(1300), newer))
@@ -343,3 +345,49 @@
 	w.Begun = true
 	ticket(t, b, w, 50)
 }
+
+// TestManyRunnersCrash: where many runners crash at once, a host doesn't wait for
+// a connection to each of them that others could not open. One host alone may be
+// cut off, and an answer that this host had just now goes before all that.
+func TestManyRunnersCrash(t *testing.T) {
+	b := board("host-0", "north-a", 2, map[int][]string{0: {"a"}, 1: {"a"}})
+	k := ticket(t, b, want("a", 100, 0), 0)
+	first := k.Target.Name
+	k.Report(at(1), dispatch.Head{})
+	k.Report(at(1), dispatch.Ended{})
+	lost := func(ms, hosts int) {
+		b.Take(at(ms), relay.Digest{From: "relay", Loads: []relay.Load{{Target: relay.Of(first), Lost: hosts}}})
+	}
+	target := func(ms int) string {
+		k := ticket(t, b, want("a", 100, ms), ms)
+		k.Report(at(ms), dispatch.Left{})
+		return k.Target.Name
+	}
+	lost(100, 5)
+	require.Equal(t, first, target(110), "it has just answered")
+	lost(900, 1)
+	require.Equal(t, first, target(910))
+	lost(1000, 2)
+	require.NotEqual(t, first, target(1010))
+	lost(1100, 0)
+	require.Equal(t, first, target(1110))
+}
+
+// TestUnreachedIsTold: a host tells others where it could not connect, until it
+// could again.
+func TestUnreachedIsTold(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	lost := func(ms int) int {
+		n := 0
+		for _, l := range b.Digest(at(ms), "host-1", relay.Over, func(string) string { return "" }).Loads {
+			n += l.Lost
+		}
+		return n
+	}
+	ticket(t, b, want("a", 100, 0), 0).Report(at(600), dispatch.Broke{})
+	require.Equal(t, 1, lost(700))
+	k := ticket(t, b, want("a", 100, 1700), 1700)
+	require.Equal(t, 1, lost(1710))
+	k.Report(at(1800), dispatch.Head{})
+	require.Zero(t, lost(1810))
+}
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -45,14 +45,14 @@
 // running estimates how many requests of all hosts a target has, and how many
 // tokens of other hosts' prompts it still reads.
 func (b *Board) running(now time.Time, t *target) (running, unread int) {
-	open, unread := b.others(now, t)
-	running = t.open + open
+	others := b.exchange.Others(t.mark)
+	running = t.open + others.Open
 	if t.heard.Known {
 		age := now.Sub(t.at).Seconds() / loadAge.Seconds()
 		heard := float64(t.heard.Running+t.heard.Waiting-t.opened) / (1 + 2*age)
 		running = max(running, t.open+int(heard))
 	}
-	return running, unread
+	return running, others.Unread
 }
 
 // queue estimates the wait for a place on a target whose requests hold one for
@@ -122,6 +122,8 @@
 	tailPrice = 0.2
 	// latePrice is that of each further aim, once the answer is late.
 	latePrice = 0.5
+	// lostPrice is that of a target to which other hosts can't connect.
+	lostPrice = 0.6
 	// failPrice is that of a target all of whose answers fail.
 	failPrice = 2.0
 )
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -189,6 +189,9 @@
 func (b *Board) weigh(now time.Time, t *target, w Want, home int) (candidate, bool) {
 	c := candidate{target: t, span: b.expected(now, t, w)}
 	c.cost = failPrice * t.failing(now)
+	if b.lost(now, t) {
+		c.cost += lostPrice
+	}
 	if b.far(t) {
 		c.cost += farPrice * float64(w.Size) / farUnit
 	}
@@ -261,8 +264,8 @@
 	}
 	_, owned := b.owners[t.Name]
 	_, model := t.Models[k.Model]
-	if now.Sub(t.room.at) < digestAge && t.room.spare <= 0 {
-		l.place = time.Duration(1-t.room.spare) * placeSpan
+	if spare, at := b.exchange.Space(t.mark); spare <= 0 && now.Sub(at) < placesAge {
+		l.place = time.Duration(1-spare) * placeSpan
 	}
 	return l, owned && model && !b.silent(now, t)
 }
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -154,6 +154,7 @@
 	t := k.target
 	switch r := r.(type) {
 	case Head:
+		t.reached, t.missed = now, time.Time{}
 		t.hear(now, r.Load)
 		k.read(now)
 		if k.want.Call.Adapter != "" {
@@ -168,6 +169,7 @@
 		t.failed(now)
 		if !r.Reached {
 			t.failed(now)
+			t.missed = now
 		}
 	case Left:
 		if r.Late && now.Sub(k.sent) > max(lateTimes*k.Expected, lateLeast) {
@@ -243,6 +245,27 @@
 	return t.failures / (1 + now.Sub(t.rated).Seconds()/failureAge.Seconds())
 }
 
+const (
+	// missedAge is how long other hosts are told that this one could not connect
+	// to a target.
+	missedAge = 1500 * time.Millisecond
+	// lostLeast is the number of other hosts that must not have been able to.
+	lostLeast = 2
+	// reachedAge is how long this host's own answer goes before that.
+	reachedAge = 500 * time.Millisecond
+)
+
+// unreached reports whether this host could not connect to the target of late.
+func (t *target) unreached(now time.Time) bool {
+	return !t.missed.IsZero() && now.Sub(t.missed) < missedAge
+}
+
+// lost reports whether other hosts can't connect to a target, and this one has
+// had no answer of it of late.
+func (b *Board) lost(now time.Time, t *target) bool {
+	return b.exchange.Others(t.mark).Lost >= lostLeast && now.Sub(t.reached) > reachedAge
+}
+
 // failed shuns the target for a time that grows with each failure in a row.
 func (t *target) failed(now time.Time) {
 	t.faults++
--- /dev/null
+++ b/stage/mirror/mirror.go
@@ -0,0 +1,211 @@
+// Package mirror keeps copies of kinds of the platform's objects, which a host
+// reads from the platform's store or takes over from another host.
+//
+// A Copy takes lists and changes from whoever reads the store, and pages from
+// other hosts. It hands on what is new, in order, and holds the objects as they
+// were spelled. It knows when it was the newest state for sure. As long as
+// another host, which reads the store, shows that the copy is recent, it needs
+// not be read from the store.
+package mirror
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthstage/stage/relay"
+)
+
+const (
+	// freshMost is how long a copy goes without the store after it was the newest
+	// state for sure.
+	freshMost = 2600 * time.Millisecond
+	// keptMost is the number of bytes of past changes that a copy holds; who is
+	// farther behind gets all objects.
+	keptMost = 128 << 10
+	// keptBatches is the number of answers of the store whose changes it holds.
+	keptBatches = 64
+)
+
+// An Object is one object, or its removal.
+type Object struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	Body []byte // as the store spelled it; empty where the object was removed
+}
+
+// A Page is what a copy lacked: all objects where Whole is set, otherwise the
+// changes up to Revision in order.
+type Page struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Whole    bool
+	Objects  []Object
+}
+
+// A Copy is one kind of objects. It may be used by several goroutines at once.
+type Copy struct {
+	apply func(Page)
+
+	mu       sync.Mutex
+	objects  map[string][]byte // nil before the first list
+	revision uint64            // up to which it is complete
+	changed  uint64            // of the last change
+	floor    uint64            // the changes behind it are all in batches
+	batches  []batch
+	kept     int // bytes in batches
+	asof     time.Time
+	told     bool // the last to show that the copy was recent was another host
+	packed   packed
+}
+
+type batch struct {
+	revision uint64
+	objects  []Object
+	size     int
+}
+
+// Take takes in a page of the changes behind a revision, or of all objects, that
+// was the newest state at asof. It reports whether the page could be taken: it
+// followed on what the copy had.
+func (c *Copy) Take(p Page, after uint64, asof time.Time) bool { return c.take(p, after, asof, false) }
+
+func (c *Copy) take(p Page, after uint64, asof time.Time, told bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !p.Whole && (c.objects == nil || after > c.revision):
+		return false
+	case p.Revision < c.revision:
+		return true
+	}
+	c.confirm(asof, told)
+	switch {
+	case p.Whole:
+		if c.objects != nil && maps.EqualFunc(c.objects, bodies(p), bytes.Equal) {
+			c.revision = p.Revision
+			return true
+		}
+		c.replace(p)
+	case p.Revision == c.revision || len(p.Objects) == 0:
+		c.revision = p.Revision
+		return true
+	default:
+		c.append(p)
+	}
+	c.apply(p)
+	return true
+}
+
+func (c *Copy) confirm(asof time.Time, told bool) {
+	if !asof.Before(c.asof) {
+		c.asof, c.told = asof, told
+	}
+}
+
+func bodies(p Page) map[string][]byte {
+	out := make(map[string][]byte, len(p.Objects))
+	for _, o := range p.Objects {
+		out[o.Name] = o.Body
+	}
+	return out
+}
+
+func (c *Copy) replace(p Page) {
+	c.objects = bodies(p)
+	c.batches, c.kept, c.floor = nil, 0, p.Revision
+	c.revision, c.changed = p.Revision, p.Revision
+}
+
+func (c *Copy) append(p Page) {
+	size := 0
+	for _, o := range p.Objects {
+		size += len(o.Body) + len(o.Name)
+		if len(o.Body) == 0 {
+			delete(c.objects, o.Name)
+			continue
+		}
+		c.objects[o.Name] = o.Body
+	}
+	c.revision, c.changed = p.Revision, p.Revision
+	c.batches = append(c.batches, batch{p.Revision, p.Objects, size})
+	c.kept += size
+	for len(c.batches) > 0 && (c.kept > keptMost || len(c.batches) > keptBatches) {
+		c.floor = c.batches[0].revision
+		c.kept -= c.batches[0].size
+		c.batches = c.batches[1:]
+	}
+}
+
+// since returns what a copy lacks that has come to a revision, all objects where
+// this one no longer has each change behind it.
+func (c *Copy) since(revision uint64) Page {
+	p := Page{Revision: c.revision}
+	if revision < c.floor {
+		p.Whole = true
+		for _, name := range slices.Sorted(maps.Keys(c.objects)) {
+			p.Objects = append(p.Objects, Object{Name: name, Body: c.objects[name]})
+		}
+		return p
+	}
+	for _, b := range c.batches {
+		if b.revision > revision {
+			p.Objects = append(p.Objects, b.objects...)
+		}
+	}
+	return p
+}
+
+// Revision returns the revision up to which the copy is complete, 0 before the
+// first list.
+func (c *Copy) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// Due returns when the copy has to be read from the store again, zero where
+// nobody else keeps it recent.
+func (c *Copy) Due() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.told || c.objects == nil {
+		return time.Time{}
+	}
+	return c.asof.Add(freshMost)
+}
+
+// head tells how far the copy has come.
+func (c *Copy) head(now time.Time, kind string) relay.Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return relay.Head{Kind: kind, Revision: c.revision, Changed: c.changed, Age: uint64(max(0, now.Sub(c.asof)).Milliseconds())}
+}
+
+// heard takes in how far another host has come. It reports whether the copy
+// lacks something of it, and from where on.
+func (c *Copy) heard(now time.Time, h relay.Head) (after uint64, behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.Changed > c.revision || c.objects == nil {
+		return c.revision, h.Revision > 0
+	}
+	if h.Revision >= c.revision {
+		c.revision = h.Revision
+		c.confirm(asof(now, h), true)
+	}
+	return c.revision, false
+}
+
+// asof returns when a head was the newest state for sure.
+func asof(now time.Time, h relay.Head) time.Time {
+	return now.Add(-time.Duration(h.Age) * time.Millisecond)
+}
+
+// A Pace is what the pace of reading the store depends on.
+type Pace struct {
+	Readers int  // hosts that read it
+	Serving bool // other hosts rely on what this one reads
+}
--- /dev/null
+++ b/stage/relay/exchange.go
@@ -0,0 +1,307 @@
+package relay
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// partAge is how long what a host told counts.
+	partAge = 1500 * time.Millisecond
+	// spaceAge is how long a runner's places are passed on after its owner told of them.
+	spaceAge = 3 * time.Second
+)
+
+// A Mark stands for the name of a target in what hosts tell each other.
+type Mark uint32
+
+// Of returns the mark of a target.
+func Of(target string) Mark { return Mark(xxhash.Sum64String(target)) }
+
+// A Load is the requests in progress on one target.
+type Load struct {
+	_      struct{} `cbor:",toarray"`
+	Target Mark
+	Open   int // requests in progress
+	Unread int // tokens of their prompts that aren't read yet
+	Lost   int // hosts that could not connect to it of late
+}
+
+func (l Load) add(m Load) Load {
+	return Load{Target: m.Target, Open: l.Open + m.Open, Unread: l.Unread + m.Unread, Lost: l.Lost + m.Lost}
+}
+
+func (l Load) less(m Load) Load {
+	return Load{Target: m.Target, Open: l.Open - m.Open, Unread: l.Unread - m.Unread, Lost: l.Lost - m.Lost}
+}
+
+func (l Load) none() bool { return l.Open == 0 && l.Unread == 0 && l.Lost == 0 }
+
+// A Space is how many adapters a runner has place for, as its owner tells.
+type Space struct {
+	_      struct{} `cbor:",toarray"`
+	Runner Mark
+	Spare  int    // negative where adapters wait for a place
+	Age    uint64 // milliseconds since the owner told
+}
+
+// A Use is the requests for one adapter on one runner. It goes to the runner's
+// owner only.
+type Use struct {
+	_       struct{} `cbor:",toarray"`
+	Owner   string
+	Runner  string
+	Model   string
+	Adapter string
+	Open    int // in progress
+	Begun   int // since the sender told last
+}
+
+// A Digest is what one host tells another.
+type Digest struct {
+	_      struct{} `cbor:",toarray"`
+	From   string
+	Below  bool   // the sender reports to the receiver, and wants a digest in answer
+	Config uint64 // version of the configuration in force at the sender
+	Loads  []Load
+	Spaces []Space
+	Uses   []Use
+	Heads  []Head
+}
+
+// A Head is how far a host has come with one kind of the platform's objects.
+type Head struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     string
+	Revision uint64 // up to which its copy is complete
+	Changed  uint64 // of the last change
+	Age      uint64 // milliseconds since this was the newest state for sure
+}
+
+// A Path is the direction in which a digest goes.
+type Path uint8
+
+// The directions. A digest that goes Down holds all that the sender knows but
+// the receiver's part; one that doesn't, the parts of the sender and of those
+// that report to it.
+const (
+	Over Path = iota // to the host's relay, or from relay to relay
+	Down             // in answer to a host that reports
+)
+
+// A part is what one host told.
+type part struct {
+	at    time.Time
+	below bool
+	loads map[Mark]Load
+}
+
+type space struct {
+	from  string
+	at    time.Time // when the owner told
+	spare int
+}
+
+type useKey struct{ owner, runner, model, adapter string }
+
+// A carried use waits to be passed on.
+type carried struct {
+	open  map[string]stamped // by sender
+	begun int
+	at    time.Time
+}
+
+type stamped struct {
+	open int
+	at   time.Time
+}
+
+// An Exchange adds up what other hosts tell one host. Its zero value is ready.
+type Exchange struct {
+	parts  map[string]*part
+	total  map[Mark]Load
+	spaces map[Mark]space
+	uses   map[useKey]*carried
+}
+
+// Take takes in a digest. It returns the uses that are meant for holder.
+func (x *Exchange) Take(now time.Time, holder string, d Digest) []Use {
+	x.open()
+	x.Forget(d.From)
+	p := &part{at: now, below: d.Below, loads: make(map[Mark]Load, len(d.Loads))}
+	for _, l := range d.Loads {
+		p.loads[l.Target] = l
+		x.set(x.total[l.Target].add(l))
+	}
+	x.parts[d.From] = p
+	for _, s := range d.Spaces {
+		at := now.Add(-time.Duration(s.Age) * time.Millisecond)
+		if at.After(x.spaces[s.Runner].at) {
+			x.spaces[s.Runner] = space{from: d.From, at: at, spare: s.Spare}
+		}
+	}
+	var mine []Use
+	for _, u := range d.Uses {
+		if u.Owner == holder {
+			mine = append(mine, u)
+			continue
+		}
+		x.carry(now, d.From, u)
+	}
+	return mine
+}
+
+func (x *Exchange) open() {
+	if x.parts == nil {
+		x.parts = make(map[string]*part)
+		x.total = make(map[Mark]Load)
+		x.spaces = make(map[Mark]space)
+		x.uses = make(map[useKey]*carried)
+	}
+}
+
+func (x *Exchange) set(l Load) {
+	if l.none() {
+		delete(x.total, l.Target)
+		return
+	}
+	x.total[l.Target] = l
+}
+
+func (x *Exchange) carry(now time.Time, from string, u Use) {
+	k := useKey{u.Owner, u.Runner, u.Model, u.Adapter}
+	c := x.uses[k]
+	if c == nil {
+		c = &carried{open: make(map[string]stamped)}
+		x.uses[k] = c
+	}
+	c.at = now
+	c.begun += u.Begun
+	c.open[from] = stamped{open: u.Open, at: now}
+}
+
+// Forget drops what a host told of its requests.
+func (x *Exchange) Forget(from string) {
+	p := x.parts[from]
+	if p == nil {
+		return
+	}
+	for m, l := range p.loads {
+		x.set(x.total[m].less(l))
+	}
+	delete(x.parts, from)
+}
+
+// Expire drops what is too old.
+func (x *Exchange) Expire(now time.Time) {
+	for from, p := range x.parts {
+		if now.Sub(p.at) > partAge {
+			x.Forget(from)
+		}
+	}
+	for k, c := range x.uses {
+		if now.Sub(c.at) > partAge {
+			delete(x.uses, k)
+		}
+	}
+}
+
+// Others returns what other hosts told of a target.
+func (x *Exchange) Others(m Mark) Load { return x.total[m] }
+
+// Space returns the places of a runner and when its owner told of them, zero
+// where it never did.
+func (x *Exchange) Space(m Mark) (spare int, at time.Time) {
+	s := x.spaces[m]
+	return s.spare, s.at
+}
+
+// Moved forgets the places of a runner, whose owner is another one now.
+func (x *Exchange) Moved(m Mark) { delete(x.spaces, m) }
+
+// Below reports whether a host reports to this one.
+func (x *Exchange) Below(name string) bool {
+	p := x.parts[name]
+	return p != nil && p.below
+}
+
+// Serving reports whether any host reports to this one.
+func (x *Exchange) Serving() bool {
+	for _, p := range x.parts {
+		if p.below {
+			return true
+		}
+	}
+	return false
+}
+
+// Loads returns what to tell a host of the requests on all targets; own is this
+// host's part.
+func (x *Exchange) Loads(to string, path Path, own []Load) []Load {
+	sums := make(map[Mark]Load, len(own)+len(x.total))
+	if path == Down {
+		maps.Copy(sums, x.total)
+		if p := x.parts[to]; p != nil {
+			for m, l := range p.loads {
+				sums[m] = sums[m].less(l)
+			}
+		}
+	}
+	for from, p := range x.parts {
+		if path == Down || !p.below || from == to {
+			continue
+		}
+		for m, l := range p.loads {
+			sums[m] = sums[m].add(l)
+		}
+	}
+	for _, l := range own {
+		sums[l.Target] = sums[l.Target].add(l)
+	}
+	out := make([]Load, 0, len(sums))
+	for _, l := range sums {
+		if !l.none() {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Spaces returns what to tell a host of the places of runners that others own.
+func (x *Exchange) Spaces(now time.Time, to string, path Path) []Space {
+	var out []Space
+	for m, s := range x.spaces {
+		if s.from == to || path == Over && !x.Below(s.from) || now.Sub(s.at) > spaceAge {
+			continue
+		}
+		out = append(out, Space{Runner: m, Spare: s.spare, Age: uint64(max(0, now.Sub(s.at)).Milliseconds())})
+	}
+	return out
+}
+
+// Uses returns the uses to pass on to a host, which is the next on the way to
+// their owners.
+func (x *Exchange) Uses(now time.Time, to string, next func(owner string) string) []Use {
+	var out []Use
+	for k, c := range x.uses {
+		if next(k.owner) != to {
+			continue
+		}
+		open := 0
+		for from, s := range c.open {
+			if now.Sub(s.at) > partAge {
+				delete(c.open, from)
+				continue
+			}
+			open += s.open
+		}
+		out = append(out, Use{Owner: k.owner, Runner: k.runner, Model: k.model, Adapter: k.adapter, Open: open, Begun: c.begun})
+		c.begun = 0
+		if open == 0 {
+			delete(x.uses, k)
+		}
+	}
+	return out
+}
--- a/stage/store/store.go
+++ b/stage/store/store.go
@@ -74,15 +74,20 @@
 	Kind  string // host or target
 }
 
-// A Store is the platform's object API. Every call ends by the context's
-// deadline and by a deadline of the implementation's own.
-type Store interface {
+// Objects is the part of the object API that reads and writes objects. Every call
+// ends by the context's deadline and by a deadline of the implementation's own.
+type Objects interface {
 	Get(ctx context.Context, key string) (Object, error)
 	Create(ctx context.Context, key string, value []byte) (Object, error)
 	Update(ctx context.Context, key string, version uint64, value []byte) (Object, error)
 	Delete(ctx context.Context, key string, version uint64) error
 	// List returns the objects whose keys start with prefix and sort behind after.
 	List(ctx context.Context, prefix, after string) (Page, error)
+}
+
+// A Store is the platform's object API.
+type Store interface {
+	Objects
 	// Watch calls change for each change behind revision until ctx ends or the
 	// watch breaks or goes silent; it always returns an error.
 	Watch(ctx context.Context, prefix string, revision uint64, change func(Change)) error
