--- a/jacinthd/direct.go
+++ b/jacinthd/direct.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -76,10 +78,11 @@
 		DialContext: outbound.Dialer().DialContext, MaxIdleConnsPerHost: storeConnections,
 		IdleConnTimeout: storeIdle, DisableCompression: true,
 	}
+	registry := prometheus.NewRegistry()
 	copies := new(mirror.Set)
-	client := platform.New(d.Store, transport, copies, log)
+	client := platform.New(d.Store, counted(registry, transport), copies, log)
 	p, err := direct.New(d, direct.Platform{
-		Store: client, Follower: client, Copies: copies, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
+		Store: client, Follower: client, Copies: copies, Registry: registry, Headers: platform.Headers{}, Runners: platform.Runners{}, ReadyPath: platform.ReadyPath,
 	}, log, sink)
 	if err != nil {
 		log.Error("host: not started", zap.Error(err))
@@ -92,6 +95,15 @@
 	return subcommands.ExitSuccess
 }
 
+// counted counts the calls on the platform's store by method and status.
+func counted(registry prometheus.Registerer, transport http.RoundTripper) http.RoundTripper {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jacinth_store_calls_total", Help: "Answered calls on the platform's store by method and status.",
+	}, []string{"code", "method"})
+	registry.MustRegister(calls)
+	return promhttp.InstrumentRoundTripperCounter(calls, transport)
+}
+
 // reload reads the settings again at each SIGHUP. Only the level of log lines
 // changes in a running process.
 func (s *serve) reload(ctx context.Context, level zap.AtomicLevel, log *zap.Logger) {
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -56,6 +56,7 @@
 	Store    ownership.Store
 	Follower Follower
 	Copies   *mirror.Set // of what the follower reads
+	Registry *prometheus.Registry
 	Headers  Headers
 	Runners  ownership.Runners
 	// ReadyPath is the path at which readiness is asked for.
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	registry := prometheus.NewRegistry()
+	registry := p.Registry
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	meter := Metrics(registry)
 	out := &Process{settings: s, platform: p, log: log, sink: sink, registry: registry, life: newLife(log)}
@@ -119,9 +120,9 @@
 	// leaseTerm is how long a lease lasts from the sending of its renewal: longer
 	// than most outages of the store, and as long as a lost host's runners get no
 	// orders.
-	leaseTerm = 12 * time.Second
+	leaseTerm = 13 * time.Second
 	// leaseRenewal is the time between renewals.
-	leaseRenewal = 3 * time.Second
+	leaseRenewal = 4 * time.Second
 	// leaseMargin is what a holder takes off the term, for clocks that differ in rate.
 	leaseMargin = 500 * time.Millisecond
 	// hostsGuess is the number of hosts that share the slack of retries while it isn't known.
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -66,6 +66,8 @@
 	dials int // tries that reached none
 	early int // tries that came before their adapter
 
+	coming bool // the adapter is on its way to the runner that was asked last
+
 	begun   time.Time        // when the answer's head went to the caller
 	stall   time.Duration    // waited for the adapter, over all tries
 	started bool             // the answer's head went to the caller
--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -22,8 +22,10 @@
 	// confirmTimeout is how long a host waits for an owner to confirm that an
 	// adapter is there.
 	confirmTimeout = 60 * time.Millisecond
-	// wishTimeout is how long a wish waits for its adapter at the owner.
+	// wishTimeout is how long a wish waits for its answer, and wishLeast how long
+	// the owner waits for the adapter before it says how far that is.
 	wishTimeout = 800 * time.Millisecond
+	wishLeast   = 650 * time.Millisecond
 )
 
 // Peers talks with other hosts. Its fields must be set.
@@ -60,6 +62,7 @@
 	case peer.Digest:
 		p.take(m.Digest)
 		if !m.Digest.Below {
+			p.heard(ctx, m.Digest)
 			return peer.Done{}
 		}
 		return p.reported(m.Digest.From)
@@ -93,16 +96,20 @@
 	}
 	defer p.Board.Unwish(m.Runner, key)
 	p.Wake()
-	ctx, cancel := context.WithTimeout(ctx, wishTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wishLeast)
 	defer cancel()
 	select {
 	case <-arrived:
 	case <-ctx.Done():
 	}
-	if !p.Board.Resident(time.Now(), m.Runner, key) {
+	switch {
+	case p.Board.Resident(time.Now(), m.Runner, key):
+		return peer.Wished{Arrived: true}
+	case p.Board.Coming(m.Runner, key):
+		return peer.Wished{Reason: "on its way", Coming: true}
+	default:
 		return peer.Wished{Reason: "not loaded", Absent: true}
 	}
-	return peer.Wished{Arrived: true}
 }
 
 // Wish asks the owner of a runner for an adapter until ctx ends.
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -71,7 +71,7 @@
 func (j *job) want() dispatch.Want {
 	return dispatch.Want{
 		Call: j.call, Service: j.service, Size: len(j.body),
-		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid, Begun: j.runs > 0,
+		Aim: j.arrived.Add(j.route.Aim), Deadline: j.deadline, Avoid: j.avoid, Begun: j.runs > 0 || j.coming,
 	}
 }
 
@@ -186,6 +186,7 @@
 			zap.String("adapter", j.call.Adapter), zap.Bool("confirm", k.Confirm), zap.String("refused", wished.Reason),
 			zap.Duration("took", time.Since(begun)), zap.Error(err))
 	}
+	j.coming = wished.Coming
 	return k.Wished(time.Now(), reply(wished, err))
 }
 
@@ -196,6 +197,8 @@
 		return dispatch.Silent{}
 	case w.Arrived:
 		return dispatch.There{}
+	case w.Coming:
+		return dispatch.Coming{}
 	default:
 		return dispatch.Denied{Absent: w.Absent}
 	}
--- a/jacinthd/internal/direct/tell.go
+++ b/jacinthd/internal/direct/tell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,8 @@
 	farFan = 4
 	// digestTimeout limits the sending of one digest.
 	digestTimeout = time.Second
+	// digestDelay is how long a digest may have been on its way within a region.
+	digestDelay = 200 * time.Millisecond
 	// reportTimeout limits a report to a relay, answer included.
 	reportTimeout = 400 * time.Millisecond
 	// fetchTimeout limits the transfer of what a host lacks of the platform's objects.
@@ -116,14 +119,37 @@
 			return
 		}
 		p.take(answer.Digest)
-		for _, h := range answer.Digest.Heads {
-			if after, behind := p.Copies.Heard(begun, h); behind {
-				p.fetch(ctx, c.members[of], h, after, begun)
-			}
-		}
+		p.hear(ctx, c.members[of], answer.Digest.Heads, begun)
 	}()
 }
 
+// hear takes in how far another host had come with the platform's objects at a
+// moment, and takes over what this host lacks.
+func (p *Peers) hear(ctx context.Context, from host.Identity, heads []relay.Head, at time.Time) {
+	for _, h := range heads {
+		if after, behind := p.Copies.Heard(at, h); behind {
+			p.fetch(ctx, from, h, after, at)
+		}
+	}
+}
+
+// heard takes in the heads that a relay told unasked. A host that reads the store
+// for others goes on with that.
+func (p *Peers) heard(ctx context.Context, d relay.Digest) {
+	c := p.circle.Load()
+	if c == nil || len(d.Heads) == 0 || p.reads(c) {
+		return
+	}
+	if from, ok := c.members[d.From]; ok {
+		p.hear(ctx, from, d.Heads, time.Now().Add(-digestDelay))
+	}
+}
+
+// reads reports whether this host reads the store for others.
+func (p *Peers) reads(c *circle) bool {
+	return slices.Contains(c.roster.Readers(p.Regions[p.Zone], p.passedOver), p.Self)
+}
+
 // reported returns the answer to a host that reports to this one.
 func (p *Peers) reported(from string) peer.Message {
 	now := time.Now()
@@ -136,7 +162,8 @@
 func (p *Peers) Pace() mirror.Pace {
 	pace := mirror.Pace{Readers: p.Board.Hosts(), Serving: p.Board.Serving()}
 	if c := p.circle.Load(); c != nil {
-		pace.Readers = c.roster.Readers()
+		pace.Readers = c.roster.Reading()
+		pace.Serving = pace.Serving || !c.roster.Few(p.Regions[p.Zone]) && p.reads(c)
 	}
 	return pace
 }
@@ -179,9 +206,14 @@
 		}
 		return hop
 	}
+	here := p.Regions[p.Zone]
+	var heads []relay.Head
+	if !c.roster.Few(here) && p.reads(c) {
+		heads = p.Copies.Heads(time.Now())
+	}
 	for _, region := range c.roster.Regions() {
 		to := c.roster.Relays(region, p.passedOver)
-		if region != p.Regions[p.Zone] {
+		if region != here {
 			if round%farTimes != 0 {
 				continue
 			}
@@ -191,14 +223,17 @@
 		}
 		for _, name := range to {
 			if name != p.Self {
-				p.tell(ctx, c.members[name], over)
+				p.tell(ctx, c.members[name], over, heads)
 			}
 		}
 	}
 }
 
-func (p *Peers) tell(ctx context.Context, to host.Identity, over func(string) string) {
+func (p *Peers) tell(ctx context.Context, to host.Identity, over func(string) string, heads []relay.Head) {
 	digest := p.Board.Digest(time.Now(), to.Name, relay.Over, over)
+	if p.Regions[to.Zone] == p.Regions[p.Zone] {
+		digest.Heads = heads
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 		defer cancel()
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -136,6 +136,7 @@
 type Wished struct {
 	_       struct{} `cbor:",toarray"`
 	Arrived bool
+	Coming  bool   // it is on its way still
 	Reason  string // why it did not arrive
 	Absent  bool   // the sender orders the runner and knows that it isn't there
 }
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -32,7 +32,8 @@
 	var own []relay.Load
 	for _, t := range b.targets {
 		if t.shelf != nil {
-			d.Spaces = append(d.Spaces, relay.Space{Runner: t.mark, Spare: t.shelf.Spare(now)})
+			spare, open := t.shelf.Spare(now)
+			d.Spaces = append(d.Spaces, relay.Space{Runner: t.mark, Spare: spare, Closed: !open})
 		}
 		if t.open > 0 || t.unreached(now) {
 			l := relay.Load{Target: t.mark, Open: t.open, Unread: t.prefill}
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -207,11 +207,20 @@
 	delete(t.hand, oldest)
 }
 
+// engine returns what the runners of a service hold, nil for a plain service and
+// before the first configuration.
+func (b *Board) engine(service string) *catalog.Engine {
+	if b.config == nil {
+		return nil
+	}
+	return b.config.Services[service].Engine
+}
+
 func (b *Board) cacheLimit(service string) int {
-	if b.config == nil || b.config.Services[service].Engine == nil {
-		return 0
+	if engine := b.engine(service); engine != nil {
+		return int(cacheShare * float64(engine.CacheLimit))
 	}
-	return int(cacheShare * float64(b.config.Services[service].Engine.CacheLimit))
+	return 0
 }
 
 func (b *Board) remove(now time.Time, name string) {
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -391,3 +391,48 @@
 	k.Report(at(1800), dispatch.Head{})
 	require.Zero(t, lost(1810))
 }
+
+// TestCrashedRunnersAskNobody: after many runners crashed, their entries still
+// show the model and their places look free; no load is asked of them before
+// their owners say that it can be had.
+func TestCrashedRunnersAskNobody(t *testing.T) {
+	b := board("host-0", "north-a", 2, nil)
+	tell := func(ms int, closed ...bool) {
+		d := relay.Digest{From: "owner"}
+		for i, c := range closed {
+			d.Spaces = append(d.Spaces, relay.Space{Runner: relay.Of(fmt.Sprint("runner-", i)), Spare: 8, Closed: c})
+		}
+		b.Take(at(ms), d)
+	}
+	tell(0, true, false)
+	for i := range 5 {
+		k := ticket(t, b, want(fmt.Sprint("a", i), 100, 10), 10)
+		require.Equal(t, "runner-1", k.Target.Name)
+		k.Report(at(11), dispatch.Left{})
+	}
+	tell(20, true, true)
+	require.Equal(t, "no adapter", refused(t, b, want("a", 100, 30), 30).Reason)
+	tell(40, false, true)
+	require.Equal(t, "runner-0", ticket(t, b, want("a", 100, 50), 50).Target.Name)
+}
+
+// TestSlowLoadsAreWaitedFor: at a cold start all loads are slow. A request whose
+// adapter is on its way asks the same owner again, and isn't refused; one more
+// load elsewhere would make all of them slower.
+func TestSlowLoadsAreWaitedFor(t *testing.T) {
+	for i := range 10 {
+		b := board("host-0", "north-a", 6, nil)
+		w := want(fmt.Sprint("a", i), 100, 0)
+		k := ticket(t, b, w, 0)
+		require.False(t, k.Wished(at(700), dispatch.Coming{}))
+		k.Report(at(700), dispatch.Left{})
+		w.Begun = true
+		again := ticket(t, b, w, 700)
+		require.Equal(t, k.Target.Name, again.Target.Name)
+		require.Equal(t, "owner", again.Owner.Host)
+		require.False(t, again.Wished(at(1400), dispatch.Coming{}))
+		again.Report(at(1400), dispatch.Left{})
+		third := ticket(t, b, w, 1400)
+		require.Equal(t, k.Target.Name, third.Target.Name)
+	}
+}
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -49,10 +49,10 @@
 }
 
 func (b *Board) slots(service string) int {
-	if b.config == nil || b.config.Services[service].Engine == nil {
-		return 0
+	if engine := b.engine(service); engine != nil {
+		return engine.Slots
 	}
-	return b.config.Services[service].Engine.Slots
+	return 0
 }
 
 // An Errand is what a shelf wants done at its runner.
@@ -87,10 +87,10 @@
 // base tells a shelf which model to load onto its runner if that is empty. The
 // loads of all hosts together stay below the rate of the weight store.
 func (b *Board) base(now time.Time, t *target) {
-	if !t.shelf.Empty() || b.config == nil {
+	if !t.shelf.Empty() {
 		return
 	}
-	engine := b.config.Services[t.Service].Engine
+	engine := b.engine(t.Service)
 	if engine == nil || now.Before(b.nextBase) {
 		t.shelf.Base = ""
 		return
@@ -188,6 +188,18 @@
 	return state == shelf.Resident && b.current(now, k, version)
 }
 
+// Coming reports whether an adapter is on its way to a runner that this host owns.
+func (b *Board) Coming(name string, k shelf.Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[name]
+	if t == nil || t.shelf == nil {
+		return false
+	}
+	state, _, _ := t.shelf.Lookup(k)
+	return state == shelf.Coming
+}
+
 // Replied takes a runner's reply to an order.
 func (b *Board) Replied(now time.Time, name string, reply call.Reply) {
 	b.mu.Lock()
@@ -217,12 +229,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.config == nil {
+		// Which targets are runners isn't known; it is not that there are none.
 		return nil, 0
 	}
 	var out []catalog.Target
 	for _, t := range b.targets {
 		listed := t.gone.IsZero() || now.Before(t.gone)
-		if b.config.Services[t.Service].Engine != nil && t.State == catalog.Ready && listed {
+		if b.engine(t.Service) != nil && t.State == catalog.Ready && listed {
 			out = append(out, t.Target)
 		}
 	}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -30,6 +30,8 @@
 	// proofFresh is how long after a request found its adapter the next goes there
 	// without asking the runner's owner.
 	proofFresh = 700 * time.Millisecond
+	// toldDelay is how old what is told of a runner's places usually is.
+	toldDelay = 250 * time.Millisecond
 	// freshNote is how long what a request showed of an adapter goes before the
 	// target's entry.
 	freshNote = 3 * time.Second
@@ -43,7 +45,7 @@
 	Aim      time.Time // an answer that comes later is worth less
 	Deadline time.Time
 	Avoid    map[string]bool // targets that it was sent to already
-	Begun    bool            // it may have run already: late is better than never
+	Begun    bool            // it may have run already, or its adapter is on its way: late is better than never
 
 	keys []uint64
 }
@@ -132,9 +134,15 @@
 	if len(all) == 0 {
 		all = b.choose(w, func(t *target) bool { return t.listed(now) })
 	}
-	near := b.homes(all, w)
+	var homes map[*target]int
+	rank := func(t *target) int {
+		if homes == nil {
+			homes = b.homes(all, w)
+		}
+		return homes[t]
+	}
 	for _, t := range all {
-		c, ok := b.weigh(now, t, w, near[t])
+		c, ok := b.weigh(now, t, w, rank)
 		if ok && (best == nil || c.cost < best.cost || c.cost == best.cost && t.Name < best.target.Name) {
 			best = &c
 		}
@@ -157,9 +165,6 @@
 // homes ranks the runners onto which a request's adapter may be loaded: by
 // rendezvous hashing, those of this host's region first.
 func (b *Board) homes(all []*target, w Want) map[*target]int {
-	if !w.engine() || w.Call.Adapter == "" {
-		return nil
-	}
 	type ranked struct {
 		target *target
 		far    bool
@@ -185,8 +190,9 @@
 	return out
 }
 
-// weigh returns what a request would meet at a target, false where it can't go there.
-func (b *Board) weigh(now time.Time, t *target, w Want, home int) (candidate, bool) {
+// weigh returns what a request would meet at a target, false where it can't go
+// there. rank returns a target's rank among those of the adapter.
+func (b *Board) weigh(now time.Time, t *target, w Want, rank func(*target) int) (candidate, bool) {
 	c := candidate{target: t, span: b.expected(now, t, w)}
 	c.cost = failPrice * t.failing(now)
 	if b.lost(now, t) {
@@ -196,7 +202,7 @@
 		c.cost += farPrice * float64(w.Size) / farUnit
 	}
 	if w.engine() && !b.holds(now, t, w.key()) {
-		l, ok := b.load(now, t, w.key(), home)
+		l, ok := b.load(now, t, w.key(), rank)
 		if !ok {
 			return c, false
 		}
@@ -245,8 +251,8 @@
 }
 
 // load returns what a load onto a target would cost and take, false where none
-// can be had. home is the target's rank among those of the adapter.
-func (b *Board) load(now time.Time, t *target, k shelf.Key, home int) (loading, bool) {
+// can be had.
+func (b *Board) load(now time.Time, t *target, k shelf.Key, rank func(*target) int) (loading, bool) {
 	if k.Adapter == "" || now.Before(t.full) {
 		return loading{}, false
 	}
@@ -254,7 +260,7 @@
 	if _, atHand := t.hand[k]; atHand {
 		l.price, l.transit = handPrice, handTransit
 	}
-	l.price += homePrice * float64(home)
+	l.price += homePrice * float64(rank(t))
 	if at, ok := t.wished[k]; ok && now.Sub(at) < wishFresh {
 		// It is on its way for another request of this host.
 		l.price, l.transit = 0, max(0, l.transit-now.Sub(at))
@@ -264,12 +270,28 @@
 	}
 	_, owned := b.owners[t.Name]
 	_, model := t.Models[k.Model]
-	if spare, at := b.exchange.Space(t.mark); spare <= 0 && now.Sub(at) < placesAge {
-		l.place = time.Duration(1-spare) * placeSpan
+	if space, at := b.exchange.Space(t.mark); now.Sub(at) < placesAge {
+		if space.Closed {
+			return loading{}, false
+		}
+		spare := space.Spare - t.asking(now, k)
+		l.place = time.Duration(max(0, 1-spare)) * placeSpan
 	}
 	return l, owned && model && !b.silent(now, t)
 }
 
+// asking returns how many other adapters this host asked of the runner's owner
+// since that told of its places.
+func (t *target) asking(now time.Time, k shelf.Key) int {
+	n := 0
+	for other, at := range t.wished {
+		if other != k && now.Sub(at) < toldDelay {
+			n++
+		}
+	}
+	return n
+}
+
 // own returns what a load onto a runner that this host orders would take.
 func own(now time.Time, s *shelf.Shelf, k shelf.Key, l loading) (loading, bool) {
 	if s.Closed(now, k) != "" {
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -70,12 +70,16 @@
 	return state == shelf.Resident
 }
 
-// A Reply is how the owner of a runner answered a wish: There, Denied or Silent.
+// A Reply is how the owner of a runner answered a wish: There, Coming, Denied or
+// Silent.
 type Reply interface{ reply() }
 
 // There says that the adapter is on the runner.
 type There struct{}
 
+// Coming says that the adapter is on its way to the runner.
+type Coming struct{}
+
 // Denied says that it can't be had there now. Absent says that the owner knows
 // it not to be there; otherwise the owner knows nothing of it.
 type Denied struct{ Absent bool }
@@ -84,6 +88,7 @@
 type Silent struct{}
 
 func (There) reply()  {}
+func (Coming) reply() {}
 func (Denied) reply() {}
 func (Silent) reply() {}
 
@@ -98,6 +103,9 @@
 	key := k.want.key()
 	delete(t.wished, key)
 	switch r := r.(type) {
+	case Coming:
+		t.asked(now, key)
+		return false
 	case There:
 		t.touch(now, key)
 		t.proved(now, key)
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -57,7 +57,7 @@
 	batches  []batch
 	kept     int // bytes in batches
 	asof     time.Time
-	told     bool // the last to show that the copy was recent was another host
+	told     time.Time // the same, as other hosts showed
 	packed   packed
 }
 
@@ -100,11 +100,19 @@
 }
 
 func (c *Copy) confirm(asof time.Time, told bool) {
-	if !asof.Before(c.asof) {
-		c.asof, c.told = asof, told
+	c.asof = later(c.asof, asof)
+	if told {
+		c.told = later(c.told, asof)
 	}
 }
 
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 func bodies(p Page) map[string][]byte {
 	out := make(map[string][]byte, len(p.Objects))
 	for _, o := range p.Objects {
@@ -171,10 +179,10 @@
 func (c *Copy) Due() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.told || c.objects == nil {
+	if c.told.IsZero() || c.objects == nil {
 		return time.Time{}
 	}
-	return c.asof.Add(freshMost)
+	return c.told.Add(freshMost)
 }
 
 // head tells how far the copy has come.
--- a/stage/relay/exchange.go
+++ b/stage/relay/exchange.go
@@ -44,6 +44,7 @@
 	_      struct{} `cbor:",toarray"`
 	Runner Mark
 	Spare  int    // negative where adapters wait for a place
+	Closed bool   // no adapter can be had there for now
 	Age    uint64 // milliseconds since the owner told
 }
 
@@ -99,9 +100,9 @@
 }
 
 type space struct {
-	from  string
-	at    time.Time // when the owner told
-	spare int
+	Space
+	from string
+	at   time.Time // when the owner told
 }
 
 type useKey struct{ owner, runner, model, adapter string }
@@ -139,7 +140,7 @@
 	for _, s := range d.Spaces {
 		at := now.Add(-time.Duration(s.Age) * time.Millisecond)
 		if at.After(x.spaces[s.Runner].at) {
-			x.spaces[s.Runner] = space{from: d.From, at: at, spare: s.Spare}
+			x.spaces[s.Runner] = space{Space: s, from: d.From, at: at}
 		}
 	}
 	var mine []Use
@@ -213,9 +214,9 @@
 
 // Space returns the places of a runner and when its owner told of them, zero
 // where it never did.
-func (x *Exchange) Space(m Mark) (spare int, at time.Time) {
+func (x *Exchange) Space(m Mark) (Space, time.Time) {
 	s := x.spaces[m]
-	return s.spare, s.at
+	return s.Space, s.at
 }
 
 // Moved forgets the places of a runner, whose owner is another one now.
@@ -272,11 +273,12 @@
 // Spaces returns what to tell a host of the places of runners that others own.
 func (x *Exchange) Spaces(now time.Time, to string, path Path) []Space {
 	var out []Space
-	for m, s := range x.spaces {
+	for _, s := range x.spaces {
 		if s.from == to || path == Over && !x.Below(s.from) || now.Sub(s.at) > spaceAge {
 			continue
 		}
-		out = append(out, Space{Runner: m, Spare: s.spare, Age: uint64(max(0, now.Sub(s.at)).Milliseconds())})
+		s.Age = uint64(max(0, now.Sub(s.at)).Milliseconds())
+		out = append(out, s.Space)
 	}
 	return out
 }
--- a/stage/relay/roster.go
+++ b/stage/relay/roster.go
@@ -28,6 +28,9 @@
 	// fewest the least number of relays: the loss of one must not be felt.
 	served = 14
 	fewest = 3
+	// reading is the number of relays of a region that read the platform's store
+	// for all others, where there are more hosts than that.
+	reading = 2
 )
 
 // A Host is one host with its region.
@@ -106,11 +109,21 @@
 	return best
 }
 
-// Readers returns the number of hosts that are relays.
-func (r *Roster) Readers() int {
+// Readers returns the hosts of a region that read the platform's store for the
+// others: each host where there are few.
+func (r *Roster) Readers(region string, lost func(name string) bool) []string {
+	relays := r.Relays(region, lost)
+	if r.Few(region) {
+		return relays
+	}
+	return relays[:min(reading, len(relays))]
+}
+
+// Reading returns the number of readers in all regions.
+func (r *Roster) Reading() int {
 	n := 0
 	for region := range r.ranked {
-		n += len(r.Relays(region, func(string) bool { return false }))
+		n += len(r.Readers(region, func(string) bool { return false }))
 	}
 	return n
 }
--- a/stage/shelf/place.go
+++ b/stage/shelf/place.go
@@ -43,12 +43,12 @@
 }
 
 // Spare returns the places that a wish could take at once; it is negative where
-// wishes wait.
-func (s *Shelf) Spare(now time.Time) int {
-	if !s.Synced() || now.Before(s.From) {
-		return 0
+// wishes wait. It reports false where no adapter can be had for now.
+func (s *Shelf) Spare(now time.Time) (int, bool) {
+	if !s.Synced() || now.Before(s.From) || len(s.models) == 0 {
+		return 0, false
 	}
-	return s.spare(now) - len(s.wishes)
+	return s.spare(now) - len(s.wishes), true
 }
 
 // spare returns the places that are free or held by adapters that nobody uses.
