--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -120,9 +120,9 @@
 	// leaseTerm is how long a lease lasts from the sending of its renewal: longer
 	// than most outages of the store, and as long as a lost host's runners get no
 	// orders.
-	leaseTerm = 13 * time.Second
+	leaseTerm = 12 * time.Second
 	// leaseRenewal is the time between renewals.
-	leaseRenewal = 4 * time.Second
+	leaseRenewal = 3 * time.Second
 	// leaseMargin is what a holder takes off the term, for clocks that differ in rate.
 	leaseMargin = 500 * time.Millisecond
 	// hostsGuess is the number of hosts that share the slack of retries while it isn't known.
