--- a/jacinthd/internal/direct/tell.go
+++ b/jacinthd/internal/direct/tell.go
@@ -20,9 +20,10 @@
 	digestEach  = 8 * time.Millisecond
 	digestLeast = 75 * time.Millisecond
 	digestMost  = 100 * time.Millisecond
-	// digestLarge is the least time between two for each host, for systems so
-	// large that the digests themselves are.
-	digestLarge = time.Millisecond
+	// digestMore is the time that each host beyond manyHosts adds, as digests are
+	// larger then.
+	digestMore = 2 * time.Millisecond
+	manyHosts  = 100
 	// farTimes is how many times rarer they go to hosts of other regions, whose
 	// links are slow and dear.
 	farTimes = 2
@@ -69,8 +70,7 @@
 			return
 		case <-timer.C:
 		}
-		hosts := time.Duration(p.Board.Hosts())
-		timer.Reset(max(min(max(digestLeast, hosts*digestEach), digestMost), hosts*digestLarge))
+		timer.Reset(interval(p.Board.Hosts()))
 		c := p.circle.Load()
 		if c == nil {
 			continue
@@ -85,6 +85,12 @@
 	}
 }
 
+// interval returns the time between two digests among a number of hosts.
+func interval(hosts int) time.Duration {
+	usual := min(max(digestLeast, time.Duration(hosts)*digestEach), digestMost)
+	return usual + time.Duration(max(0, hosts-manyHosts))*digestMore
+}
+
 // follow notes to which relay this host reports. What the former one told is
 // told by the new one, or by all hosts, from now on.
 func (p *Peers) follow(of string) {
@@ -163,7 +169,9 @@
 	pace := mirror.Pace{Readers: p.Board.Hosts(), Serving: p.Board.Serving()}
 	if c := p.circle.Load(); c != nil {
 		pace.Readers = c.roster.Reading()
-		pace.Serving = pace.Serving || !c.roster.Few(p.Regions[p.Zone]) && p.reads(c)
+		reads := p.reads(c)
+		pace.Served = !reads
+		pace.Serving = pace.Serving || reads && !c.roster.Few(p.Regions[p.Zone])
 	}
 	return pace
 }
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -35,13 +35,7 @@
 			spare, open := t.shelf.Spare(now)
 			d.Spaces = append(d.Spaces, relay.Space{Runner: t.mark, Spare: spare, Closed: !open})
 		}
-		if t.open > 0 || t.unreached(now) {
-			l := relay.Load{Target: t.mark, Open: t.open, Unread: t.prefill}
-			if t.unreached(now) {
-				l.Lost = 1
-			}
-			own = append(own, l)
-		}
+		own = append(own, t.share(now))
 		owner := b.owners[t.Name].Host
 		switch {
 		case t.shelf != nil || owner == "":
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -96,6 +96,7 @@
 	pace     float64   // how much slower than expected it is
 	failures float64   // share of failed answers when it was rated last
 	rated    time.Time
+	seen     tally
 }
 
 // Apply takes in what a follower of the platform told.
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -436,3 +436,60 @@
 		require.Equal(t, k.Target.Name, third.Target.Name)
 	}
 }
+
+// TestOthersSeeARunnerFail: with many hosts each meets one runner rarely. Where
+// others see it fail, or answer slowly, a request goes to the next one; where all
+// runners fail alike, it stays.
+func TestOthersSeeARunnerFail(t *testing.T) {
+	for name, bad := range map[string]relay.Load{
+		"fails": {Done: 10, Failed: 6},
+		"slow":  {Done: 10, Heads: 10, Slow: 600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := board("host-0", "north-a", 2, map[int][]string{0: {"a"}, 1: {"a"}})
+			target := func(ms int) string {
+				k := ticket(t, b, want("a", 6000, ms), ms)
+				k.Report(at(ms), dispatch.Left{})
+				return k.Target.Name
+			}
+			first := target(0)
+			tell := func(ms int, all bool) {
+				d := relay.Digest{From: "relay"}
+				for i := range 2 {
+					l := relay.Load{Target: relay.Of(fmt.Sprint("runner-", i)), Done: 10, Heads: 10, Slow: 100}
+					if all || fmt.Sprint("runner-", i) == first {
+						l = bad
+						l.Target = relay.Of(fmt.Sprint("runner-", i))
+					}
+					d.Loads = append(d.Loads, l)
+				}
+				b.Take(at(ms), d)
+			}
+			tell(10, false)
+			require.NotEqual(t, first, target(20))
+			tell(30, true)
+			require.Equal(t, first, target(40))
+		})
+	}
+}
+
+// TestTold: a host tells what it saw of a target in the last two seconds.
+func TestTold(t *testing.T) {
+	b := board("host-0", "north-a", 1, map[int][]string{0: {"a"}})
+	told := func(ms int) relay.Load {
+		for _, l := range b.Digest(at(ms), "host-1", relay.Over, func(string) string { return "" }).Loads {
+			if l.Target == relay.Of("runner-0") {
+				return l
+			}
+		}
+		return relay.Load{}
+	}
+	k := ticket(t, b, want("a", 100, 0), 0)
+	k.Report(at(10), dispatch.Head{})
+	k.Report(at(20), dispatch.Ended{Failed: true})
+	ticket(t, b, want("a", 100, 100), 100).Report(at(120), dispatch.Left{})
+	require.Equal(t, 1, told(200).Done)
+	require.Equal(t, 1, told(200).Failed)
+	require.Equal(t, 1, told(1200).Failed)
+	require.Zero(t, told(2200).Done)
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -47,7 +47,8 @@
 	Avoid    map[string]bool // targets that it was sent to already
 	Begun    bool            // it may have run already, or its adapter is on its way: late is better than never
 
-	keys []uint64
+	keys  []uint64
+	usual float64 // share of failures that is usual at the service's targets
 }
 
 func (w Want) engine() bool { return w.Call.Model != "" }
@@ -84,7 +85,8 @@
 	board  *Board
 	target *target
 	want   Want
-	tokens int // still counted as unread
+	pace   float64 // of the target, as Expected takes it
+	tokens int     // still counted as unread
 	sent   time.Time
 	done   bool
 }
@@ -134,6 +136,7 @@
 	if len(all) == 0 {
 		all = b.choose(w, func(t *target) bool { return t.listed(now) })
 	}
+	w.usual = b.usual(all)
 	var homes map[*target]int
 	rank := func(t *target) int {
 		if homes == nil {
@@ -194,7 +197,7 @@
 // there. rank returns a target's rank among those of the adapter.
 func (b *Board) weigh(now time.Time, t *target, w Want, rank func(*target) int) (candidate, bool) {
 	c := candidate{target: t, span: b.expected(now, t, w)}
-	c.cost = failPrice * t.failing(now)
+	c.cost = failPrice * max(0, b.failing(now, t)-w.usual)
 	if b.lost(now, t) {
 		c.cost += lostPrice
 	}
@@ -312,7 +315,7 @@
 	t := c.target
 	ticket := &Ticket{
 		Target: t.Target, Expected: c.span,
-		board: b, target: t, want: w, sent: now,
+		board: b, target: t, want: w, pace: b.slowness(t), sent: now,
 	}
 	ticket.Running, _ = b.running(now, t)
 	t.open++
--- /dev/null
+++ b/stage/dispatch/tally.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"jacinthstage/stage/relay"
+)
+
+const (
+	// failureWeight is the weight of the newest answer in a target's share of failures.
+	failureWeight = 0.1
+	// failureAge is the time in which a target's share of failures halves.
+	failureAge = 2 * time.Second
+	// failureDoubt is the number of answers without a failure that every target is
+	// thought to have given, so that one failure says little.
+	failureDoubt = 2
+	// paceWeight is the weight of the newest answer in a target's pace.
+	paceWeight = 0.15
+	paceLeast  = 0.7
+	paceMost   = 8.0
+	// paceDoubt is the number of answers that this host's own view of a target's
+	// pace counts for beside those that other hosts saw.
+	paceDoubt = 3
+	// slowUnit is the unit of relay.Load.Slow.
+	slowUnit = 10
+)
+
+// A tally counts what this host saw of a target in the present second and in the
+// one before.
+type tally struct {
+	second       int64
+	now, earlier relay.Load
+}
+
+func (c *tally) turn(now time.Time) {
+	switch second := now.Unix(); second {
+	case c.second:
+		return
+	case c.second + 1:
+		c.second, c.earlier, c.now = second, c.now, relay.Load{}
+	default:
+		c.second, c.earlier, c.now = second, relay.Load{}, relay.Load{}
+	}
+}
+
+// rate takes an answer into the target's share of failures: 1 is a failure.
+func (t *target) rate(now time.Time, share float64) {
+	t.failures = (1-failureWeight)*t.failing(now) + failureWeight*share
+	t.rated = now
+	t.seen.turn(now)
+	t.seen.now.Done++
+	if share > 0 {
+		t.seen.now.Failed++
+	}
+}
+
+// failing returns the target's share of failures as this host saw it. What is
+// long ago counts less.
+func (t *target) failing(now time.Time) float64 {
+	return t.failures / (1 + now.Sub(t.rated).Seconds()/failureAge.Seconds())
+}
+
+// learn takes in how much slower than expected an answer began.
+func (t *target) learn(now time.Time, ratio float64) {
+	ratio = min(max(ratio, 1/paceMost), paceMost)
+	t.pace = min(max((1-paceWeight)*t.pace+paceWeight*ratio, paceLeast), paceMost)
+	t.seen.turn(now)
+	t.seen.now.Heads++
+	t.seen.now.Slow += int(ratio*slowUnit + 0.5)
+}
+
+// share returns what this host tells others of a target.
+func (t *target) share(now time.Time) relay.Load {
+	t.seen.turn(now)
+	l := relay.Load{
+		Target: t.mark, Open: t.open, Unread: t.prefill,
+		Done: t.seen.now.Done + t.seen.earlier.Done, Failed: t.seen.now.Failed + t.seen.earlier.Failed,
+		Heads: t.seen.now.Heads + t.seen.earlier.Heads, Slow: t.seen.now.Slow + t.seen.earlier.Slow,
+	}
+	if t.unreached(now) {
+		l.Lost = 1
+	}
+	return l
+}
+
+// failing returns a target's share of failures as this host or the others see it.
+func (b *Board) failing(now time.Time, t *target) float64 {
+	others := b.exchange.Others(t.mark)
+	own := t.failing(now)
+	if others.Done == 0 {
+		return own
+	}
+	return max(own, float64(others.Failed)/float64(others.Done+failureDoubt))
+}
+
+// usual returns the share of failures of all targets together, as other hosts
+// see it: where all fail alike, none is worse than the others.
+func (b *Board) usual(all []*target) float64 {
+	done, failed := failureDoubt, 0
+	for _, t := range all {
+		l := b.exchange.Others(t.mark)
+		done += l.Done
+		failed += l.Failed
+	}
+	return float64(failed) / float64(done)
+}
+
+// slowness returns how much slower than expected a target is, as this host and
+// others see it.
+func (b *Board) slowness(t *target) float64 {
+	others := b.exchange.Others(t.mark)
+	sum := paceDoubt*t.pace + float64(others.Slow)/slowUnit
+	return min(max(sum/float64(paceDoubt+others.Heads), paceLeast), paceMost)
+}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -22,13 +22,6 @@
 	silentPause = 2 * time.Second
 	// earlyPause is how long a request waits that came before its adapter.
 	earlyPause = 70 * time.Millisecond
-	// failureWeight is the weight of the newest answer in a target's share of failures.
-	failureWeight = 0.1
-	// failureAge is the time in which a target's share of failures halves.
-	failureAge = 2 * time.Second
-	// paceWeight is the weight of the newest answer in a target's pace.
-	paceWeight = 0.15
-	paceMost   = 8.0
 )
 
 // A Result is how a request on a target ended, or how far it came.
@@ -193,10 +186,7 @@
 	t.prefill -= k.tokens
 	k.tokens = 0
 	if k.want.engine() && k.Arrived == nil && k.Owner.Host == "" {
-		ratio := float64(now.Sub(k.sent)) / float64(max(k.Expected, stepTime))
-		ratio = min(max(ratio, 1/paceMost), paceMost)
-		t.pace = max(0.7, (1-paceWeight)*t.pace+paceWeight*ratio*t.pace)
-		t.pace = min(t.pace, paceMost)
+		t.learn(now, k.pace*float64(now.Sub(k.sent))/float64(max(k.Expected, stepTime)))
 	}
 }
 
@@ -242,17 +232,6 @@
 	t.rate(now, share)
 }
 
-// rate takes an answer into the target's share of failures.
-func (t *target) rate(now time.Time, share float64) {
-	t.failures = (1-failureWeight)*t.failing(now) + failureWeight*share
-	t.rated = now
-}
-
-// failing returns the target's share of failures. What is long ago counts less.
-func (t *target) failing(now time.Time) float64 {
-	return t.failures / (1 + now.Sub(t.rated).Seconds()/failureAge.Seconds())
-}
-
 const (
 	// missedAge is how long other hosts are told that this one could not connect
 	// to a target.
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -216,4 +216,5 @@
 type Pace struct {
 	Readers int  // hosts that read it
 	Serving bool // other hosts rely on what this one reads
+	Served  bool // another host usually reads for this one
 }
--- a/stage/relay/exchange.go
+++ b/stage/relay/exchange.go
@@ -20,24 +20,35 @@
 // Of returns the mark of a target.
 func Of(target string) Mark { return Mark(xxhash.Sum64String(target)) }
 
-// A Load is the requests in progress on one target.
+// A Load is what hosts have to do with one target, and what they saw of it in the
+// last second or two.
 type Load struct {
 	_      struct{} `cbor:",toarray"`
 	Target Mark
 	Open   int // requests in progress
 	Unread int // tokens of their prompts that aren't read yet
-	Lost   int // hosts that could not connect to it of late
+	Lost   int // hosts that could not connect to it
+	Done   int // requests that ended
+	Failed int // those of them that failed, or had no answer in time
+	Heads  int // answers that began
+	Slow   int // sum over these of the time that each took against what it should, in tenths
 }
 
-func (l Load) add(m Load) Load {
-	return Load{Target: m.Target, Open: l.Open + m.Open, Unread: l.Unread + m.Unread, Lost: l.Lost + m.Lost}
-}
+// add returns what two hosts have to do with the target of m.
+func (l Load) add(m Load) Load { return l.sum(m, 1) }
+
+// less returns l without the part m, which is of the same target.
+func (l Load) less(m Load) Load { return l.sum(m, -1) }
 
-func (l Load) less(m Load) Load {
-	return Load{Target: m.Target, Open: l.Open - m.Open, Unread: l.Unread - m.Unread, Lost: l.Lost - m.Lost}
+func (l Load) sum(m Load, sign int) Load {
+	return Load{
+		Target: m.Target, Open: l.Open + sign*m.Open, Unread: l.Unread + sign*m.Unread, Lost: l.Lost + sign*m.Lost,
+		Done: l.Done + sign*m.Done, Failed: l.Failed + sign*m.Failed, Heads: l.Heads + sign*m.Heads, Slow: l.Slow + sign*m.Slow,
+	}
 }
 
-func (l Load) none() bool { return l.Open == 0 && l.Unread == 0 && l.Lost == 0 }
+// none reports whether there is nothing to tell.
+func (l Load) none() bool { return l == Load{Target: l.Target} }
 
 // A Space is how many adapters a runner has place for, as its owner tells.
 type Space struct {
