dispatch: hosts tell which targets fail

With 87 hosts each meets one runner every 25 s, so a runner that is mute or fails was met by nearly every host anew. Digests carry, for each target, what ended and what failed in the last two seconds; a target counts as failing beyond what is usual at its service.

host: the table of owners is read by itself every 20 renewals on the platform's path, where the watch of it is kept by relays; every 5 else.

--- a/jacinthd/internal/ownership/ownership.go
+++ b/jacinthd/internal/ownership/ownership.go
@@ -31,6 +31,9 @@
 	// unfencedTurns is how many times longer a turn is at runners that don't check
 	// fencing numbers.
 	unfencedTurns = 2
+	// refreshes is the number of renewals of the lease between two reads of the
+	// table of owners, beside those that the watch of it makes.
+	refreshes = 20
 	// inbox is the number of events that wait for the control goroutine.
 	inbox = 256
 )
@@ -78,7 +81,7 @@
 	k.wake = make(chan struct{}, 1)
 	k.stopped = make(chan struct{})
 	k.owned = make(map[string]uint64)
-	k.member = host.Member{Region: region, Self: k.Self, Terms: k.Terms, Successors: 1}
+	k.member = host.Member{Region: region, Self: k.Self, Terms: k.Terms, Successors: 1, Refreshes: refreshes}
 }
 
 // Wake asks for a look at the shelves now.
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -76,7 +76,7 @@
 		span = meanWork + t.queue(running, meanWork)
 		span += meanWork * time.Duration(running) / time.Duration(max(1, t.Slots)) / 2
 	}
-	span = time.Duration(float64(span) * b.slowness(t))
+	span = time.Duration(float64(span) * t.pace)
 	return span + b.distance(t)
 }
 
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -85,8 +85,7 @@
 	board  *Board
 	target *target
 	want   Want
-	pace   float64 // of the target, as Expected takes it
-	tokens int     // still counted as unread
+	tokens int // still counted as unread
 	sent   time.Time
 	done   bool
 }
@@ -315,7 +314,7 @@
 	t := c.target
 	ticket := &Ticket{
 		Target: t.Target, Expected: c.span,
-		board: b, target: t, want: w, pace: b.slowness(t), sent: now,
+		board: b, target: t, want: w, sent: now,
 	}
 	ticket.Running, _ = b.running(now, t)
 	t.open++
--- a/stage/dispatch/tally.go
+++ b/stage/dispatch/tally.go
@@ -18,11 +18,6 @@
 	paceWeight = 0.15
 	paceLeast  = 0.7
 	paceMost   = 8.0
-	// paceDoubt is the number of answers that this host's own view of a target's
-	// pace counts for beside those that other hosts saw.
-	paceDoubt = 3
-	// slowUnit is the unit of relay.Load.Slow.
-	slowUnit = 10
 )
 
 // A tally counts what this host saw of a target in the present second and in the
@@ -60,13 +55,11 @@
 	return t.failures / (1 + now.Sub(t.rated).Seconds()/failureAge.Seconds())
 }
 
-// learn takes in how much slower than expected an answer began.
-func (t *target) learn(now time.Time, ratio float64) {
+// learn takes in how much slower than expected an answer began. It stays with this
+// host: what others expected differs from what this one would have.
+func (t *target) learn(ratio float64) {
 	ratio = min(max(ratio, 1/paceMost), paceMost)
 	t.pace = min(max((1-paceWeight)*t.pace+paceWeight*ratio, paceLeast), paceMost)
-	t.seen.turn(now)
-	t.seen.now.Heads++
-	t.seen.now.Slow += int(ratio*slowUnit + 0.5)
 }
 
 // share returns what this host tells others of a target.
@@ -75,7 +68,6 @@
 	l := relay.Load{
 		Target: t.mark, Open: t.open, Unread: t.prefill,
 		Done: t.seen.now.Done + t.seen.earlier.Done, Failed: t.seen.now.Failed + t.seen.earlier.Failed,
-		Heads: t.seen.now.Heads + t.seen.earlier.Heads, Slow: t.seen.now.Slow + t.seen.earlier.Slow,
 	}
 	if t.unreached(now) {
 		l.Lost = 1
@@ -104,11 +96,3 @@
 	}
 	return float64(failed) / float64(done)
 }
-
-// slowness returns how much slower than expected a target is, as this host and
-// others see it.
-func (b *Board) slowness(t *target) float64 {
-	others := b.exchange.Others(t.mark)
-	sum := paceDoubt*t.pace + float64(others.Slow)/slowUnit
-	return min(max(sum/float64(paceDoubt+others.Heads), paceLeast), paceMost)
-}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -186,7 +186,7 @@
 	t.prefill -= k.tokens
 	k.tokens = 0
 	if k.want.engine() && k.Arrived == nil && k.Owner.Host == "" {
-		t.learn(now, k.pace*float64(now.Sub(k.sent))/float64(max(k.Expected, stepTime)))
+		t.learn(t.pace * float64(now.Sub(k.sent)) / float64(max(k.Expected, stepTime)))
 	}
 }
 
--- a/stage/host/member.go
+++ b/stage/host/member.go
@@ -14,12 +14,9 @@
 const (
 	DefaultSuccessors = 3
 	DefaultLag        = 10 * time.Second
+	DefaultRefreshes  = 5
 )
 
-// refreshes is the number of renewals from one read of the table to the next,
-// beside what the watch shows.
-const refreshes = 5
-
 // A Member is this host's part in the membership of its region. Region and Self
 // must be set before the first Step.
 type Member struct {
@@ -30,6 +27,9 @@
 	Timeout time.Duration
 	// Successors is how many members this host observes.
 	Successors int
+	// Refreshes is the number of renewals from one read of the table to the next,
+	// beside what the watch shows.
+	Refreshes int
 	// Lag is how long the platform's list may show a host's former state.
 	Lag time.Duration
 
@@ -87,6 +87,14 @@
 	return m.terms().Renewal / 2
 }
 
+// refreshes returns the number of renewals between two reads, as a factor of a duration.
+func (m *Member) refreshes() time.Duration {
+	if m.Refreshes > 0 {
+		return time.Duration(m.Refreshes)
+	}
+	return DefaultRefreshes
+}
+
 // Table returns the newest table and its version.
 func (m *Member) Table() (Table, uint64) { return m.table, m.version }
 
@@ -261,6 +269,6 @@
 	if m.now.Before(m.refresh) || m.calls.has(readTable) {
 		return
 	}
-	m.refresh = m.now.Add(refreshes*m.terms().Renewal - m.jitter(m.terms().Renewal))
+	m.refresh = m.now.Add(m.refreshes()*m.terms().Renewal - m.jitter(m.terms().Renewal))
 	m.emit(Get{Call: m.begin(call{purpose: readTable}), Key: Key(m.Region)})
 }
--- a/stage/relay/exchange.go
+++ b/stage/relay/exchange.go
@@ -30,8 +30,6 @@
 	Lost   int // hosts that could not connect to it
 	Done   int // requests that ended
 	Failed int // those of them that failed, or had no answer in time
-	Heads  int // answers that began
-	Slow   int // sum over these of the time that each took against what it should, in tenths
 }
 
 // add returns what two hosts have to do with the target of m.
@@ -43,7 +41,7 @@
 func (l Load) sum(m Load, sign int) Load {
 	return Load{
 		Target: m.Target, Open: l.Open + sign*m.Open, Unread: l.Unread + sign*m.Unread, Lost: l.Lost + sign*m.Lost,
-		Done: l.Done + sign*m.Done, Failed: l.Failed + sign*m.Failed, Heads: l.Heads + sign*m.Heads, Slow: l.Slow + sign*m.Slow,
+		Done: l.Done + sign*m.Done, Failed: l.Failed + sign*m.Failed,
 	}
 }
 
