--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -41,11 +41,13 @@
 	Behind func()
 	Log    *zap.Logger
 
-	circle atomic.Pointer[circle]
-	relay  string   // to which this host reports; of the goroutine that runs Tell
-	calls  sync.Map // what is on its way: names of relays that a report goes to, kinds that are fetched
-	mu     sync.Mutex
-	lost   map[string]time.Time // hosts that weren't reached, and until when they are passed over
+	circle  atomic.Pointer[circle]
+	relay   string   // to which this host reports; of the goroutine that runs Tell
+	reports sync.Map // names of the relays to which a report is on its way
+	fetches sync.Map // kinds of objects that are on their way here
+
+	mu   sync.Mutex
+	lost map[string]time.Time // hosts that weren't reached, and until when they are passed over
 }
 
 // Serve answers other hosts until ctx ends.
@@ -62,7 +64,7 @@
 	case peer.Digest:
 		p.take(m.Digest)
 		if !m.Digest.Below {
-			p.heard(ctx, m.Digest)
+			p.unasked(ctx, m.Digest)
 			return peer.Done{}
 		}
 		return p.reported(m.Digest.From)
--- a/jacinthd/internal/direct/tell.go
+++ b/jacinthd/internal/direct/tell.go
@@ -107,14 +107,14 @@
 // report tells a relay of this host and takes in what the relay knows. There is
 // one report at a time on its way to a relay.
 func (p *Peers) report(ctx context.Context, c *circle, of string) {
-	if _, busy := p.calls.LoadOrStore(of, true); busy {
+	if _, busy := p.reports.LoadOrStore(of, true); busy {
 		return
 	}
 	digest := p.Board.Digest(time.Now(), of, relay.Over, func(string) string { return of })
 	digest.Below = true
 	begun := time.Now()
 	go func() {
-		defer p.calls.Delete(of)
+		defer p.reports.Delete(of)
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		m, err := p.Link.Call(ctx, c.members[of].Peer, of, peer.Digest{Digest: digest})
@@ -125,13 +125,13 @@
 			return
 		}
 		p.take(answer.Digest)
-		p.hear(ctx, c.members[of], answer.Digest.Heads, begun)
+		p.catchUp(ctx, c.members[of], answer.Digest.Heads, begun)
 	}()
 }
 
-// hear takes in how far another host had come with the platform's objects at a
+// catchUp takes in how far another host had come with the platform's objects at a
 // moment, and takes over what this host lacks.
-func (p *Peers) hear(ctx context.Context, from host.Identity, heads []relay.Head, at time.Time) {
+func (p *Peers) catchUp(ctx context.Context, from host.Identity, heads []relay.Head, at time.Time) {
 	for _, h := range heads {
 		if after, behind := p.Copies.Heard(at, h); behind {
 			p.fetch(ctx, from, h, after, at)
@@ -139,15 +139,15 @@
 	}
 }
 
-// heard takes in the heads that a relay told unasked. A host that reads the store
-// for others goes on with that.
-func (p *Peers) heard(ctx context.Context, d relay.Digest) {
+// unasked takes in the heads that a relay told without a report. A host that reads
+// the store for others goes on with that.
+func (p *Peers) unasked(ctx context.Context, d relay.Digest) {
 	c := p.circle.Load()
 	if c == nil || len(d.Heads) == 0 || p.reads(c) {
 		return
 	}
 	if from, ok := c.members[d.From]; ok {
-		p.hear(ctx, from, d.Heads, time.Now().Add(-digestDelay))
+		p.catchUp(ctx, from, d.Heads, time.Now().Add(-digestDelay))
 	}
 }
 
@@ -179,11 +179,11 @@
 // fetch takes over what this host lacks of a kind of objects from a relay, which
 // told at heard how far it had come. Each kind is fetched once at a time.
 func (p *Peers) fetch(ctx context.Context, from host.Identity, h relay.Head, after uint64, heard time.Time) {
-	if _, busy := p.calls.LoadOrStore(h.Kind, true); busy {
+	if _, busy := p.fetches.LoadOrStore(h.Kind, true); busy {
 		return
 	}
 	go func() {
-		defer p.calls.Delete(h.Kind)
+		defer p.fetches.Delete(h.Kind)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
 		defer cancel()
 		m, err := p.Link.Call(ctx, from.Peer, from.Name, peer.Fetch{Kind: h.Kind, After: after})
