shelf: a late order of a runner's former life keeps its place

The owner forgot such loads with the former life. Not covered: a new owner, which knows nothing of them.

--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -40,14 +41,15 @@
 	targets     map[string]*target
 	services    map[string]map[string]*target
 	newest      map[shelf.Key]release
-	owned       map[string]*target // runners that this host orders
-	behindSince time.Time          // when another host was first seen with a newer configuration
-	behindFrom  uint64             // the version that this host had then
-	exchange    relay.Exchange     // what other hosts told
-	owners      map[string]Owner   // by runner
-	hosts       int                // members that share the rate of the weight store
-	nextBase    time.Time          // first moment of the next load of a model
-	demand      map[string]float64 // aged number of requests by model
+	owned       map[string]*target                 // runners that this host orders
+	late        map[string]map[shelf.Key]time.Time // loads that runners which went may carry out, under the same name again
+	behindSince time.Time                          // when another host was first seen with a newer configuration
+	behindFrom  uint64                             // the version that this host had then
+	exchange    relay.Exchange                     // what other hosts told
+	owners      map[string]Owner                   // by runner
+	hosts       int                                // members that share the rate of the weight store
+	nextBase    time.Time                          // first moment of the next load of a model
+	demand      map[string]float64                 // aged number of requests by model
 }
 
 // A release is the newest version of an adapter, and when it was heard of.
@@ -236,6 +238,12 @@
 }
 
 func (b *Board) drop(t *target) {
+	if t.shelf != nil {
+		if b.late == nil {
+			b.late = make(map[string]map[shelf.Key]time.Time)
+		}
+		b.late[t.Name] = t.shelf.Late()
+	}
 	b.disown(t)
 	delete(b.targets, t.Name)
 	delete(b.services[t.Service], t.Name)
@@ -261,6 +269,12 @@
 func (b *Board) Sweep(now time.Time) []catalog.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for name, late := range b.late {
+		maps.DeleteFunc(late, func(_ shelf.Key, until time.Time) bool { return now.After(until) })
+		if len(late) == 0 {
+			delete(b.late, name)
+		}
+	}
 	var all []catalog.Target
 	for _, t := range b.targets {
 		if !t.gone.IsZero() && now.After(t.gone) {
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -486,3 +486,35 @@
 	require.Equal(t, 1, told(1200).Failed)
 	require.Zero(t, told(2200).Done)
 }
+
+// TestRebornRunner: the owner of a runner that starts again under its name keeps
+// in mind which of its orders may still be on their way.
+func TestRebornRunner(t *testing.T) {
+	b := board("owner", "north-a", 1, nil)
+	spare := func(ms int) int {
+		d := b.Digest(at(ms), "host-1", relay.Over, func(string) string { return "" })
+		require.Len(t, d.Spaces, 1)
+		return d.Spaces[0].Spare
+	}
+	content := call.Report{Orders: 3, Models: []call.Resident{{Model: model, Version: 1}}}
+	own := func(ms int, fence uint64) {
+		b.Own("runner-0", fence, at(ms), false)
+		b.Errands(at(ms))
+		b.Reported(at(ms), "runner-0", &content)
+	}
+	own(0, 1)
+	_, reason := b.Wish(at(10), "runner-0", shelf.Key{Model: model, Adapter: "late"})
+	require.Empty(t, reason)
+	errands, _ := b.Errands(at(11))
+	require.Len(t, errands, 1)
+
+	reborn := runner(0, "north-a")
+	reborn.Started = at(500)
+	b.Apply(at(600), catalog.Batch{Revision: 9, Changes: []catalog.Change{catalog.Removed{Name: "runner-0"}}})
+	b.Sweep(at(5000))
+	b.Apply(at(6000), catalog.Batch{Revision: 10, Changes: []catalog.Change{catalog.Changed{Target: reborn}}})
+	own(6000, 2)
+	require.Equal(t, 1, spare(6001), "one of two places is reserved")
+	b.Errands(at(14_000))
+	require.Equal(t, 2, spare(14_000))
+}
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -22,6 +22,7 @@
 		Target: name, Holder: b.Holder, Fence: fence, Slots: b.slots(t.Service), From: from, New: fresh,
 		Transit: transitFirst,
 	}
+	t.shelf.Former(b.late[name])
 	if b.owned == nil {
 		b.owned = make(map[string]*target)
 	}
--- a/stage/shelf/entry.go
+++ b/stage/shelf/entry.go
@@ -18,6 +18,7 @@
 	used    time.Time
 	uses    float64 // aged number of uses
 	doubt   time.Time
+	former  time.Time     // until then an order of the runner's former life may load it
 	arrived chan struct{} // closed when the wait ends
 	waiting int           // requests that wait for it
 }
@@ -30,7 +31,7 @@
 
 // takes reports whether an adapter takes a place on the runner, or may do so.
 func (s *Shelf) takes(e *entry) bool {
-	return e.state == Coming || e.state == Resident || e.state == Leaving || !e.doubt.IsZero()
+	return e.state == Coming || e.state == Resident || e.state == Leaving || !e.doubt.IsZero() || !e.former.IsZero()
 }
 
 // keep has an adapter stay for a request that is about to use it.
--- a/stage/shelf/order.go
+++ b/stage/shelf/order.go
@@ -73,6 +73,9 @@
 	if !e.doubt.IsZero() && now.After(e.doubt) {
 		e.doubt = time.Time{}
 	}
+	if now.After(e.former) {
+		e.former = time.Time{}
+	}
 	if e.state == Resident && e.arrived != nil {
 		e.settle()
 	}
--- a/stage/shelf/reply.go
+++ b/stage/shelf/reply.go
@@ -1,6 +1,7 @@
 package shelf
 
 import (
+	"maps"
 	"time"
 
 	"jacinthstage/stage/call"
@@ -23,6 +24,7 @@
 	case call.Unanswered:
 		if s.flight.Kind == call.Fetch {
 			e.doubt = now.Add(lateMost)
+			s.remember(now, k, e.doubt)
 		}
 		s.resync(now)
 	default:
@@ -30,6 +32,15 @@
 	}
 }
 
+// remember notes that a load without an answer may take effect until a moment.
+func (s *Shelf) remember(now time.Time, k Key, until time.Time) {
+	if s.late == nil {
+		s.late = make(map[Key]time.Time)
+	}
+	maps.DeleteFunc(s.late, func(_ Key, until time.Time) bool { return now.After(until) })
+	s.late[k] = until
+}
+
 // resync asks for a report once it is sure to be newer than the last order.
 func (s *Shelf) resync(now time.Time) {
 	s.synced = false
--- a/stage/shelf/report.go
+++ b/stage/shelf/report.go
@@ -58,7 +58,7 @@
 			e.settle()
 			e.state = Absent
 		}
-		if e.state == Absent && e.open == 0 && e.doubt.IsZero() && now.Sub(e.used) > 2*halfLife {
+		if e.state == Absent && e.open == 0 && e.doubt.IsZero() && e.former.IsZero() && now.Sub(e.used) > 2*halfLife {
 			delete(s.entries, k)
 		}
 	}
--- a/stage/shelf/shelf.go
+++ b/stage/shelf/shelf.go
@@ -12,6 +12,7 @@
 package shelf
 
 import (
+	"maps"
 	"time"
 
 	"jacinthstage/stage/call"
@@ -117,6 +118,7 @@
 	excess  time.Duration // how much longer than Transit loads took of late
 	learned time.Time     // when excess was learned
 	newest  map[Key]int
+	late    map[Key]time.Time // loads that got no answer, and until when each may take effect
 }
 
 // Lost reports whether another holder was seen to order the runner.
@@ -160,6 +162,29 @@
 	s.newest[k] = max(s.newest[k], version)
 }
 
+// Late returns the loads that got no answer, and until when each may still take
+// effect.
+func (s *Shelf) Late() map[Key]time.Time {
+	late := maps.Clone(s.late)
+	if !s.sent.IsZero() && s.flight.Kind == call.Fetch {
+		if late == nil {
+			late = make(map[Key]time.Time)
+		}
+		late[Key{Model: s.flight.Model, Adapter: s.flight.Adapter}] = s.sent.Add(lateMost)
+	}
+	return late
+}
+
+// Former reserves places for loads that were ordered of the runner's former life.
+// It counts orders from zero again, so the number in a late one may fit anew.
+func (s *Shelf) Former(late map[Key]time.Time) {
+	for k, until := range late {
+		if k.Adapter != "" {
+			s.entry(k).former = until
+		}
+	}
+}
+
 // End ends all waits, as the host gives the runner up.
 func (s *Shelf) End() {
 	s.lost = true
--- a/stage/shelf/shelf_test.go
+++ b/stage/shelf/shelf_test.go
@@ -276,3 +276,32 @@
 	_, open = synced(t, 8).Spare(at(2))
 	require.True(t, open)
 }
+
+// TestLateOrderOfAFormerLife: a runner that starts again under its name counts
+// orders from zero, so a late order of its former life may fit. Its place stays
+// reserved, also where a later order of that life was accepted.
+func TestLateOrderOfAFormerLife(t *testing.T) {
+	old := synced(t, 2)
+	old.Wish(at(10), key("late"))
+	order(t, old, 10)
+	old.Replied(at(20), call.Unanswered)
+	action, _ := old.Next(at(400))
+	require.Equal(t, shelf.Ask{}, action)
+	old.Reported(at(401), call.Report{Orders: 5, Models: []call.Resident{{Model: model, Version: 1}}})
+	old.Wish(at(402), key("b"))
+	order(t, old, 402)
+	old.Replied(at(403), call.Accepted)
+
+	reborn := synced(t, 2)
+	reborn.Former(old.Late())
+	spare, _ := reborn.Spare(at(500))
+	require.Equal(t, 1, spare)
+	reborn.Wish(at(500), key("c"))
+	require.Equal(t, "c", order(t, reborn, 500).Adapter)
+	reborn.Replied(at(501), call.Accepted)
+	reborn.Wish(at(502), key("d"))
+	none(t, reborn, 502)
+	reborn.Next(at(14_000))
+	require.Equal(t, 1, reborn.Usage(at(14_000)).Coming)
+	require.Empty(t, old.Late()[key("b")])
+}
