mirror: a list that equals a copy may hide changes there and back

Found by the drawn test TestAlwaysTheSame (one run in some hundred): a reader that listed anew and found what it had did not count as changed, so a host that had seen a change in between, since undone, was told that it lacks nothing. Now such a list counts as a change, without telling this host anything.

--- a/jacinthd/internal/direct/tell.go
+++ b/jacinthd/internal/direct/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -259,7 +260,9 @@
 	if p.lost == nil {
 		p.lost = make(map[string]time.Time)
 	}
-	p.lost[name] = time.Now().Add(lostSpan)
+	now := time.Now()
+	maps.DeleteFunc(p.lost, func(_ string, until time.Time) bool { return now.After(until) })
+	p.lost[name] = now.Add(lostSpan)
 }
 
 func (p *Peers) passedOver(name string) bool {
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -84,11 +84,15 @@
 	c.confirm(asof, told)
 	switch {
 	case p.Whole:
-		if c.objects != nil && maps.EqualFunc(c.objects, bodies(p), bytes.Equal) {
-			c.revision = p.Revision
+		same := c.objects != nil && maps.EqualFunc(c.objects, bodies(p), bytes.Equal)
+		if same && p.Revision == c.revision {
 			return true
 		}
+		// Where nothing is new here, others may still lack changes there and back.
 		c.replace(p)
+		if same {
+			return true
+		}
 	case p.Revision == c.revision || len(p.Objects) == 0:
 		c.revision = p.Revision
 		return true
--- a/stage/mirror/mirror_test.go
+++ b/stage/mirror/mirror_test.go
@@ -125,6 +125,22 @@
 	require.Equal(t, "missed", h.seen["a"])
 }
 
+// TestListThatHidesChanges: a list that equals what a copy has may hide changes
+// there and back, which a host that saw a part of them lacks.
+func TestListThatHidesChanges(t *testing.T) {
+	reader, slow, h := open(), open(), open()
+	empty := mirror.Page{Revision: 1, Whole: true}
+	for _, x := range []*holder{reader, slow, h} {
+		x.copy.Take(empty, 0, at(0))
+	}
+	reader.copy.Take(mirror.Page{Revision: 2, Objects: []mirror.Object{object("a", "1")}}, 1, at(10))
+	h.from(t, at(20), reader)
+	require.Equal(t, "1", h.seen["a"])
+	slow.copy.Take(mirror.Page{Revision: 3, Whole: true}, 0, at(30))
+	h.from(t, at(40), slow)
+	require.Empty(t, h.seen)
+}
+
 // TestAlwaysTheSame: whatever the reader is told, and whenever others take over
 // from it or from each other, each ends with the store's objects.
 func TestAlwaysTheSame(t *testing.T) {
--- a/stage/relay/relay_test.go
+++ b/stage/relay/relay_test.go
@@ -184,12 +184,18 @@
 	require.Equal(t, 3, begun)
 }
 
-// TestSilentHostIsForgotten: what a host told counts for a while after it went silent.
+// TestSilentHostIsForgotten: what a host told counts for a while after it went
+// silent; that it owned a runner is known for longer.
 func TestSilentHostIsForgotten(t *testing.T) {
 	var x relay.Exchange
-	x.Take(at(0), "self", relay.Digest{From: "other", Loads: []relay.Load{{Target: 7, Open: 2}}})
+	x.Take(at(0), "self", relay.Digest{From: "other", Loads: []relay.Load{{Target: 7, Open: 2}}, Spaces: []relay.Space{{Runner: 7, Spare: 1}}})
 	x.Expire(at(1000))
 	require.Equal(t, 2, x.Others(7).Open)
 	x.Expire(at(2000))
 	require.Zero(t, x.Others(7).Open)
+	_, told := x.Space(7)
+	require.Equal(t, at(0), told)
+	x.Expire(at(61_000))
+	_, told = x.Space(7)
+	require.True(t, told.IsZero())
 }
