dispatch: a look whether an adapter has come takes no order

Found on reading the change once more: Ticket.Ready called Shelf.Next, which hands out the order that is due, and dropped it. The shelf then counted that order as sent and gave no other until it was given up as unanswered after 2 s. Ready only looks now. This changes behaviour where the call met an order that was due.

TestReadyOrdersNothing failed before.

--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -159,7 +159,7 @@
 		case <-k.Arrived:
 		case <-ctx.Done():
 		}
-		there = k.Ready(time.Now())
+		there = k.Ready()
 	} else {
 		there = j.wish(ctx, k)
 	}
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -239,7 +239,7 @@
 			t.Fatal("the wait goes on")
 		}
 	}
-	require.True(t, k.Ready(at(14)))
+	require.True(t, k.Ready())
 	require.True(t, b.Resident(at(14), "runner-0", shelf.Key{Model: model, Adapter: "a"}))
 
 	b.Disown("runner-0")
@@ -518,3 +518,23 @@
 	b.Errands(at(14_000))
 	require.Equal(t, 2, spare(14_000))
 }
+
+// TestReadyOrdersNothing: a request that looks whether its adapter has come takes
+// no order away from its runner.
+func TestReadyOrdersNothing(t *testing.T) {
+	b := board("owner", "north-a", 1, nil)
+	b.Own("runner-0", 1, at(0), false)
+	b.Errands(at(0))
+	b.Reported(at(0), "runner-0", &call.Report{Orders: 3, Models: []call.Resident{{Model: model, Version: 1}}})
+	one := ticket(t, b, want("one", 100, 10), 10)
+	errands, _ := b.Errands(at(10))
+	require.Len(t, errands, 1)
+	two := ticket(t, b, want("two", 100, 11), 11)
+	b.Replied(at(12), "runner-0", call.Holds)
+	<-one.Arrived
+	require.True(t, one.Ready())
+	errands, _ = b.Errands(at(14))
+	require.Len(t, errands, 1)
+	require.Equal(t, "two", errands[0].Action.(shelf.Give).Order.Adapter)
+	require.False(t, two.Ready())
+}
--- a/stage/dispatch/ticket.go
+++ b/stage/dispatch/ticket.go
@@ -51,14 +51,13 @@
 func (Left) result()    {}
 
 // Ready reports whether the adapter that a ticket waited for is there.
-func (k *Ticket) Ready(now time.Time) bool {
+func (k *Ticket) Ready() bool {
 	b := k.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if k.target.shelf == nil {
 		return false
 	}
-	k.target.shelf.Next(now)
 	state, _, _ := k.target.shelf.Lookup(k.want.key())
 	return state == shelf.Resident
 }
