platform: an object of the store is decoded once

It was scanned for its name when it was read, again by each decoder, and by each host that took it over. Tests spell a removal by its field; their assertions are the same.

--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -31,9 +31,15 @@
 
 // An Object is one object, or its removal.
 type Object struct {
-	_    struct{} `cbor:",toarray"`
-	Name string
-	Body []byte // as the store spelled it; empty where the object was removed
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Revision uint64 // of its last change
+	Body     []byte // its content as the store spelled it
+	Removed  bool
+}
+
+func (o Object) equal(other Object) bool {
+	return o.Revision == other.Revision && bytes.Equal(o.Body, other.Body)
 }
 
 // A Page is what a copy lacked: all objects where Whole is set, otherwise the
@@ -50,7 +56,7 @@
 	apply func(Page)
 
 	mu       sync.Mutex
-	objects  map[string][]byte // nil before the first list
+	objects  map[string]Object // nil before the first list
 	revision uint64            // up to which it is complete
 	changed  uint64            // of the last change
 	floor    uint64            // the changes behind it are all in batches
@@ -84,7 +90,7 @@
 	c.confirm(asof, told)
 	switch {
 	case p.Whole:
-		same := c.objects != nil && maps.EqualFunc(c.objects, bodies(p), bytes.Equal)
+		same := c.objects != nil && maps.EqualFunc(c.objects, p.byName(), Object.equal)
 		if same && p.Revision == c.revision {
 			return true
 		}
@@ -104,29 +110,24 @@
 }
 
 func (c *Copy) confirm(asof time.Time, told bool) {
-	c.asof = later(c.asof, asof)
-	if told {
-		c.told = later(c.told, asof)
+	if asof.After(c.asof) {
+		c.asof = asof
 	}
-}
-
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
+	if told && asof.After(c.told) {
+		c.told = asof
 	}
-	return y
 }
 
-func bodies(p Page) map[string][]byte {
-	out := make(map[string][]byte, len(p.Objects))
+func (p Page) byName() map[string]Object {
+	out := make(map[string]Object, len(p.Objects))
 	for _, o := range p.Objects {
-		out[o.Name] = o.Body
+		out[o.Name] = o
 	}
 	return out
 }
 
 func (c *Copy) replace(p Page) {
-	c.objects = bodies(p)
+	c.objects = p.byName()
 	c.batches, c.kept, c.floor = nil, 0, p.Revision
 	c.revision, c.changed = p.Revision, p.Revision
 }
@@ -135,11 +136,11 @@
 	size := 0
 	for _, o := range p.Objects {
 		size += len(o.Body) + len(o.Name)
-		if len(o.Body) == 0 {
+		if o.Removed {
 			delete(c.objects, o.Name)
 			continue
 		}
-		c.objects[o.Name] = o.Body
+		c.objects[o.Name] = o
 	}
 	c.revision, c.changed = p.Revision, p.Revision
 	c.batches = append(c.batches, batch{p.Revision, p.Objects, size})
@@ -158,7 +159,7 @@
 	if revision < c.floor {
 		p.Whole = true
 		for _, name := range slices.Sorted(maps.Keys(c.objects)) {
-			p.Objects = append(p.Objects, Object{Name: name, Body: c.objects[name]})
+			p.Objects = append(p.Objects, c.objects[name])
 		}
 		return p
 	}
--- a/stage/mirror/mirror_test.go
+++ b/stage/mirror/mirror_test.go
@@ -30,7 +30,7 @@
 			h.seen = map[string]string{}
 		}
 		for _, o := range p.Objects {
-			if len(o.Body) == 0 {
+			if o.Removed {
 				delete(h.seen, o.Name)
 				continue
 			}
@@ -69,7 +69,7 @@
 	require.Equal(t, at(2600), h.copy.Due())
 	require.True(t, reader.copy.Due().IsZero(), "it reads the store itself")
 
-	require.True(t, reader.copy.Take(mirror.Page{Revision: 12, Objects: []mirror.Object{{Name: "a"}, object("c", "1")}}, 10, at(500)))
+	require.True(t, reader.copy.Take(mirror.Page{Revision: 12, Objects: []mirror.Object{{Name: "a", Removed: true}, object("c", "1")}}, 10, at(500)))
 	h.from(t, at(600), reader)
 	require.Equal(t, map[string]string{"b": "1", "c": "1"}, h.seen)
 	require.Equal(t, at(3100), h.copy.Due())
@@ -162,9 +162,10 @@
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
 				revision++
-				o := mirror.Object{Name: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name"))}
+				o := mirror.Object{Name: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name")), Removed: true}
 				delete(truth, o.Name)
 				if rapid.Bool().Draw(t, "put") {
+					o.Removed = false
 					o.Body = []byte(strings.Repeat("x", rapid.SampledFrom([]int{1, 50_000}).Draw(t, "size")) + fmt.Sprint(revision))
 					truth[o.Name] = string(o.Body)
 				}
