dispatch: one index of the runners that this host orders

Board.owned held just the targets with a shelf, and six methods looked the same up in all targets; orders and digests of places went over all targets at each wake. They use the index. The uses that ended are dropped in one place. An owner's address stays an address: it was written as text for each table and parsed for each question. Code that nothing called (Shelf.Backlog, outbound.Request.ID) is gone.

--- a/jacinthd/internal/direct/link.go
+++ b/jacinthd/internal/direct/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,11 +115,7 @@
 
 // Wish asks the owner of a runner for an adapter until ctx ends.
 func (p *Peers) Wish(ctx context.Context, owner dispatch.Owner, runner string, k shelf.Key) (peer.Wished, error) {
-	address, err := netip.ParseAddrPort(owner.Address)
-	if err != nil {
-		return peer.Wished{Reason: "owner without address"}, errors.WithStack(err)
-	}
-	m, err := p.Link.Call(ctx, address, owner.Host, peer.Wish{Runner: runner, Model: k.Model, Adapter: k.Adapter})
+	m, err := p.Link.Call(ctx, owner.Address, owner.Host, peer.Wish{Runner: runner, Model: k.Model, Adapter: k.Adapter})
 	if err != nil {
 		return peer.Wished{Reason: "owner not reached"}, err
 	}
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -68,8 +68,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	ID     string // that an answer must bear; empty takes any
-	Once   bool   // it may not be sent twice
+	Once   bool // it may not be sent twice
 }
 
 // Mine reports whether the head of an answer is for a request.
--- a/jacinthd/internal/ownership/ownership.go
+++ b/jacinthd/internal/ownership/ownership.go
@@ -189,7 +189,7 @@
 	owners := make(map[string]dispatch.Owner, len(t.Rows))
 	for _, row := range t.Rows {
 		if m, ok := t.Member(row.Owner); ok {
-			owners[row.Runner] = dispatch.Owner{Host: m.Name, Address: m.Peer.String(), Zone: m.Zone}
+			owners[row.Runner] = dispatch.Owner{Host: m.Name, Address: m.Peer, Zone: m.Zone}
 		}
 	}
 	k.Board.Owned(owners, len(t.Members))
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"net/netip"
 	"time"
 
 	"jacinthstage/stage/relay"
@@ -56,20 +58,14 @@
 	for k, u := range t.usage {
 		out = append(out, relay.Use{Owner: owner, Runner: t.Name, Model: k.Model, Adapter: k.Adapter, Open: u.open, Begun: u.begun})
 		u.begun = 0
-		if u.open == 0 {
-			delete(t.usage, k)
-		}
 	}
+	t.trim()
 	return out
 }
 
-// trim drops uses that have ended and that nobody has to be told of.
+// trim drops uses that have ended and that nobody has to be told of any more.
 func (t *target) trim() {
-	for k, u := range t.usage {
-		if u.open == 0 {
-			delete(t.usage, k)
-		}
-	}
+	maps.DeleteFunc(t.usage, func(_ shelf.Key, u *usage) bool { return u.open == 0 })
 }
 
 // Take takes in what another host told. It reports whether the configuration
@@ -78,7 +74,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, u := range b.exchange.Take(now, b.Holder, d) {
-		if t := b.targets[u.Runner]; t != nil && t.shelf != nil {
+		if t := b.owned[u.Runner]; t != nil {
 			t.shelf.Peer(now, shelf.Key{Model: u.Model, Adapter: u.Adapter}, d.From, u.Open, u.Begun)
 		}
 	}
@@ -148,7 +144,7 @@
 // An Owner is the host that orders a runner.
 type Owner struct {
 	Host    string
-	Address string // of the link between hosts
+	Address netip.AddrPort // of the link between hosts
 	Zone    string
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -258,10 +258,8 @@
 		return
 	}
 	b.newest[k] = release{version: v.Version, heard: now}
-	for _, t := range b.targets {
-		if t.shelf != nil {
-			t.shelf.Newest(k, v.Version)
-		}
+	for _, t := range b.owned {
+		t.shelf.Newest(k, v.Version)
 	}
 }
 
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -37,7 +37,7 @@
 	var all []catalog.Target
 	for i := range n {
 		t := runner(i, zone, hold[i]...)
-		owners[t.Name] = dispatch.Owner{Host: "owner", Address: "127.0.0.1:1", Zone: zone}
+		owners[t.Name] = dispatch.Owner{Host: "owner", Address: netip.MustParseAddrPort("127.0.0.1:1"), Zone: zone}
 		all = append(all, t)
 	}
 	for i := range 2 {
--- a/stage/dispatch/own.go
+++ b/stage/dispatch/own.go
@@ -36,7 +36,7 @@
 func (b *Board) Disown(name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[name]; t != nil {
+	if t := b.owned[name]; t != nil {
 		b.disown(t)
 	}
 }
@@ -69,8 +69,8 @@
 	defer b.mu.Unlock()
 	var out []Errand
 	next := now.Add(time.Second)
-	for _, t := range b.targets {
-		if t.shelf == nil || t.State != catalog.Ready {
+	for _, t := range b.owned {
+		if t.State != catalog.Ready {
 			continue
 		}
 		b.base(now, t)
@@ -146,9 +146,9 @@
 func (b *Board) Wish(now time.Time, name string, k shelf.Key) (arrived <-chan struct{}, reason string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.targets[name]
+	t := b.owned[name]
 	switch {
-	case t == nil || t.shelf == nil:
+	case t == nil:
 		return nil, "not the owner"
 	case !t.usable(now):
 		return nil, "runner not in use"
@@ -172,7 +172,7 @@
 func (b *Board) Unwish(name string, k shelf.Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[name]; t != nil && t.shelf != nil {
+	if t := b.owned[name]; t != nil {
 		t.shelf.Unwish(k)
 	}
 }
@@ -181,8 +181,8 @@
 func (b *Board) Resident(now time.Time, name string, k shelf.Key) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.targets[name]
-	if t == nil || t.shelf == nil {
+	t := b.owned[name]
+	if t == nil {
 		return false
 	}
 	state, version, _ := t.shelf.Lookup(k)
@@ -193,8 +193,8 @@
 func (b *Board) Coming(name string, k shelf.Key) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.targets[name]
-	if t == nil || t.shelf == nil {
+	t := b.owned[name]
+	if t == nil {
 		return false
 	}
 	state, _, _ := t.shelf.Lookup(k)
@@ -205,7 +205,7 @@
 func (b *Board) Replied(now time.Time, name string, reply call.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[name]; t != nil && t.shelf != nil {
+	if t := b.owned[name]; t != nil {
 		t.shelf.Replied(now, reply)
 	}
 }
@@ -214,9 +214,9 @@
 func (b *Board) Reported(now time.Time, name string, r *call.Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.targets[name]
+	t := b.owned[name]
 	switch {
-	case t == nil || t.shelf == nil:
+	case t == nil:
 	case r == nil:
 		t.shelf.Unreported(now)
 	default:
@@ -248,8 +248,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]shelf.Usage)
-	for name, t := range b.targets {
-		if t.shelf != nil && t.usable(now) {
+	for name, t := range b.owned {
+		if t.usable(now) {
 			out[name] = t.shelf.Usage(now)
 		}
 	}
--- a/stage/shelf/wish.go
+++ b/stage/shelf/wish.go
@@ -4,9 +4,6 @@
 	"time"
 )
 
-// Backlog returns how many adapters wait for an order.
-func (s *Shelf) Backlog() int { return len(s.wishes) }
-
 // Wish asks for an adapter. The channel is closed once it is expected to be
 // there, or the wait for it ended. Each Wish is ended by an Unwish.
 func (s *Shelf) Wish(now time.Time, k Key) <-chan struct{} {
