quarantine: history of crashes as a type of its own

The crash IDs of a request, how long they are kept and which crash is whose fault stood inside the claims of jacinthd run. They move to History, so that jacinthd serve can use them without claims. No change of behaviour; the tests of the package are as before and pass.

--- a/stage/quarantine/attribution.go
+++ b/stage/quarantine/attribution.go
@@ -4,16 +4,16 @@
 
 // isBystander reports whether each crash of a request has another cause. A request
 // with maxCrashIDs crashes is never a bystander.
-func (q *Quarantine) isBystander(fp Fingerprint) bool {
-	s := q.suspects[fp]
-	return len(s.crashes) < maxCrashIDs && !slices.ContainsFunc(s.crashes, func(crash string) bool { return !q.hasOtherCause(fp, crash) })
+func (h *History) isBystander(fp Fingerprint) bool {
+	e := h.entries[fp]
+	return len(e.crashes) < maxCrashIDs && !slices.ContainsFunc(e.crashes, func(crash string) bool { return !h.hasOtherCause(fp, crash) })
 }
 
 // hasOtherCause reports whether a request other than fp that is a cause of crashes
 // was in progress at crash.
-func (q *Quarantine) hasOtherCause(fp Fingerprint, crash string) bool {
-	for other, s := range q.suspects {
-		if other != fp && slices.Contains(s.crashes, crash) && q.isCause(other) {
+func (h *History) hasOtherCause(fp Fingerprint, crash string) bool {
+	for other, e := range h.entries {
+		if other != fp && slices.Contains(e.crashes, crash) && h.isCause(other) {
 			return true
 		}
 	}
@@ -22,14 +22,14 @@
 
 // isCause reports whether a request has crashLimit crashes or more, and at one of
 // them no other such request was in progress.
-func (q *Quarantine) isCause(fp Fingerprint) bool {
-	s := q.suspects[fp]
-	if len(s.crashes) < crashLimit {
+func (h *History) isCause(fp Fingerprint) bool {
+	e := h.entries[fp]
+	if len(e.crashes) < crashLimit {
 		return false
 	}
-	return slices.ContainsFunc(s.crashes, func(crash string) bool {
-		for other, suspect := range q.suspects {
-			if other != fp && len(suspect.crashes) >= crashLimit && slices.Contains(suspect.crashes, crash) {
+	return slices.ContainsFunc(e.crashes, func(crash string) bool {
+		for other, e := range h.entries {
+			if other != fp && len(e.crashes) >= crashLimit && slices.Contains(e.crashes, crash) {
 				return false
 			}
 		}
--- a/stage/quarantine/claim.go
+++ b/stage/quarantine/claim.go
@@ -119,7 +119,7 @@
 		s.version, s.holder, s.claim = 0, "", ""
 		return q.nextCall(now, x.Fingerprint)
 	}
-	delete(q.suspects, x.Fingerprint)
+	q.remove(x.Fingerprint)
 	if s.waiting != "" {
 		return []Action{Allow{ID: s.waiting}}
 	}
--- a/stage/quarantine/quarantine.go
+++ b/stage/quarantine/quarantine.go
@@ -9,14 +9,9 @@
 )
 
 const (
-	crashLimit       = 2               // crashes after which a request is refused permanently unless it is a bystander
-	maxCrashIDs      = 4               // crash IDs kept per request; a request with this many is never a bystander
-	claimDuration    = 5 * time.Minute // time after which another host's claim counts as a crash
-	callRetryDelay   = time.Second     // delay before a failed call is repeated
-	busyRetryDelay   = time.Second     // delay after which a caller may retry a request that could not get a claim
-	suspectRetention = time.Hour       // how long a request with one crash is remembered
-	refusedRetention = 24 * time.Hour  // how long a permanently refused request is remembered
-	maxSuspects      = 4096            // maximum number of suspects kept
+	claimDuration  = 5 * time.Minute // time after which another host's claim counts as a crash
+	callRetryDelay = time.Second     // delay before a failed call is repeated
+	busyRetryDelay = time.Second     // delay after which a caller may retry a request that could not get a claim
 )
 
 // A Quarantine is one host's view of the suspects. Host must be set before use, to a
@@ -25,6 +20,7 @@
 	Host string
 
 	inFlight map[string]run // requests in progress, by ID
+	history  History
 	suspects map[Fingerprint]*suspect
 }
 
@@ -36,8 +32,7 @@
 
 // A suspect is a request that was in progress at a crash.
 type suspect struct {
-	crashes []string
-	expires time.Time
+	*entry // in the history
 
 	version     uint64    // version of the object; 0 if none is known
 	stale       bool      // whether the object may be newer than the known version
@@ -58,10 +53,7 @@
 func (q *Quarantine) IsClean(fp Fingerprint) bool { return q.suspects[fp] == nil }
 
 // IsRefused reports whether the request is refused permanently.
-func (q *Quarantine) IsRefused(fp Fingerprint) bool {
-	s := q.suspects[fp]
-	return s != nil && len(s.crashes) >= crashLimit && !q.isBystander(fp)
-}
+func (q *Quarantine) IsRefused(fp Fingerprint) bool { return q.history.IsRefused(fp) }
 
 // StoredSuspects returns the suspects whose objects are known to exist. If a listing
 // that starts later lacks one of them, its object has been deleted.
@@ -208,25 +200,19 @@
 	}
 	s := q.suspects[fp]
 	if s == nil {
-		q.evictFirstToExpire()
-		s = &suspect{expires: now.Add(suspectRetention)}
+		if len(q.suspects) >= maxSuspects {
+			q.remove(q.history.firstToExpire())
+		}
+		s = &suspect{entry: q.history.open(now, fp)}
 		q.suspects[fp] = s
 	}
 	return s
 }
 
-// evictFirstToExpire removes the suspect that expires first if there are maxSuspects.
-func (q *Quarantine) evictFirstToExpire() {
-	if len(q.suspects) < maxSuspects {
-		return
-	}
-	var first Fingerprint
-	for fp, s := range q.suspects {
-		if first == "" || s.expires.Before(q.suspects[first].expires) {
-			first = fp
-		}
-	}
-	delete(q.suspects, first)
+// remove forgets a suspect.
+func (q *Quarantine) remove(fp Fingerprint) {
+	delete(q.suspects, fp)
+	q.history.Remove(fp)
 }
 
 // addCrashes adds crashes to a suspect. It cancels the runs of the request on this
@@ -234,15 +220,8 @@
 // refused permanently.
 func (q *Quarantine) addCrashes(now time.Time, fp Fingerprint, crashes []string) (actions []Action) {
 	s := q.suspects[fp]
-	s.crashes = mergeCrashes(s.crashes, crashes)
-	retention := suspectRetention
+	q.history.Add(now, fp, crashes)
 	refused := q.IsRefused(fp)
-	if refused {
-		retention = refusedRetention
-	}
-	if expires := now.Add(retention); expires.After(s.expires) {
-		s.expires = expires
-	}
 	for id, r := range q.inFlight {
 		if r.fingerprint == fp && (id != s.running || refused) {
 			actions = append(actions, Cancel{ID: id, Target: r.target})
@@ -259,7 +238,7 @@
 func (q *Quarantine) tick(now time.Time) (actions []Action) {
 	for fp, s := range q.suspects {
 		if !now.Before(s.expires) && s.running == "" && !s.callPending {
-			delete(q.suspects, fp)
+			q.remove(fp)
 			if s.version != 0 {
 				actions = append(actions, Delete{Fingerprint: fp, Version: s.version})
 			}
