suspect: a request that crashed two targets is sent to no third

What callers saw: one request ended runner after runner, and all that ran there broke off each time (BUDGET). Class: knowledge about a request that only one attempt held. Change: a broken connection is followed by one new connection to the target. If the target refuses it, its process has ended, and the crash is added to the request, known by host, path, query and body. Hosts tell each other with their digests, at most 16 requests at a time; each digest repeats one refused request, so a host that missed it or started since learns it too. The first host that refuses also writes it to the store, which hosts read once at their start. A complete answer drops the crashes.

--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -173,6 +173,7 @@
 		return mayHaveRun{reason: "no answer in time"}
 	default:
 		attempt.Report(now, dispatch.Failed{Connected: true})
+		req.connectionBroke(ctx, attempt.Target)
 		return mayHaveRun{reason: err.Error()}
 	}
 }
--- a/jacinthd/internal/direct/crash_test.go
+++ b/jacinthd/internal/direct/crash_test.go
@@ -1,20 +1,23 @@
 package direct_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"net/netip"
-
 	"github.com/stretchr/testify/require"
 
+	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/quarantine"
 )
 
 // crashBody is the body of the requests that crash a crashingTarget.
@@ -44,7 +47,7 @@
 		}
 		time.Sleep(delay)
 		w.Header().Set("Id", r.Header.Get("Id"))
-		succeed(w, "served")
+		succeed(w, "id: 1\ndata: served\n\n")
 	})}
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = c.server.Serve(listener) })
@@ -97,3 +100,42 @@
 		})
 	}
 }
+
+// TestRefusedRequestIsKnownElsewhere guards against a request that crashed two targets
+// and is then sent by another host, or by a host that starts after all others ended
+// (BUDGET).
+func TestRefusedRequestIsKnownElsewhere(t *testing.T) {
+	hosts := startHosts(t, 3)
+	all, runs := crashingTargets(t, 8, 0)
+	shared := new(memory.Store)
+	start := func(suspects *direct.Suspects) *testSystem {
+		suspects.Store = shared
+		s := newTestSystemWith(t, suspects, 0, nil)
+		s.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 2, Targets: all})
+		return s
+	}
+	systems := []*testSystem{start(hosts[0].peers.Suspects), start(hosts[1].peers.Suspects), start(hosts[2].peers.Suspects)}
+	crash := func(s *testSystem) int {
+		response, _, err := s.send(t, http.MethodPost, "/once/", crashBody)
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusBadGateway, crash(systems[0]))
+	require.Eventually(t, func() bool { return !systems[1].suspects.List.Empty() }, waitTimeout, 10*time.Millisecond)
+	require.Equal(t, http.StatusBadGateway, crash(systems[1]))
+	require.Eventually(t, func() bool {
+		_, refused := systems[2].suspects.List.Refused(quarantine.NewFingerprint("one.example /once/", []byte(crashBody)))
+		return refused
+	}, waitTimeout, 10*time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, crash(systems[2]))
+	require.EqualValues(t, 2, runs.Load(), "targets that crashed")
+
+	require.Eventually(t, func() bool {
+		page, err := shared.List(context.Background(), quarantine.KeyPrefix, "")
+		return err == nil && len(page.Objects) == 1
+	}, waitTimeout, 10*time.Millisecond)
+	restarted := start(newSuspects())
+	restarted.suspects.Restore(context.Background())
+	require.Equal(t, http.StatusServiceUnavailable, crash(restarted))
+	require.EqualValues(t, 2, runs.Load(), "targets that crashed")
+}
--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -118,6 +118,7 @@
 	}
 	digest := p.Dispatcher.Digest(time.Now(), to, relay.ToRelay, func(string) string { return to })
 	digest.ReportsToReceiver = true
+	digest.Suspects = p.Suspects.List.News(time.Now())
 	sent := time.Now()
 	go func() {
 		defer p.reporting.Delete(to)
@@ -170,6 +171,7 @@
 	now := time.Now()
 	digest := p.Dispatcher.Digest(now, from, relay.ToReporter, func(string) string { return "" })
 	digest.CopyStates = p.Copies.States(now)
+	digest.Suspects = p.Suspects.List.News(now)
 	return peer.Digest{Digest: digest}
 }
 
@@ -252,6 +254,7 @@
 // relay is in this host's region.
 func (p *Peers) sendDigest(ctx context.Context, to host.Identity, nextHop func(string) string, states []relay.CopyState) {
 	digest := p.Dispatcher.Digest(time.Now(), to.Name, relay.ToRelay, nextHop)
+	digest.Suspects = p.Suspects.List.News(time.Now())
 	if p.Regions[to.Zone] == p.Regions[p.Zone] {
 		digest.CopyStates = states
 	}
--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -81,7 +81,7 @@
 	})
 	h.peers = &direct.Peers{
 		Self: name, Zone: "z", Regions: map[string]string{"z": "r"}, Dispatcher: h.dispatcher, Copies: h.copies, Log: zap.NewNop(),
-		Wake: func() {}, OnNewerConfig: func() {}, Link: &peer.Link{Identity: identity, Conn: socket},
+		Suspects: newSuspects(), Wake: func() {}, OnNewerConfig: func() {}, Link: &peer.Link{Identity: identity, Conn: socket},
 	}
 	h.identity = host.Identity{Name: name, Zone: "z", Peer: netip.MustParseAddrPort(socket.LocalAddr().String())}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -111,8 +111,10 @@
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	p.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, OnOpen: metrics.opened.Inc}
+	suspects := &Suspects{Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
 	p.peers = &Peers{
-		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Log: log,
+		Suspects: suspects,
+		Self:     s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Log: log,
 		Link: &peer.Link{Identity: identity, LivenessTimeout: peerIdleTimeout, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
 	p.controller = &ownership.Controller{
@@ -130,7 +132,7 @@
 	p.peers.Wake = p.controller.Wake
 	p.peers.OnNewerConfig = deps.Follower.Refresh
 	p.handler = &Handler{
-		Peers:      p.peers,
+		Peers: p.peers, Suspects: suspects,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: metrics, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio, MinRetries: float64(s.BaseRetries) / assumedHosts},
 		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake,
@@ -187,6 +189,7 @@
 	}
 	go p.deps.Follower.Follow(runCtx, p.apply, p.peers.ReaderInfo)
 	go p.controller.Run(runCtx)
+	go p.handler.Suspects.Restore(runCtx)
 	go p.sweep(runCtx)
 	select {
 	case err := <-listenErrs:
@@ -271,6 +274,7 @@
 			p.pool.SetMaxIdle(p.connectionShare())
 			p.handler.Budgets.SetMinRetries(float64(p.settings.BaseRetries) / float64(p.dispatcher.HostCount()+1))
 			p.handler.Metrics.targets.Set(float64(len(inUse)))
+			p.handler.Metrics.suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
 			for name, u := range p.dispatcher.SlotUsage(now) {
 				p.log.Info("residency: slots", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
 					zap.Int("coming", u.Loading), zap.Int("leaving", u.Unloading), zap.Int("doubt", u.Uncertain))
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -22,6 +22,7 @@
 
 	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -81,6 +82,7 @@
 type testSystem struct {
 	url        string
 	dispatcher *dispatch.Dispatcher
+	suspects   *direct.Suspects
 	runs       atomic.Int32 // requests that reached a target
 	stop       atomic.Bool
 }
@@ -93,7 +95,20 @@
 
 // newTestSystem starts a handler with a number of targets of one service.
 func newTestSystem(t *testing.T, targets int, handle targetFunc) *testSystem {
-	s := &testSystem{dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}}}
+	return newTestSystemWith(t, newSuspects(), targets, handle)
+}
+
+// newSuspects returns Suspects with a store and connections of their own.
+func newSuspects() *direct.Suspects {
+	return &direct.Suspects{
+		Pool: &outbound.Pool{Dial: outbound.Dialer().DialContext}, Store: new(memory.Store),
+		Metrics: direct.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	}
+}
+
+// newTestSystemWith is newTestSystem with Suspects that other hosts may share.
+func newTestSystemWith(t *testing.T, suspects *direct.Suspects, targets int, handle targetFunc) *testSystem {
+	s := &testSystem{suspects: suspects, dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}}}
 	var all []catalog.Target
 	for i := range targets {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -119,8 +134,8 @@
 
 func (s *testSystem) startHandler(t *testing.T) {
 	handler := &direct.Handler{
-		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: &outbound.Pool{Dial: outbound.Dialer().DialContext}, Budgets: &retry.Budgets{},
-		Metrics: direct.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Stopping: s.stop.Load, Wake: func() {},
+		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects,
+		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Wake: func() {},
 	}
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.CloseClientConnections)
@@ -305,7 +320,7 @@
 // TestNoConfiguration checks that a host without a configuration answers 503, which
 // says that the request did not run, and not that there is no such route.
 func TestNoConfiguration(t *testing.T) {
-	s := &testSystem{dispatcher: &dispatch.Dispatcher{}}
+	s := &testSystem{suspects: newSuspects(), dispatcher: &dispatch.Dispatcher{}}
 	s.startHandler(t)
 	response, _, err := s.send(t, http.MethodPost, "/once/", "")
 	require.NoError(t, err)
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -15,6 +15,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/quarantine"
 	"jacinthstage/stage/retry"
 )
 
@@ -40,6 +41,7 @@
 	Pool       *outbound.Pool
 	Peers      *Peers
 	Budgets    *retry.Budgets
+	Suspects   *Suspects
 	Metrics    *Metrics
 	Log        *zap.Logger
 	// Stopping reports whether a planned stop has begun.
@@ -58,6 +60,7 @@
 	route   catalog.Route
 	service string
 	body    []byte
+	content quarantine.Fingerprint // see fingerprint; empty until it is needed
 	arrived time.Time
 	// deadline is the earliest of the caller's deadline, the route's and the default.
 	deadline time.Time
--- a/jacinthd/internal/direct/metrics.go
+++ b/jacinthd/internal/direct/metrics.go
@@ -18,6 +18,10 @@
 	owned    prometheus.Gauge
 	version  prometheus.Gauge
 	targets  prometheus.Gauge
+
+	crashes         prometheus.Counter
+	suspects        prometheus.Gauge
+	suspectsRefused prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -39,7 +43,12 @@
 		owned:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_runners_owned", Help: "Runners owned by this host."}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_config_version", Help: "Version of the current configuration."}),
 		targets: prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_targets", Help: "Known targets."}),
+
+		crashes:         prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_crashed_requests_total", Help: "Requests in progress at the end of a target's process."}),
+		suspects:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_suspects", Help: "Requests that are refused because they crashed targets."}),
+		suspectsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_suspects_refused_total", Help: "Times that such a request was refused."}),
 	}
+	r.MustRegister(m.crashes, m.suspects, m.suspectsRefused)
 	r.MustRegister(m.requests, m.latency, m.active, m.stalls, m.opened, m.orders, m.owned, m.version, m.targets)
 	return m
 }
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/direct/peers.go
@@ -38,6 +38,7 @@
 	Link       *peer.Link
 	Dispatcher *dispatch.Dispatcher
 	Copies     *mirror.Set
+	Suspects   *Suspects
 	// Wake is called when a runner may need an order.
 	Wake func()
 	// OnNewerConfig is called when another host has a newer configuration.
@@ -86,6 +87,7 @@
 
 // applyDigest passes another host's digest to the dispatcher.
 func (p *Peers) applyDigest(d relay.Digest) {
+	p.Suspects.merge(d.From, d.Suspects)
 	if p.Dispatcher.MergeDigest(time.Now(), d) {
 		p.Log.Info("config: another host has a newer version", zap.String("host", d.From), zap.Uint64("version", d.ConfigVersion))
 		p.OnNewerConfig()
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -42,6 +42,9 @@
 	req.avoid = make(map[string]bool)
 	defer req.releaseReserved()
 	for {
+		if req.refuseSuspect() {
+			return
+		}
 		attempt := req.pick()
 		if attempt == nil || !req.try(ctx, attempt) {
 			return
@@ -110,6 +113,7 @@
 	}
 	switch o := o.(type) {
 	case answered:
+		req.answered()
 		return false
 	case callerGone:
 		req.finish("request: caller left", req.status, zap.String("target", attempt.Target.Name))
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -49,6 +49,9 @@
 	writeGrace = 20 * time.Millisecond
 	// bufferSize is the size of a connection's read and write buffers, in bytes.
 	bufferSize = 4 << 10
+	// settleTime is how long Open watches a new connection: a process that is ending
+	// may still accept it and reset it at once.
+	settleTime = 10 * time.Millisecond
 	// maxIdleConns is the largest number of idle connections kept for one target.
 	// SetMaxIdle can lower it.
 	maxIdleConns = 64
@@ -266,6 +269,28 @@
 	if c := p.takeIdle(address, atMostOnce); c != nil {
 		return c, nil
 	}
+	return p.open(ctx, address)
+}
+
+// Open opens a connection to address and keeps it for later requests. It fails if the
+// target does not accept one, or resets it at once and does not accept another.
+func (p *Pool) Open(ctx context.Context, address netip.AddrPort) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	if !reusable(c.Conn) {
+		_ = c.Conn.Close()
+		if c, err = p.open(ctx, address); err != nil {
+			return err
+		}
+	}
+	p.put(address, c, defaultIdleTimeout)
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*poolConn, error) {
 	conn, err := p.Dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
--- a/stage/relay/digest.go
+++ b/stage/relay/digest.go
@@ -1,6 +1,10 @@
 package relay
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthstage/stage/suspect"
+)
 
 // A TargetHash identifies a target by the hash of its name in the digests that
 // hosts exchange.
@@ -69,6 +73,7 @@
 	SlotReports       []SlotReport
 	Uses              []AdapterUse
 	CopyStates        []CopyState
+	Suspects          []suspect.Sighting
 }
 
 // A CopyState describes how recent a host's copy of one kind of the platform's
