suspect: crashes that show only in the list of targets

What callers saw: a runner that falls silent under a request, instead of refusing connections, left no trace, so the request went on to others (BUDGET). Cause: a crash was only counted where a new connection was refused. Evidence: TestSilentCrashesAreCounted, 504 from a third target without the change, 503 now.

--- a/jacinthd/internal/direct/apply.go
+++ b/jacinthd/internal/direct/apply.go
@@ -11,7 +11,10 @@
 // apply passes a change of the platform to the dispatcher and logs it.
 func (p *Process) apply(event catalog.Event) {
 	before := p.dispatcher.Config()
-	p.dispatcher.Apply(time.Now(), event)
+	for _, t := range p.dispatcher.Apply(time.Now(), event) {
+		p.log.Info("target: ended", zap.String("target", t.Name), zap.Time("started", t.Started))
+		p.handler.Suspects.TargetEnded(t)
+	}
 	switch e := event.(type) {
 	case catalog.ConfigUpdated:
 		p.configApplied(before, e.Config)
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -167,9 +167,11 @@
 		return callerGone{}
 	case !now.Before(req.deadline):
 		attempt.Report(now, dispatch.Canceled{TimedOut: true})
+		req.noAnswer(attempt.Target)
 		return deadlinePassed{}
 	case ctx.Err() != nil:
 		attempt.Report(now, dispatch.Canceled{TimedOut: true})
+		req.noAnswer(attempt.Target)
 		return mayHaveRun{reason: "no answer in time"}
 	default:
 		attempt.Report(now, dispatch.Failed{Connected: true})
--- a/jacinthd/internal/direct/crash_test.go
+++ b/jacinthd/internal/direct/crash_test.go
@@ -139,3 +139,27 @@
 	require.Equal(t, http.StatusServiceUnavailable, crash(restarted))
 	require.EqualValues(t, 2, runs.Load(), "targets that crashed")
 }
+
+// TestSilentCrashesAreCounted guards against a request under which targets fall silent
+// instead of refusing connections, so that their end shows only in the list of targets
+// (BUDGET).
+func TestSilentCrashesAreCounted(t *testing.T) {
+	s := newTestSystem(t, 8, func(w http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+	send := func() int {
+		response, _, err := s.sendWithin(t, 200*time.Millisecond, http.MethodPost, "/once/", crashBody)
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	for range 2 {
+		require.Equal(t, http.StatusGatewayTimeout, send())
+		for _, target := range s.dispatcher.Sweep(time.Now()) {
+			if target.Name == s.lastTarget.Load() {
+				s.suspects.TargetEnded(target)
+				target.Started = target.Started.Add(time.Second)
+				s.dispatcher.Apply(time.Now(), catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{catalog.TargetUpdated{Target: target}}})
+			}
+		}
+	}
+	require.Equal(t, http.StatusServiceUnavailable, send())
+	require.EqualValues(t, 2, s.runs.Load())
+}
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -84,6 +84,7 @@
 	dispatcher *dispatch.Dispatcher
 	suspects   *direct.Suspects
 	runs       atomic.Int32 // requests that reached a target
+	lastTarget atomic.Value // name of the target that the last of them reached
 	stop       atomic.Bool
 }
 
@@ -113,6 +114,7 @@
 	for i := range targets {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Id", r.Header.Get("Id"))
+			s.lastTarget.Store(r.Header.Get("Only"))
 			handle(w, r, int(s.runs.Add(1)))
 		}))
 		t.Cleanup(server.CloseClientConnections)
@@ -144,11 +146,16 @@
 
 // send sends a request as a caller and reads the complete answer.
 func (s *testSystem) send(t *testing.T, method, path, body string) (*http.Response, string, error) {
+	return s.sendWithin(t, 1500*time.Millisecond, method, path, body)
+}
+
+// sendWithin sends a request as a caller that waits for limit.
+func (s *testSystem) sendWithin(t *testing.T, limit time.Duration, method, path, body string) (*http.Response, string, error) {
 	r, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
 	require.NoError(t, err)
 	r.Host = "one.example"
 	r.Header.Set("Id", "x1")
-	r.Header.Set("Left", "1500")
+	r.Header.Set("Left", strconv.FormatInt(limit.Milliseconds(), 10))
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
 		return nil, "", err
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -41,7 +41,8 @@
 	Metrics *Metrics
 	Log     *zap.Logger
 
-	probes singleflight.Group
+	probes     singleflight.Group
+	unanswered suspect.Attempts
 }
 
 // fingerprint returns the fingerprint of a caller's request: requests with the same
@@ -73,18 +74,34 @@
 // connectionBroke adds a crash to the request if the process of its target has ended.
 // It is called when a connection broke with the request in progress.
 func (req *callerRequest) connectionBroke(ctx context.Context, target catalog.Target) {
-	s := req.Suspects
-	if !s.hasEnded(ctx, target) {
+	if !req.Suspects.hasEnded(ctx, target) {
+		req.noAnswer(target)
 		return
 	}
-	now := time.Now()
-	fp := req.fingerprint()
+	req.Suspects.crashed(req.log, req.fingerprint(), target)
+}
+
+// noAnswer records that an attempt got no answer, in case the target turns out to have
+// ended.
+func (req *callerRequest) noAnswer(target catalog.Target) {
+	req.Suspects.unanswered.Add(time.Now(), crashID(target), suspect.Attempt{Request: req.fingerprint(), ID: req.call.ID})
+}
+
+// TargetEnded adds a crash to the requests that got no answer from a target whose
+// process has ended, as the list of targets shows.
+func (s *Suspects) TargetEnded(target catalog.Target) {
+	for _, a := range s.unanswered.Take(time.Now(), crashID(target)) {
+		s.crashed(s.Log.With(zap.String("id", a.ID)), a.Request, target)
+	}
+}
+
+func (s *Suspects) crashed(log *zap.Logger, fp quarantine.Fingerprint, target catalog.Target) {
 	s.Metrics.crashes.Inc()
-	refused := s.List.Crashed(now, fp, crashID(target))
-	req.log.Warn("suspect: target ended with the request in progress", zap.String("request", string(fp)), zap.String("target", target.Name),
+	refused := s.List.Crashed(time.Now(), fp, crashID(target))
+	log.Warn("suspect: target ended with the request in progress", zap.String("request", string(fp)), zap.String("target", target.Name),
 		zap.Strings("crashes", s.List.Crashes(fp)), zap.Int("refused", len(refused)))
 	for _, other := range refused {
-		go s.write(context.WithoutCancel(ctx), other)
+		go s.write(context.Background(), other)
 	}
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -110,10 +110,51 @@
 	outcomes            outcomeWindow
 }
 
-// Apply updates the state with an event from the platform.
-func (d *Dispatcher) Apply(now time.Time, event catalog.Event) {
+// Apply updates the state with an event from the platform. It returns the targets that
+// the event shows to have ended without draining: their entry was removed, or another
+// process has their name.
+func (d *Dispatcher) Apply(now time.Time, event catalog.Event) []catalog.Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	before := d.listedTargets(event)
+	d.apply(now, event)
+	var ended []catalog.Target
+	for _, t := range before {
+		if known := d.targets[t.Name]; known == nil || !known.SameIncarnation(t) || !known.expiresAt.IsZero() {
+			ended = append(ended, t)
+		}
+	}
+	return ended
+}
+
+// listedTargets returns the targets whose entries an event may change and that are
+// listed as ready.
+func (d *Dispatcher) listedTargets(event catalog.Event) []catalog.Target {
+	var out []catalog.Target
+	add := func(t *target) {
+		if t != nil && t.State == catalog.Ready && t.expiresAt.IsZero() {
+			out = append(out, t.Target)
+		}
+	}
+	switch e := event.(type) {
+	case catalog.TargetsListed:
+		for _, t := range d.targets {
+			add(t)
+		}
+	case catalog.TargetsChanged:
+		for _, c := range e.Changes {
+			switch c := c.(type) {
+			case catalog.TargetUpdated:
+				add(d.targets[c.Target.Name])
+			case catalog.TargetRemoved:
+				add(d.targets[c.Name])
+			}
+		}
+	}
+	return out
+}
+
+func (d *Dispatcher) apply(now time.Time, event catalog.Event) {
 	switch e := event.(type) {
 	case catalog.ConfigUpdated:
 		d.setConfig(e.Config)
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -559,3 +559,38 @@
 	require.Equal(t, "two", tasks[0].Action.(residency.SendOrder).Order.Adapter)
 	require.False(t, two.Ready())
 }
+
+// TestApplyReturnsEndedTargets checks that a target whose entry is removed, or replaced
+// by that of another process, counts as ended once, and that one that was draining
+// does not.
+func TestApplyReturnsEndedTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	target := func(name string, started int64, state catalog.State) catalog.Target {
+		return catalog.Target{Name: name, Service: "s", Started: time.UnixMilli(started), State: state}
+	}
+	listed := func(all ...catalog.Target) catalog.Event { return catalog.TargetsListed{Revision: 1, Targets: all} }
+	update := func(t catalog.Target) catalog.Event {
+		return catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{catalog.TargetUpdated{Target: t}}}
+	}
+	removal := catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{catalog.TargetRemoved{Name: "a"}}}
+	for _, c := range []struct {
+		name  string
+		state catalog.State
+		event catalog.Event
+		ended int
+	}{
+		{"removed", catalog.Ready, removal, 1},
+		{"not listed any more", catalog.Ready, listed(target("b", 1, catalog.Ready)), 1},
+		{"another process", catalog.Ready, update(target("a", 2, catalog.Ready)), 1},
+		{"same process", catalog.Ready, update(target("a", 1, catalog.Draining)), 0},
+		{"removed after draining", catalog.Draining, removal, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var d dispatch.Dispatcher
+			require.Empty(t, d.Apply(now, listed(target("a", 1, c.state), target("b", 1, catalog.Ready))))
+			ended := d.Apply(now, c.event)
+			require.Len(t, ended, c.ended)
+			require.Empty(t, d.Apply(now, c.event), "it ends once")
+		})
+	}
+}
