--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/call"
@@ -142,6 +143,9 @@
 	}
 	head := req.Headers.ParseAnswer(x.Response.StatusCode, x.Response.Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load})
+	if attempt.Heard(time.Now(), head.Notice) {
+		req.log.Info("target: changed its limit", zap.String("target", attempt.Target.Name), zap.Float64("limit", head.Notice.Limit))
+	}
 	return req.forwardAnswer(ctx, attempt, x, head)
 }
 
--- a/stage/call/call.go
+++ b/stage/call/call.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/verdict"
 )
 
@@ -45,6 +46,7 @@
 	Encoded bool   // the body is not as the target produced it
 	Verdict verdict.Verdict
 	Load    TargetLoad
+	Notice  notice.Notice
 }
 
 // A TargetLoad is the load that a target reports. The zero value means that the
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthstage/stage/call"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/residency"
 )
 
@@ -188,6 +189,14 @@
 	a.end()
 }
 
+// Heard records what an answer to the attempt says of its target. It reports whether the
+// target's limit has changed.
+func (a *Attempt) Heard(now time.Time, n notice.Notice) (changed bool) {
+	a.dispatcher.mu.Lock()
+	defer a.dispatcher.mu.Unlock()
+	return a.target.notice.Heard(now, a.sent, n)
+}
+
 // prefillDone records that the prompt was processed, and updates the target's
 // slowdown unless the attempt waited for an adapter or for an owner's answer.
 func (a *Attempt) prefillDone(now time.Time) {
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/prefix"
 	"jacinthstage/stage/relay"
 	"jacinthstage/stage/residency"
@@ -108,6 +109,7 @@
 	failureRate         float64   // failure rate at ratedAt
 	ratedAt             time.Time
 	outcomes            outcomeWindow
+	notice              notice.State
 }
 
 // Apply updates the state with an event from the platform. It returns the targets that
--- /dev/null
+++ b/stage/notice/notice_test.go
@@ -0,0 +1,27 @@
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/notice"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestLimitEndsWithALaterRequest checks that an answer without a limit ends the limit
+// only if its request was sent after the limit was named.
+func TestLimitEndsWithALaterRequest(t *testing.T) {
+	var s notice.State
+	require.False(t, s.Heard(after(0), after(-10), notice.Notice{}))
+	require.True(t, s.Heard(after(10), after(0), notice.Notice{Limit: 2}))
+	require.False(t, s.Heard(after(20), after(10), notice.Notice{}))
+	require.Equal(t, 2.0, s.Limit())
+	require.False(t, s.Heard(after(30), after(20), notice.Notice{Limit: 2}))
+	require.True(t, s.Heard(after(40), after(31), notice.Notice{}))
+	require.Zero(t, s.Limit())
+}
