--- a/stage/suspect/attempts.go
+++ b/stage/suspect/attempts.go
@@ -11,8 +11,8 @@
 	// attemptRetention is how long an attempt without an answer is kept. The list of
 	// targets shows the end of a silent process within some seconds.
 	attemptRetention = 10 * time.Second
-	// maxAttempts is the maximum number of attempts that are kept for one target.
-	maxAttempts = 64
+	// attemptsPerTarget is the maximum number of attempts that are kept for one target.
+	attemptsPerTarget = 64
 )
 
 // An Attempt is one attempt at a request that got no answer.
@@ -41,7 +41,7 @@
 	a.expire(now)
 	attempt.at = now
 	kept := append(a.open[crash], attempt)
-	a.open[crash] = kept[max(0, len(kept)-maxAttempts):]
+	a.open[crash] = kept[max(0, len(kept)-attemptsPerTarget):]
 }
 
 // Take removes and returns the attempts at a target that has ended.
