direct: a failing test for the limit that a target names

What callers saw: a runner in need got as many requests as any other (LIMIT), and so stayed slow. Nine hosts, three targets, one of which names 2 requests a second: 332 in 4 s from 4 s after, 17 allowed.

--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -58,6 +58,7 @@
 
 func (testHeaders) ParseAnswer(_ int, h http.Header) call.Response {
 	a := call.Response{ID: h.Get("Id"), Signed: h.Get("Signed") != ""}
+	a.Notice.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
 	switch {
 	case h.Get("Notrun") != "":
 		a.Verdict = verdict.NotRun
@@ -110,6 +111,19 @@
 // newTestSystemWith is newTestSystem with Suspects that other hosts may share.
 func newTestSystemWith(t *testing.T, suspects *direct.Suspects, targets int, handle targetFunc) *testSystem {
 	s := &testSystem{suspects: suspects, dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}}}
+	s.start(t, targets, handle)
+	return s
+}
+
+// newTestSystemOn returns a testSystem without targets whose handler runs on a host that
+// is linked with others.
+func newTestSystemOn(t *testing.T, h *testHost) *testSystem {
+	s := &testSystem{suspects: h.peers.Suspects, dispatcher: h.dispatcher}
+	s.start(t, 0, nil)
+	return s
+}
+
+func (s *testSystem) start(t *testing.T, targets int, handle targetFunc) {
 	var all []catalog.Target
 	for i := range targets {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -128,10 +142,9 @@
 			Timeout: 2 * time.Second, LatencyObjective: 300 * time.Millisecond, Split: []catalog.TrafficShare{{Service: "s", Weight: 1}},
 		})
 	}
-	s.dispatcher.Apply(time.Now(), catalog.ConfigUpdated{Config: catalog.NewConfig(1, routes, []catalog.Service{{Name: "s"}}, catalog.Limits{MaxBody: 100})})
+	s.dispatcher.Apply(time.Now(), catalog.ConfigUpdated{Config: catalog.NewConfig(2, routes, []catalog.Service{{Name: "s"}}, catalog.Limits{MaxBody: 100})})
 	s.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 1, Targets: all})
 	s.startHandler(t)
-	return s
 }
 
 func (s *testSystem) startHandler(t *testing.T) {
