dispatch: a limit that a target names is kept by all hosts together

Cause: no decision depended on the limit; see the failing test. Class: what a target says of itself was seen by one host and used by none. Change: while a target names a limit, as many hosts as it takes requests a second send there, each at an equal rate with a burst of a second; the others send none. Which ones follows from a hash of host and target over the hosts of the assignment table, those of its region first. Digests carry the limit with its age; it ends with an answer to a later request that names none, or with the target's process. What has no other target is refused at once, with a time to come back. Retries count, orders and reports don't.

--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -52,6 +52,7 @@
 	digest.Loads = d.aggregator.Loads(to, path, loads)
 	digest.SlotReports = append(digest.SlotReports, d.aggregator.SlotReports(now, to, path)...)
 	digest.Uses = append(digest.Uses, d.aggregator.Uses(now, to, next)...)
+	digest.Notices = d.notices(now)
 	return digest
 }
 
@@ -84,6 +85,7 @@
 			t.residency.RecordPeerUse(now, residency.Key{Model: u.Model, Adapter: u.Adapter}, digest.From, u.InProgress, u.Started)
 		}
 	}
+	d.learnNotices(now, digest.Notices)
 	return d.behind(now, digest.ConfigVersion)
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 	aggregator    relay.Aggregator                       // state reported by other hosts
 	owners        map[string]Owner                       // by runner
 	hostCount     int                                    // hosts that share the load rate of the weight store
+	hosts         []Host                                 // all hosts; empty while they are unknown
+	hostsVersion  uint64                                 // number of changes of hosts
 	nextModelLoad time.Time                              // earliest time of the next load of a base model
 	demandByModel map[string]float64                     // exponentially decayed number of requests
 }
@@ -110,6 +112,8 @@
 	ratedAt             time.Time
 	outcomes            outcomeWindow
 	notice              notice.State
+	share               notice.Share // this host's share of the target's limit
+	shareVersion        uint64       // value of hostsVersion that share is from
 }
 
 // Apply updates the state with an event from the platform. It returns the targets that
--- /dev/null
+++ b/stage/dispatch/limit_test.go
@@ -0,0 +1,255 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/notice"
+	"jacinthstage/stage/relay"
+)
+
+const (
+	limitStep   = 50 * time.Millisecond // between two moments of a limitSystem
+	limitWindow = 4 * time.Second
+	// limitAnswerTime is how long a target of a limitSystem takes for an answer.
+	limitAnswerTime = 150 * time.Millisecond
+)
+
+// A limitSystem is a number of hosts that send to two targets, the first of which names
+// a limit. Hosts tell each other what they heard with a delay.
+type limitSystem struct {
+	hosts    []*dispatch.Dispatcher
+	names    []dispatch.Host
+	now      time.Time
+	limit    float64           // that the target names now
+	named    time.Time         // when the target first named its limit
+	told     map[int]time.Time // by host, when it first got an answer with the limit
+	arrivals []time.Time       // that count: from hosts that were told half a second before
+	all      []time.Time       // arrivals, including those that don't count
+	answers  []limitAnswer
+	digests  []limitDigest // on their way
+}
+
+type limitAnswer struct {
+	attempt *dispatch.Attempt
+	host    int
+	due     time.Time
+}
+
+// A limitDigest is the newest report of all hosts on the target.
+type limitDigest struct {
+	report notice.Report
+	known  bool
+}
+
+func newLimitSystem(hosts int, limit float64) *limitSystem {
+	s := &limitSystem{now: start, limit: limit, told: make(map[int]time.Time)}
+	for i := range hosts {
+		zone := []string{"north-a", "north-b", "south-a"}[i%3]
+		s.names = append(s.names, dispatch.Host{Name: fmt.Sprint("host-", i), Zone: zone})
+	}
+	for i := range hosts {
+		s.hosts = append(s.hosts, s.newHost(i))
+	}
+	return s
+}
+
+func (s *limitSystem) newHost(i int) *dispatch.Dispatcher {
+	d := &dispatch.Dispatcher{Holder: s.names[i].Name, Zone: s.names[i].Zone, Regions: regions}
+	d.Apply(s.now, catalog.ConfigUpdated{Config: catalog.NewConfig(1, nil, []catalog.Service{{Name: plain}}, catalog.Limits{})})
+	d.Apply(s.now, catalog.TargetsListed{Revision: 1, Targets: []catalog.Target{
+		{Name: "limited", Service: plain, Zone: "north-a", Slots: 50, Started: start},
+		{Name: "other", Service: plain, Zone: "north-a", Slots: 50, Started: start},
+	}})
+	d.SetHosts(s.names)
+	return d
+}
+
+// send sends a request through a host, and returns the host's decision.
+func (s *limitSystem) send(host int) dispatch.Decision {
+	decision := s.hosts[host].Pick(s.now, dispatch.Request{
+		Call: call.Call{ID: "x"}, Service: plain, Objective: s.now.Add(time.Second), Deadline: s.now.Add(time.Minute), Exclude: map[string]bool{"other": true},
+	})
+	if x, ok := decision.(dispatch.Send); ok {
+		s.all = append(s.all, s.now)
+		if told, ok := s.told[host]; ok && s.now.Sub(told) >= 500*time.Millisecond {
+			s.arrivals = append(s.arrivals, s.now)
+		}
+		s.answers = append(s.answers, limitAnswer{x.Attempt, host, s.now.Add(limitAnswerTime)})
+	}
+	return decision
+}
+
+// step lets limitStep pass: answers arrive, and hosts hear what others told them delay
+// steps ago.
+func (s *limitSystem) step(delay int) {
+	s.now = s.now.Add(limitStep)
+	var open []limitAnswer
+	for _, a := range s.answers {
+		if s.now.Before(a.due) {
+			open = append(open, a)
+			continue
+		}
+		a.attempt.Heard(s.now, notice.Notice{Limit: s.limit})
+		if _, ok := s.told[a.host]; !ok {
+			s.told[a.host] = s.now
+		}
+		if s.named.IsZero() {
+			s.named = s.now
+		}
+		a.attempt.Report(s.now, dispatch.Completed{})
+	}
+	s.answers = open
+	var newest limitDigest
+	for _, d := range s.hosts {
+		for _, r := range d.Digest(s.now, "", relay.ToReporter, func(string) string { return "" }).Notices {
+			if !newest.known || r.Age < newest.report.Age {
+				newest = limitDigest{r, true}
+			}
+		}
+	}
+	s.digests = append(s.digests, newest)
+	if len(s.digests) <= delay {
+		return
+	}
+	received := s.digests[0]
+	s.digests = s.digests[1:]
+	received.report.Age += uint64(delay) * uint64(limitStep.Milliseconds())
+	for _, d := range s.hosts {
+		if received.known {
+			d.MergeDigest(s.now, relay.Digest{From: "all", Notices: []notice.Report{received.report}})
+		}
+	}
+}
+
+// allowed returns the arrivals that a limit allows in any limitWindow.
+func allowed(limit float64) int { return int(1.5*limit*limitWindow.Seconds()) + 5 }
+
+// most returns the largest number of arrivals in any limitWindow, from limitWindow after
+// the target named its limit.
+func (s *limitSystem) most() int {
+	from := s.named.Add(limitWindow)
+	most, first := 0, 0
+	for i, at := range s.arrivals {
+		for s.arrivals[first].Before(from) && first < i || at.Sub(s.arrivals[first]) > limitWindow {
+			first++
+		}
+		if !s.arrivals[first].Before(from) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// TestLimitHoldsForAllHostsTogether checks for drawn numbers of hosts, limits and
+// demands, which come in bursts after quiet times, that a target never gets more than
+// one and a half times its limit and five requests in 4 s, from 4 s after it named the
+// limit, also while hosts start anew and the list of hosts changes.
+func TestLimitHoldsForAllHostsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 2, 9, 30}).Draw(t, "hosts")
+		limit := rapid.SampledFrom([]float64{0.3, 1, 1.6, 2.5, 7, 40}).Draw(t, "limit")
+		delay := rapid.IntRange(0, 8).Draw(t, "delay")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		s := newLimitSystem(n, limit)
+		quiet := false
+		for i := range 400 {
+			if i%40 == 0 {
+				quiet = rapid.Bool().Draw(t, "quiet")
+			}
+			for h := range n {
+				if !quiet && random.IntN(4) == 0 {
+					s.send(h)
+				}
+			}
+			if i > 100 && random.IntN(100) == 0 && n > 2 {
+				gone := random.IntN(n)
+				s.hosts[gone] = s.newHost(gone)
+				delete(s.told, gone)
+			}
+			s.step(delay)
+		}
+		require.LessOrEqual(t, s.most(), allowed(limit))
+	})
+}
+
+// TestLimitIsUsed checks that a target with a limit gets most of what it takes, however
+// many hosts there are, and that callers of the others learn when to come back.
+func TestLimitIsUsed(t *testing.T) {
+	for _, n := range []int{1, 9, 60, 370} {
+		for _, limit := range []float64{1, 5, 50} {
+			t.Run(fmt.Sprint(n, " hosts, limit ", limit), func(t *testing.T) {
+				s := newLimitSystem(n, limit)
+				// Each host asks for the whole limit.
+				perStep := 1 + int(limit*limitStep.Seconds())
+				for i := range 240 * perStep {
+					for h := range n {
+						if x, ok := s.send(h).(dispatch.Refuse); ok {
+							require.Equal(t, "limited by its targets", x.Reason)
+							require.Positive(t, x.RetryAfter)
+						}
+					}
+					if i%perStep == 0 {
+						s.step(4)
+					}
+				}
+				settled := s.named.Add(limitWindow)
+				used := 0
+				for _, at := range s.all {
+					if !at.Before(settled) {
+						used++
+					}
+				}
+				require.GreaterOrEqual(t, float64(used), 0.8*limit*s.now.Sub(settled).Seconds())
+				require.LessOrEqual(t, s.most(), allowed(limit))
+			})
+		}
+	}
+}
+
+// TestLimitEndsForAllHosts checks that the end of a limit reaches hosts that must not
+// send to the target.
+func TestLimitEndsForAllHosts(t *testing.T) {
+	s := newLimitSystem(9, 1)
+	run := func(steps int) {
+		for range steps {
+			for h := range s.hosts {
+				s.send(h)
+			}
+			s.step(2)
+		}
+	}
+	run(100)
+	s.limit = 0
+	run(100)
+	for h := range s.hosts {
+		require.IsType(t, dispatch.Send{}, s.send(h))
+	}
+}
+
+// TestLimitOfFormerProcess checks that another process under a target's name starts
+// without the limit of the former one, also while hosts still report that one.
+func TestLimitOfFormerProcess(t *testing.T) {
+	s := newLimitSystem(2, 0.5)
+	for range 20 {
+		s.send(0)
+		s.send(1)
+		s.step(0)
+	}
+	require.IsType(t, dispatch.Refuse{}, s.send(0))
+	s.hosts[0].Apply(s.now, catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{
+		catalog.TargetUpdated{Target: catalog.Target{Name: "limited", Service: plain, Zone: "north-a", Slots: 50, Started: start.Add(time.Second)}},
+	}})
+	s.limit = 0
+	s.step(0)
+	s.step(0)
+	require.IsType(t, dispatch.Send{}, s.send(0))
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -110,8 +110,8 @@
 	slotWait time.Duration // wait for an adapter slot if load is set
 }
 
-// Pick selects a target. The reasons of a Refuse are "no target", "no adapter",
-// "too late" and "no place for the adapter".
+// Pick selects a target. The reasons of a Refuse are "no target", "limited by its
+// targets", "no adapter", "too late" and "no place for the adapter".
 func (d *Dispatcher) Pick(now time.Time, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -124,7 +124,7 @@
 	case best == nil && usable:
 		return Refuse{Reason: "no adapter", RetryAfter: jitter(retryDelay)}
 	case best == nil:
-		return Refuse{Reason: "no target", RetryAfter: jitter(retryDelay)}
+		return d.refuseWithoutTarget(now, r)
 	case now.Add(best.latency).After(r.Deadline):
 		return Refuse{Reason: "too late", RetryAfter: jitter(retryDelay + best.latency/4)}
 	case best.load && !r.InProgress && d.loadTooSlow(now, r, best):
@@ -144,9 +144,9 @@
 // all.
 func (d *Dispatcher) best(now time.Time, r Request) (*candidate, bool) {
 	var best *candidate
-	all := d.filterTargets(r, func(t *target) bool { return t.usable(now) })
+	all := d.filterTargets(r, func(t *target) bool { return t.usable(now) && d.withinLimit(now, t) })
 	if len(all) == 0 {
-		all = d.filterTargets(r, func(t *target) bool { return t.listed(now) })
+		all = d.filterTargets(r, func(t *target) bool { return t.listed(now) && d.withinLimit(now, t) })
 	}
 	r.baseFailureRate = d.baseFailureRate(all)
 	var ranks map[*target]int
@@ -335,6 +335,7 @@
 // sets the owner to ask.
 func (d *Dispatcher) newAttempt(now time.Time, r Request, c *candidate) *Attempt {
 	t := c.target
+	t.notice.Sent(now)
 	attempt := &Attempt{
 		Target: t.Target, Expected: c.latency,
 		dispatcher: d, target: t, request: r, sent: now,
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -3,10 +3,22 @@
 //
 // What a target said binds the host that heard it at once, whatever the store shows. It
 // holds until an answer to a later request says otherwise, or the target's process
-// ends: another process at the same address has said nothing yet.
+// ends: another process at the same address has said nothing yet. Hosts pass on to each
+// other what they heard, with its age; the newest counts.
+//
+// A limit holds for all hosts together, without a message for each request: as many
+// hosts as the limit has requests a second send to the target, each at an equal rate and
+// with a burst of about a second, and no others. Which hosts these are follows from a
+// rank that each host determines by itself (see Share), so that at most twice the limit
+// reaches the target even in the moment in which hosts differ about who is there.
 package notice
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // A Notice is what one answer of a target says of the target. The zero value says
 // nothing.
@@ -19,8 +31,60 @@
 // A State is what one host knows of what one target said. The zero value is that of a
 // target that has said nothing. It is not safe for concurrent use.
 type State struct {
-	limit   float64
-	limitAt time.Time // when a limit, or the end of one, was last said
+	limit    float64
+	limitAt  time.Time     // when a limit, or the end of one, was last said
+	newsAt   time.Time     // when this host learned of the last change
+	requests *rate.Limiter // requests of this host while there is a limit
+}
+
+// A Share says which part of a target's limit a host has.
+type Share struct {
+	Rank  int // of the host among all that may send to the target, from 0
+	Hosts int // that may send to the target
+}
+
+// rate returns the requests a second that a host may send under a limit. It is 0 if the
+// host must not send any.
+func (s Share) rate(limit float64) float64 {
+	senders := min(max(1, s.Hosts), int(math.Ceil(limit)))
+	if s.Rank >= senders {
+		return 0
+	}
+	return limit / float64(senders)
+}
+
+// Wait returns how long this host has to wait until it may send a request to the target.
+// It returns false if it must not send any while the limit holds.
+func (s *State) Wait(now time.Time, share Share) (time.Duration, bool) {
+	if s.limit == 0 {
+		return 0, true
+	}
+	perSecond := share.rate(s.limit)
+	if perSecond == 0 {
+		return 0, false
+	}
+	s.adjust(now, perSecond)
+	missing := 1 - s.requests.TokensAt(now)
+	return time.Duration(max(0, missing) / perSecond * float64(time.Second)), true
+}
+
+// Sent counts a request to the target.
+func (s *State) Sent(now time.Time) {
+	if s.limit > 0 && s.requests != nil {
+		s.requests.AllowN(now, 1)
+	}
+}
+
+// adjust sets the rate at which this host may send. The burst is that of one second.
+func (s *State) adjust(now time.Time, perSecond float64) {
+	burst := max(1, int(perSecond))
+	switch {
+	case s.requests == nil:
+		s.requests = rate.NewLimiter(rate.Limit(perSecond), burst)
+	case s.requests.Limit() != rate.Limit(perSecond):
+		s.requests.SetLimitAt(now, rate.Limit(perSecond))
+		s.requests.SetBurstAt(now, burst)
+	}
 }
 
 // Limit returns the limit that the target named, or 0.
@@ -34,7 +98,50 @@
 	if n.Limit == 0 && (s.limit == 0 || !sent.After(s.limitAt)) {
 		return false
 	}
-	changed = n.Limit != s.limit
-	s.limit, s.limitAt = n.Limit, now
+	return s.set(now, now, n.Limit)
+}
+
+// set records a limit that was said at the time at.
+func (s *State) set(now, at time.Time, limit float64) (changed bool) {
+	changed = limit != s.limit
+	s.limit, s.limitAt = limit, at
+	if changed {
+		s.newsAt = now
+	}
+	if limit == 0 {
+		s.requests = nil
+	}
 	return changed
 }
+
+// newsDuration is how long the end of a limit is passed on to other hosts. A limit is
+// passed on while it holds.
+const newsDuration = 2 * time.Second
+
+// A Report is what one host tells another of what a target said.
+type Report struct {
+	_       struct{} `cbor:",toarray"`
+	Target  uint32   // hash of the target's name
+	Started int64    // when the target's process started, in Unix milliseconds
+	Limit   float64  // 0: the target names none any more
+	Age     uint64   // milliseconds since the target said so
+}
+
+// Report returns what to tell other hosts, without the fields that identify the target.
+// It returns false if there is nothing to tell.
+func (s *State) Report(now time.Time) (Report, bool) {
+	if s.limit == 0 && now.Sub(s.newsAt) > newsDuration {
+		return Report{}, false
+	}
+	return Report{Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds()))}, true
+}
+
+// Learn records what another host reported, unless this host knows something newer. It
+// reports whether the limit has changed.
+func (s *State) Learn(now time.Time, r Report) (changed bool) {
+	at := now.Add(-time.Duration(r.Age) * time.Millisecond)
+	if !at.After(s.limitAt) {
+		return false
+	}
+	return s.set(now, at, r.Limit)
+}
--- a/stage/relay/digest.go
+++ b/stage/relay/digest.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/suspect"
 )
 
@@ -74,6 +75,7 @@
 	Uses              []AdapterUse
 	CopyStates        []CopyState
 	Suspects          []suspect.Sighting
+	Notices           []notice.Report
 }
 
 // A CopyState describes how recent a host's copy of one kind of the platform's
