outbound: a refusal counts only for the send that it answers

Cause found: all sends of one request have the same id, so a second copy of a target's refusal counted as the answer to the next send on the same connection, which ran; the request was then sent on, or refused. A late refusal without any id counted the same way. Change: a request is never sent again on a connection that has carried it; a refusal without an id proves something only on a connection that carried nothing before. Ruled out by reading: a verdict of not run after the request was written (it is given only where no connection was opened). Evidence: TestSecondCopyOfRefusal: one connection for both sends before, two now; TestLateRefusalWithoutID: 503 before, 502 now.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -35,6 +35,10 @@
 	now := time.Now()
 	status := x.Response.StatusCode
 	switch {
+	case head.Verdict == verdict.NotRun && head.ID == "" && !x.First:
+		// It may be a late answer to an earlier request on the connection.
+		attempt.Report(now, dispatch.Failed{Connected: true})
+		return mayHaveRun{reason: "refusal without an id on a used connection, status " + strconv.Itoa(status)}
 	case head.Verdict == verdict.NotRun:
 		full := status == http.StatusServiceUnavailable && head.Load.Known && head.Load.Waiting > 0
 		req.discardBody(x)
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -131,7 +131,7 @@
 	}
 	_, once := req.route.Kind.(catalog.AtMostOnce)
 	x, err := req.Pool.Do(ctx, attempt.Target.Address, outbound.Request{
-		Method: req.r.Method, RequestURI: req.r.RequestURI, Host: req.r.Host,
+		ID: req.call.ID, Method: req.r.Method, RequestURI: req.r.RequestURI, Host: req.r.Host,
 		Header: req.Headers.RequestHeaders(req.r.Header, send), Body: req.body, AtMostOnce: once || !req.route.Retryable(),
 	}, req.isOwnAnswer)
 	if err != nil {
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -46,6 +46,7 @@
 
 func (testHeaders) RequestHeaders(h http.Header, s call.ForwardParams) http.Header {
 	out := h.Clone()
+	out.Del("Connection")
 	out.Set("Left", strconv.FormatInt(s.Remaining.Milliseconds(), 10))
 	out.Set("Only", s.Target)
 	if s.LastEventID != "" {
@@ -84,6 +85,7 @@
 	url        string
 	dispatcher *dispatch.Dispatcher
 	suspects   *direct.Suspects
+	sent       atomic.Int32 // requests of callers
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
 	stop       atomic.Bool
@@ -167,7 +169,7 @@
 	r, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
 	require.NoError(t, err)
 	r.Host = "one.example"
-	r.Header.Set("Id", "x1")
+	r.Header.Set("Id", fmt.Sprint("x", s.sent.Add(1)))
 	r.Header.Set("Left", strconv.FormatInt(limit.Milliseconds(), 10))
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
@@ -425,3 +427,30 @@
 		require.Equal(t, text, got)
 	}
 }
+
+// TestLateRefusalWithoutID guards against a refusal that names no request, arrives late
+// on a connection that was in use, and is taken for that of the next request, which
+// runs (REFUSED, TWICE).
+func TestLateRefusalWithoutID(t *testing.T) {
+	s := newTestSystem(t, 1, func(w http.ResponseWriter, _ *http.Request, count int) {
+		if count == 1 {
+			succeed(w, "a")
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	response, _, err := s.send(t, http.MethodPost, "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	time.Sleep(50 * time.Millisecond) // until the connection is back in the pool
+	response, _, err = s.send(t, http.MethodPost, "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.EqualValues(t, 2, s.runs.Load())
+}
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -3,7 +3,10 @@
 //
 // A connection carries one request at a time, and the package never retries a
 // request. A response that carries the ID of another request is read and
-// discarded, and the next response is awaited. A connection returns to the pool
+// discarded, and the next response is awaited. All sends of one request have the same
+// ID, so a request is never sent again on a connection that has carried it: a second copy
+// of the first response would count as the response to the second send. A connection
+// returns to the pool
 // only after the request was written completely and its response was read
 // completely, with no bytes left over. A response therefore never reaches a
 // request that it doesn't belong to.
@@ -21,6 +24,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +51,9 @@
 	// writeGrace is how long Close waits, after a complete response, for the
 	// request to be completely written.
 	writeGrace = 20 * time.Millisecond
+	// rememberedIDs is the number of requests of a connection that are remembered. A
+	// second copy of an earlier response is noticed by the requests after it.
+	rememberedIDs = 8
 	// bufferSize is the size of a connection's read and write buffers, in bytes.
 	bufferSize = 4 << 10
 	// settleTime is how long Open watches a new connection: a process that is ending
@@ -72,6 +79,7 @@
 
 // A Request is one request to a target.
 type Request struct {
+	ID         string // the same in all sends of the request
 	Method     string
 	RequestURI string // path and query, as on the request line
 	Host       string
@@ -116,12 +124,16 @@
 	reader    *bufio.Reader
 	idleSince time.Time // start of the current idle period
 	expires   time.Time // time after which an idle connection isn't reused
+	carried   []string  // IDs of the last requests, at most rememberedIDs
 }
 
 // An Exchange is a request whose response header has been read. The caller must
 // call Close.
 type Exchange struct {
 	Response *http.Response
+	// First reports whether the request is the first one on its connection, so that
+	// the response can't belong to another request even if it has no ID.
+	First bool
 
 	pool      *Pool
 	address   netip.AddrPort
@@ -135,11 +147,12 @@
 // filter rejects; a nil filter accepts every response. The connection is closed
 // when ctx ends, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, filter ResponseFilter) (*Exchange, error) {
-	c, err := p.get(ctx, address, r.AtMostOnce)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, DialFailed: true, Cause: errors.Wrap(err, "connect")}
 	}
-	x := &Exchange{pool: p, address: address, conn: c, written: make(chan error, 1)}
+	x := &Exchange{pool: p, address: address, conn: c, written: make(chan error, 1), First: len(c.carried) == 0}
+	c.noteCarried(r.ID)
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	request, err := r.httpRequest()
 	if err != nil {
@@ -265,8 +278,8 @@
 
 // get returns an idle connection if there is a usable one, and otherwise opens
 // a new one.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort, atMostOnce bool) (*poolConn, error) {
-	if c := p.takeIdle(address, atMostOnce); c != nil {
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, r Request) (*poolConn, error) {
+	if c := p.takeIdle(address, r); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, address)
@@ -301,28 +314,34 @@
 	return &poolConn{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
 }
 
+// noteCarried records that a request is sent on the connection.
+func (c *poolConn) noteCarried(id string) {
+	c.carried = append(c.carried, id)
+	c.carried = c.carried[max(0, len(c.carried)-rememberedIDs):]
+}
+
 // takeIdle removes and returns the most recently used idle connection that is
-// still usable, or nil. For an at-most-once request it uses none that has been
-// idle for more than maxIdleAtMostOnce.
-func (p *Pool) takeIdle(address netip.AddrPort, atMostOnce bool) *poolConn {
+// still usable and has not carried the request, or nil. For an at-most-once request
+// it uses none that has been idle for more than maxIdleAtMostOnce.
+func (p *Pool) takeIdle(address netip.AddrPort, r Request) *poolConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for {
-		conns := p.idle[address]
-		if len(conns) == 0 {
+	for i := len(p.idle[address]) - 1; i >= 0; i-- {
+		c := p.idle[address][i]
+		if r.AtMostOnce && now.Sub(c.idleSince) > maxIdleAtMostOnce {
 			return nil
 		}
-		c := conns[len(conns)-1]
-		if atMostOnce && now.Sub(c.idleSince) > maxIdleAtMostOnce {
-			return nil
+		if r.ID != "" && slices.Contains(c.carried, r.ID) {
+			continue
 		}
-		p.idle[address] = conns[:len(conns)-1]
+		p.idle[address] = slices.Delete(p.idle[address], i, i+1)
 		if now.Before(c.expires) && reusable(c.Conn) {
 			return c
 		}
 		_ = c.Conn.Close()
 	}
+	return nil
 }
 
 // put returns a connection to the pool, or closes it if the pool is full or the
--- a/jacinthd/internal/outbound/outbound_test.go
+++ b/jacinthd/internal/outbound/outbound_test.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	x, err := p.Do(ctx, address, outbound.Request{Method: http.MethodPost, RequestURI: "/a?b=c", Host: "one.example", Header: header, Body: body},
+	x, err := p.Do(ctx, address, outbound.Request{ID: id, Method: http.MethodPost, RequestURI: "/a?b=c", Host: "one.example", Header: header, Body: body},
 		func(h http.Header) bool { return h.Get("Id") == id })
 	if err != nil {
 		return "", err
@@ -344,3 +344,31 @@
 		require.Equal(t, "GET "+path+" HTTP/1.1", <-lines)
 	}
 }
+
+// TestSecondCopyOfRefusal guards against a refusal that is taken for the answer to a
+// later send of the same request, which runs (REFUSED, TWICE). The target sends its
+// refusal once more when the same request arrives again on the connection.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 7\r\n\r\nrefused", id)
+	}
+	address, opened := startTarget(t, func(conn net.Conn, id string, count int) bool {
+		if count == 0 {
+			write(conn, refusal(id))
+			return true
+		}
+		write(conn, refusal(id)+fullResponse(id, "ran"))
+		return true
+	})
+	p := newPool()
+	for range 2 {
+		got, err := fetch(p, address, "x", nil)
+		require.NoError(t, err)
+		require.Equal(t, "refused", got)
+	}
+	require.EqualValues(t, 2, opened.Load(), "the second send has a connection of its own")
+	got, err := fetch(p, address, "y", nil)
+	require.NoError(t, err)
+	require.NotEmpty(t, got)
+	require.EqualValues(t, 2, opened.Load(), "other requests reuse connections")
+}
