ownership: late answers to callers aren't replies to orders

Answers with the id of a request are skipped now. A second copy of a reply to another order is still taken; the number of orders in the next one, and the report, settle it.

--- a/jacinthd/internal/ownership/client.go
+++ b/jacinthd/internal/ownership/client.go
@@ -31,6 +31,9 @@
 	OrderRequest(call.Order) (method, path string, h http.Header, body []byte, err error)
 	// ParseReply decodes the status of the answer to an order.
 	ParseReply(status int) call.Reply
+	// IsReply reports whether an answer with these headers can be that to an order or a
+	// request for a report, rather than a late one to a caller's request.
+	IsReply(http.Header) bool
 	// ReportRequest returns the request that asks the runner target for its report.
 	ReportRequest(target string) (method, path string, h http.Header)
 	// ParseReport decodes the body of a report.
@@ -120,7 +123,7 @@
 // do sends one request and reads the complete answer, up to maxReportBytes.
 func (c *RunnerClient) do(ctx context.Context, address netip.AddrPort, r outbound.Request) (int, []byte, error) {
 	r.Host = address.String()
-	x, err := c.Pool.Do(ctx, address, r, nil)
+	x, err := c.Pool.Do(ctx, address, r, c.Codec.IsReply)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/jacinthd/internal/ownership/ownership_test.go
+++ b/jacinthd/internal/ownership/ownership_test.go
@@ -52,6 +52,7 @@
 	return http.MethodPost, "/", http.Header{}, nil, nil
 }
 func (silentCodec) ParseReply(int) call.Reply { return call.Unanswered }
+func (silentCodec) IsReply(http.Header) bool  { return true }
 func (silentCodec) ReportRequest(string) (string, string, http.Header) {
 	return http.MethodGet, "/", http.Header{}
 }
