retry: a budget holds in any ten seconds

The budget of the oldest second was given out anew up to a second early, and a step of the time of day dropped the whole window. Change: retries count for at least ten seconds, requests for at most ten, by a clock that isn't stepped. TestBudgetAgainstNaive described the short window; it describes the new one as strictly now. A step of the time of day has no test: a time.Time can't be made with one.

--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -19,7 +19,13 @@
 	DefaultMinRetries = 10
 )
 
-const windowSeconds = 10
+const (
+	// windowSeconds is the time over which a budget holds.
+	windowSeconds = 10
+	// bucketCount is one more than windowSeconds: the oldest second is still partly in
+	// the window.
+	bucketCount = windowSeconds + 1
+)
 
 // Budgets holds the retry budgets of all services. The zero value is ready for
 // use. It is safe for concurrent use.
@@ -28,41 +34,52 @@
 	MinRetries float64 // retries allowed in the window regardless of requests; see SetMinRetries
 
 	mu       sync.Mutex
+	epoch    time.Time // start of second 0; steps of the time of day don't move it
 	services map[string]*window
 }
 
-// A window counts requests and retries per second over the last windowSeconds.
-type window struct{ buckets [windowSeconds]bucket }
+// A window counts requests and retries per second over the last windowSeconds. Its
+// retries are those of at least that time, its requests those of at most that time.
+type window struct{ buckets [bucketCount]bucket }
 
 // A bucket holds the counts of one second.
 type bucket struct {
-	unix              int64 // the second, as Unix time
+	second            int64 // since the epoch
 	requests, retries int
 }
 
-// bucketAt returns the bucket of now. It resets the bucket if it holds an older
+// bucketAt returns the bucket of a second. It resets the bucket if it holds an older
 // second.
-func (w *window) bucketAt(now time.Time) *bucket {
-	unix := now.Unix()
-	b := &w.buckets[unix%windowSeconds]
-	if b.unix != unix {
-		*b = bucket{unix: unix}
+func (w *window) bucketAt(second int64) *bucket {
+	b := &w.buckets[second%bucketCount]
+	if b.second != second {
+		*b = bucket{second: second}
 	}
 	return b
 }
 
 // allows reports whether the budget allows one more retry.
-func (w *window) allows(now time.Time, minRetries, ratio float64) bool {
+func (w *window) allows(second int64, minRetries, ratio float64) bool {
 	requests, retries := 0, 0
 	for _, b := range w.buckets {
-		if b.unix > now.Unix()-windowSeconds && b.unix <= now.Unix() {
+		if b.second > second-windowSeconds {
 			requests += b.requests
+		}
+		if b.second > second-bucketCount {
 			retries += b.retries
 		}
 	}
 	return float64(retries) < minRetries+ratio*float64(requests)
 }
 
+// second returns the second since the epoch.
+func (b *Budgets) second(now time.Time) int64 {
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	return max(0, int64(now.Sub(b.epoch)/time.Second))
+}
+
 // SetMinRetries changes MinRetries. Unlike an assignment to the field, it is safe
 // while the budgets are in use.
 func (b *Budgets) SetMinRetries(n float64) {
@@ -92,7 +109,7 @@
 func (b *Budgets) CountRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).bucketAt(now).requests++
+	b.window(service).bucketAt(b.second(now)).requests++
 }
 
 // Take takes one retry from the budget of the service. It returns false if the
@@ -102,9 +119,10 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	minRetries, ratio := b.limits()
-	if !w.allows(now, minRetries, ratio) {
+	second := b.second(now)
+	if !w.allows(second, minRetries, ratio) {
 		return false
 	}
-	w.bucketAt(now).retries++
+	w.bucketAt(second).retries++
 	return true
 }
--- a/stage/retry/retry_test.go
+++ b/stage/retry/retry_test.go
@@ -12,15 +12,16 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// TestBudgetAgainstNaive compares the window with plain lists of times.
+// TestBudgetAgainstNaive compares the window with plain lists of times: retries count
+// for 10 whole seconds before the present one, requests for 9.
 func TestBudgetAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var b retry.Budgets
 		requests, retries := map[string][]int64{}, map[string][]int64{}
 		now := start
-		recent := func(times []int64) (n int) {
+		recent := func(times []int64, seconds int64) (n int) {
 			for _, unix := range times {
-				if unix > now.Unix()-10 {
+				if unix >= now.Unix()-seconds {
 					n++
 				}
 			}
@@ -35,7 +36,7 @@
 				continue
 			}
 			granted := b.Take(now, service)
-			require.Equal(t, float64(recent(retries[service])) < 10+0.1*float64(recent(requests[service])), granted)
+			require.Equal(t, float64(recent(retries[service], 10)) < 10+0.1*float64(recent(requests[service], 9)), granted)
 			if granted {
 				retries[service] = append(retries[service], now.Unix())
 			}
@@ -43,6 +44,37 @@
 	})
 }
 
+// TestAnyWindowIsWithinBudget guards against repeats that pile up in a window that
+// begins within a second (BUDGET). It draws requests and retries and checks all windows
+// of 10 s that end with a retry.
+func TestAnyWindowIsWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.Budgets{Ratio: 0.2, MinRetries: 5}
+		var requests, retries []time.Time
+		recent := func(times []time.Time, now time.Time) (n int) {
+			for _, at := range times {
+				if now.Sub(at) < 10*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 10, 300, 900, 7000}).Draw(t, "advance")) * time.Millisecond)
+			if rapid.IntRange(0, 3).Draw(t, "request") == 0 {
+				b.CountRequest(now, "s")
+				requests = append(requests, now)
+				continue
+			}
+			if b.Take(now, "s") {
+				retries = append(retries, now)
+				require.Less(t, float64(recent(retries, now)-1), 5+0.2*float64(recent(requests, now)))
+			}
+		}
+	})
+}
+
 // TestNoRetryStorm has all requests of a service fail for a minute at 500 requests
 // per second, and checks that retries add less than a tenth to the load of its
 // targets.
