retry: hosts that don't know how many they are make no extra retries

Hosts that dropped out of the table went on with their part while the others took it too. Change: unknown means no part; the largest number of the last minute counts. The same for the connections kept to a target, which an unknown number gave to one host alone. Evidence: TestShareOfHosts (no such decision existed before: 58 divided by 2, nine times).

--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -134,7 +134,7 @@
 	p.handler = &Handler{
 		Peers: p.peers, Suspects: suspects,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: metrics, Log: log,
-		Budgets:  &retry.Budgets{Ratio: s.RetryRatio, MinRetries: float64(s.BaseRetries) / assumedHosts},
+		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
 		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake,
 	}
 	return p, nil
@@ -150,8 +150,8 @@
 	// leaseClockMargin is the time by which a holder shortens its lease, to allow for
 	// clocks that run at different rates.
 	leaseClockMargin = 500 * time.Millisecond
-	// assumedHosts is the number of hosts among which settings.Direct.BaseRetries is
-	// divided until the actual number is known.
+	// assumedHosts is the number of hosts among which the connections that a target
+	// accepts are divided until the actual number is known.
 	assumedHosts = 12
 )
 
@@ -272,7 +272,7 @@
 			}
 			p.pool.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.pool.SetMaxIdle(p.connectionShare())
-			p.handler.Budgets.SetMinRetries(float64(p.settings.BaseRetries) / float64(p.dispatcher.HostCount()+1))
+			p.handler.Budgets.SetHosts(now, float64(p.settings.BaseRetries), p.dispatcher.ListedHosts())
 			p.handler.Metrics.targets.Set(float64(len(inUse)))
 			p.handler.Metrics.suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
 			for name, u := range p.dispatcher.SlotUsage(now) {
@@ -302,7 +302,11 @@
 	if lowest == 0 {
 		return 0
 	}
-	return max(1, lowest/p.dispatcher.HostCount())
+	hosts := p.dispatcher.ListedHosts()
+	if hosts == 0 {
+		hosts = assumedHosts
+	}
+	return max(1, lowest/hosts)
 }
 
 // stop performs a planned stop. The host reports that it is not ready
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -165,6 +165,14 @@
 	return max(1, d.hostCount)
 }
 
+// ListedHosts returns the number of hosts in the assignment table, or 0 if it is
+// unknown.
+func (d *Dispatcher) ListedHosts() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hostCount
+}
+
 // SetOwners sets the owner of each runner and the number of hosts. Reported
 // adapter slots of a runner whose owner changed are dropped.
 func (d *Dispatcher) SetOwners(owners map[string]Owner, hosts int) {
--- a/stage/retry/retry_test.go
+++ b/stage/retry/retry_test.go
@@ -80,6 +80,42 @@
 	})
 }
 
+// TestShareOfHosts guards against hosts that each take a large part of the retries that
+// all may make together, because they don't know how many they are (BUDGET): at a start
+// without the store, or while some of them are missing from the list of hosts.
+func TestShareOfHosts(t *testing.T) {
+	const total = 58
+	taken := func(b *retry.Budgets, now time.Time) (n int) {
+		for b.Take(now, "s") {
+			n++
+		}
+		return n
+	}
+	var unknown retry.Budgets
+	unknown.Ratio = 0.2
+	unknown.SetHosts(start, total, 0)
+	require.Zero(t, taken(&unknown, start), "the number of hosts is unknown")
+
+	sum := 0
+	for i := range 9 {
+		b := retry.Budgets{Ratio: 0.2}
+		b.SetHosts(start, total, 9)
+		if i < 5 {
+			// Four hosts have lost the store and are no longer in this one's list.
+			b.SetHosts(start.Add(30*time.Second), total, 5)
+		}
+		sum += taken(&b, start.Add(30*time.Second))
+	}
+	require.LessOrEqual(t, sum, total)
+	require.GreaterOrEqual(t, sum, total/2)
+
+	var shrunk retry.Budgets
+	shrunk.Ratio = 0.2
+	shrunk.SetHosts(start, total, 9)
+	shrunk.SetHosts(start.Add(2*time.Minute), total, 5)
+	require.GreaterOrEqual(t, taken(&shrunk, start.Add(2*time.Minute)), total/9, "hosts that are gone for long don't count")
+}
+
 // TestNoRetryStorm has all requests of a service fail for a minute at 500 requests
 // per second, and checks that retries add less than a tenth to the load of its
 // targets.
