outbound: bytes without end are cut off

What callers would see: a target in trouble that sends bytes until its connection is closed filled the host's memory, or held a request until its deadline. Cause: neither the head of a response nor the body of one to another request was limited, and the rest of a refusal was read for as long as it came. Change: a head has at most 64 KiB, a stray body 1 MiB, an event of a stream 256 KiB (was 1 MiB); the rest of a refusal is read for 20 ms and up to 64 KiB, otherwise the connection is closed.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -23,11 +23,15 @@
 	// maxBufferedBody is the size, in bytes, up to which an answer's body is read
 	// completely before the answer is sent to the caller.
 	maxBufferedBody = 1 << 20
+	// maxDiscardedBody is the size, in bytes, up to which the body of an unusable answer
+	// is read, and discardTimeout the time in which it must arrive.
+	maxDiscardedBody = 64 << 10
+	discardTimeout   = 20 * time.Millisecond
 	// minRetryTime is the minimum time before the deadline at which a request may be
 	// sent again after its target answered with an error.
 	minRetryTime = 150 * time.Millisecond
 	// maxEventBytes is the maximum size of a stream's event, in bytes.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // forwardAnswer sends a target's answer to the caller if it is usable.
@@ -58,9 +62,10 @@
 	return req.forwardBody(ctx, attempt, x)
 }
 
-// discardBody reads the rest of an answer, so that its connection can be reused.
+// discardBody reads the rest of an answer, so that its connection can be reused. It
+// doesn't wait long, since the request has to go elsewhere.
 func (req *callerRequest) discardBody(x *outbound.Exchange) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(x, maxBufferedBody)); err != nil {
+	if err := x.Discard(maxDiscardedBody, time.Now().Add(discardTimeout)); err != nil {
 		req.log.Debug("request: reading the rest of an answer failed", zap.Error(err))
 	}
 }
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -454,3 +454,23 @@
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
 	require.EqualValues(t, 2, s.runs.Load())
 }
+
+// TestRefusalWithoutEnd guards against a request that is held until its deadline because
+// the body of its target's refusal doesn't end.
+func TestRefusalWithoutEnd(t *testing.T) {
+	for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+		s := newTestSystem(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) {
+			refuse(w)
+			for r.Context().Err() == nil {
+				_, _ = io.WriteString(w, strings.Repeat("x", 100))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+			}
+		})
+		start := time.Now()
+		response, _, err := s.send(t, http.MethodPost, "/once/", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Less(t, time.Since(start), 750*time.Millisecond, "half of the time that the caller has")
+	}
+}
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -20,6 +20,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -51,6 +52,11 @@
 	// writeGrace is how long Close waits, after a complete response, for the
 	// request to be completely written.
 	writeGrace = 20 * time.Millisecond
+	// maxHeadBytes is the maximum size of a response's header, and maxStrayBody that of
+	// the body of a response to another request, in bytes. A target in trouble may send
+	// either without end.
+	maxHeadBytes = 64 << 10
+	maxStrayBody = 1 << 20
 	// rememberedIDs is the number of requests of a connection that are remembered. A
 	// second copy of an earlier response is noticed by the requests after it.
 	rememberedIDs = 8
@@ -121,10 +127,11 @@
 // A poolConn is one connection of a Pool.
 type poolConn struct {
 	net.Conn
-	reader    *bufio.Reader
-	idleSince time.Time // start of the current idle period
-	expires   time.Time // time after which an idle connection isn't reused
-	carried   []string  // IDs of the last requests, at most rememberedIDs
+	source    *limitedReader // reads from Conn
+	reader    *bufio.Reader  // reads from source
+	idleSince time.Time      // start of the current idle period
+	expires   time.Time      // time after which an idle connection isn't reused
+	carried   []string       // IDs of the last requests, at most rememberedIDs
 }
 
 // An Exchange is a request whose response header has been read. The caller must
@@ -202,7 +209,7 @@
 // readResponse reads responses until one belongs to the request.
 func (x *Exchange) readResponse(request *http.Request, filter ResponseFilter) error {
 	for range maxStrayResponses + 1 {
-		response, err := http.ReadResponse(x.conn.reader, request)
+		response, err := x.conn.readHead(request)
 		if err != nil {
 			return errors.Wrap(err, "answer")
 		}
@@ -213,13 +220,43 @@
 			x.Response = response
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discardStray(response.Body); err != nil {
 			return errors.Wrap(err, "answer to another request")
 		}
 	}
 	return errors.New("answers to other requests")
 }
 
+// readHead reads the status line and the header of a response.
+func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
+	c.source.remaining = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.source.remaining = math.MaxInt64
+	return response, err
+}
+
+// discardStray reads the body of a response to another request to its end.
+func discardStray(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBody))
+	if err == nil && n == maxStrayBody {
+		return errors.New("body too large")
+	}
+	return err
+}
+
+// Discard reads the rest of the response body, so that the connection can carry other
+// requests. It gives up after limit bytes or at the time until; Close then closes the
+// connection.
+func (x *Exchange) Discard(limit int64, until time.Time) error {
+	if err := x.conn.SetReadDeadline(until); err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, limit)); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(x.conn.SetReadDeadline(time.Time{}))
+}
+
 // Read reads the response body. It returns io.EOF only after a complete body.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
@@ -311,7 +348,30 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &poolConn{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	return newPoolConn(conn), nil
+}
+
+func newPoolConn(conn net.Conn) *poolConn {
+	c := &poolConn{Conn: conn, source: &limitedReader{conn: conn, remaining: math.MaxInt64}}
+	c.reader = bufio.NewReaderSize(c.source, bufferSize)
+	return c
+}
+
+// A limitedReader reads from a connection and fails after a number of bytes, unlike
+// io.LimitReader, which ends as if the connection were closed.
+type limitedReader struct {
+	conn      net.Conn
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errors.Errorf("header larger than %d bytes", maxHeadBytes)
+	}
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.remaining)])
+	r.remaining -= int64(n)
+	return n, err
 }
 
 // noteCarried records that a request is sent on the connection.
--- a/jacinthd/internal/outbound/outbound_test.go
+++ b/jacinthd/internal/outbound/outbound_test.go
@@ -372,3 +372,39 @@
 	require.NotEmpty(t, got)
 	require.EqualValues(t, 2, opened.Load(), "other requests reuse connections")
 }
+
+// TestBytesWithoutEnd guards against a target that sends bytes until its caller closes
+// the connection, in a head or in the body of an answer to another request: the host
+// must neither keep them in memory nor read on until the request's deadline.
+func TestBytesWithoutEnd(t *testing.T) {
+	const maxSent = 16 << 20 // far more than the buffers of a connection hold
+	fill := strings.Repeat("x", 1<<16)
+	for _, c := range []struct{ name, start, repeated string }{
+		{"no line end", "", fill},
+		{"status line", "HTTP/1.1 200 ", fill},
+		{"header line", "HTTP/1.1 200 OK\r\nFiller: ", fill},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "Filler: " + fill[:1000] + "\r\n"},
+		{"informational answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"body of another answer", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + fill[:0x1000] + "\r\n"},
+		{"body without length of another answer", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", fill},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address, _ := startTarget(t, func(conn net.Conn, _ string, _ int) bool {
+				write(conn, c.start)
+				n := 0
+				for n < 10*maxSent {
+					if _, err := io.WriteString(conn, c.repeated); err != nil {
+						break
+					}
+					n += len(c.repeated)
+				}
+				sent <- n
+				return false
+			})
+			_, err := fetch(newPool(), address, "x", nil)
+			require.Error(t, err)
+			require.Less(t, <-sent, maxSent)
+		})
+	}
+}
