--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -60,6 +60,8 @@
 func (testHeaders) ParseAnswer(_ int, h http.Header) call.Response {
 	a := call.Response{ID: h.Get("Id"), Signed: h.Get("Signed") != ""}
 	a.Notice.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
+	a.Notice.Leaving = h.Get("Leaving") != ""
+	a.Notice.Quiet, _ = time.ParseDuration(h.Get("Quiet"))
 	switch {
 	case h.Get("Notrun") != "":
 		a.Verdict = verdict.NotRun
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -26,6 +26,10 @@
 	// Limit is the number of requests a second that the target takes from all hosts
 	// together. 0 means that it names none.
 	Limit float64
+	// Leaving says that the target ends soon and takes no new requests.
+	Leaving bool
+	// Quiet is how long the target wants no requests from the host that it answers.
+	Quiet time.Duration
 }
 
 // A State is what one host knows of what one target said. The zero value is that of a
