dispatch: targets that leave or want quiet get no requests

What callers saw: requests sent to a target that says it is leaving, and to one that asked to be left alone, failed or were refused there (DRAIN, BUDGET). Change: Server-Leaving and Retry-After on a 503 are kept beside the limit, in stage/notice, heard from answers to requests, orders and reports. They bind the host that heard them at once, whatever the store shows, until the target's process ends or the time passes; digests tell the others. Requests that waited for an adapter there go elsewhere. Where no target takes requests, the refusal says when the first does. Orders, reports and running streams go on.

--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -144,7 +144,9 @@
 	head := req.Headers.ParseAnswer(x.Response.StatusCode, x.Response.Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load})
 	if attempt.Heard(time.Now(), head.Notice) {
-		req.log.Info("target: changed its limit", zap.String("target", attempt.Target.Name), zap.Float64("limit", head.Notice.Limit))
+		req.Metrics.targetSpoke(head.Notice)
+		req.log.Info("target: says of itself", zap.String("target", attempt.Target.Name), zap.Float64("limit", head.Notice.Limit),
+			zap.Bool("leaving", head.Notice.Leaving), zap.Duration("quiet", head.Notice.Quiet))
 	}
 	return req.forwardAnswer(ctx, attempt, x, head)
 }
--- a/jacinthd/internal/direct/metrics.go
+++ b/jacinthd/internal/direct/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"jacinthstage/stage/notice"
 )
 
 // Metrics holds the Prometheus metrics of a host. Use NewMetrics to create one.
@@ -19,6 +21,7 @@
 	version  prometheus.Gauge
 	targets  prometheus.Gauge
 
+	notices         *prometheus.CounterVec
 	crashes         prometheus.Counter
 	suspects        prometheus.Gauge
 	suspectsRefused prometheus.Counter
@@ -44,11 +47,13 @@
 		version: prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_config_version", Help: "Version of the current configuration."}),
 		targets: prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_targets", Help: "Known targets."}),
 
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jacinth_target_notices_total", Help: "Changes of what targets say of themselves: limit, leaving or quiet."}, []string{"kind"}),
 		crashes:         prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_crashed_requests_total", Help: "Requests in progress at the end of a target's process."}),
 		suspects:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_suspects", Help: "Requests that are refused because they crashed targets."}),
 		suspectsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_suspects_refused_total", Help: "Times that such a request was refused."}),
 	}
-	r.MustRegister(m.crashes, m.suspects, m.suspectsRefused)
+	r.MustRegister(m.notices, m.crashes, m.suspects, m.suspectsRefused)
 	r.MustRegister(m.requests, m.latency, m.active, m.stalls, m.opened, m.orders, m.owned, m.version, m.targets)
 	return m
 }
@@ -66,6 +71,18 @@
 
 func (m *Metrics) observeStall(wait time.Duration) { m.stalls.Observe(wait.Seconds()) }
 
+// targetSpoke counts what a target said of itself.
+func (m *Metrics) targetSpoke(n notice.Notice) {
+	switch {
+	case n.Leaving:
+		m.notices.WithLabelValues("leaving").Inc()
+	case n.Quiet > 0:
+		m.notices.WithLabelValues("quiet").Inc()
+	default:
+		m.notices.WithLabelValues("limit").Inc()
+	}
+}
+
 // setOwned sets the number of runners that this host owns.
 func (m *Metrics) setOwned(runners int) { m.owned.Set(float64(runners)) }
 
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -105,6 +105,9 @@
 	if !req.awaitAdapter(ctx, attempt) {
 		return req.adapterNotLoaded(ctx, attempt)
 	}
+	if !attempt.Willing(time.Now()) {
+		return req.adapterNotLoaded(ctx, attempt)
+	}
 	o := req.sendTo(ctx, attempt)
 	if _, ok := o.(answered); !ok {
 		req.lastFailure = describe(o)
--- a/jacinthd/internal/ownership/client.go
+++ b/jacinthd/internal/ownership/client.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/residency"
 )
 
@@ -34,6 +34,8 @@
 	// IsReply reports whether an answer with these headers can be that to an order or a
 	// request for a report, rather than a late one to a caller's request.
 	IsReply(http.Header) bool
+	// ParseNotice decodes what such an answer says of the runner.
+	ParseNotice(status int, h http.Header) notice.Notice
 	// ReportRequest returns the request that asks the runner target for its report.
 	ReportRequest(target string) (method, path string, h http.Header)
 	// ParseReport decodes the body of a report.
@@ -89,7 +91,7 @@
 		reply = call.Refused
 	}
 	if err == nil {
-		status, body, err = c.do(ctx, t.Address, outbound.Request{Method: method, RequestURI: path, Header: header, Body: content, AtMostOnce: true})
+		status, body, err = c.do(ctx, t, outbound.Request{Method: method, RequestURI: path, Header: header, Body: content, AtMostOnce: true})
 	}
 	if err == nil {
 		reply = c.Codec.ParseReply(status)
@@ -105,7 +107,7 @@
 // report fetches the runner's report. It returns nil if that fails.
 func (c *RunnerClient) report(ctx context.Context, t catalog.Target) *call.Report {
 	method, path, header := c.Codec.ReportRequest(t.Name)
-	_, body, err := c.do(ctx, t.Address, outbound.Request{Method: method, RequestURI: path, Header: header})
+	_, body, err := c.do(ctx, t, outbound.Request{Method: method, RequestURI: path, Header: header})
 	if err != nil {
 		c.Log.Warn("order: request for a report failed", zap.String("runner", t.Name), zap.Error(err))
 		return nil
@@ -121,13 +123,18 @@
 }
 
 // do sends one request and reads the complete answer, up to maxReportBytes.
-func (c *RunnerClient) do(ctx context.Context, address netip.AddrPort, r outbound.Request) (int, []byte, error) {
-	r.Host = address.String()
-	x, err := c.Pool.Do(ctx, address, r, c.Codec.IsReply)
+func (c *RunnerClient) do(ctx context.Context, t catalog.Target, r outbound.Request) (int, []byte, error) {
+	sent := time.Now()
+	r.Host = t.Address.String()
+	x, err := c.Pool.Do(ctx, t.Address, r, c.Codec.IsReply)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer x.Close()
+	n := c.Codec.ParseNotice(x.Response.StatusCode, x.Response.Header)
+	if c.Dispatcher.Heard(time.Now(), sent, t, n) {
+		c.Log.Info("target: says of itself", zap.String("target", t.Name), zap.Float64("limit", n.Limit), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
+	}
 	body, err := io.ReadAll(io.LimitReader(x, maxReportBytes))
 	if err != nil {
 		return 0, nil, err
--- a/jacinthd/internal/ownership/ownership_test.go
+++ b/jacinthd/internal/ownership/ownership_test.go
@@ -21,6 +21,7 @@
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/store"
 )
 
@@ -53,6 +54,9 @@
 }
 func (silentCodec) ParseReply(int) call.Reply { return call.Unanswered }
 func (silentCodec) IsReply(http.Header) bool  { return true }
+func (silentCodec) ParseNotice(int, http.Header) notice.Notice {
+	return notice.Notice{}
+}
 func (silentCodec) ReportRequest(string) (string, string, http.Header) {
 	return http.MethodGet, "/", http.Header{}
 }
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -189,8 +189,8 @@
 	a.end()
 }
 
-// Heard records what an answer to the attempt says of its target. It reports whether the
-// target's limit has changed.
+// Heard records what an answer to the attempt says of its target. It reports whether that
+// is new.
 func (a *Attempt) Heard(now time.Time, n notice.Notice) (changed bool) {
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
--- a/stage/dispatch/limit.go
+++ b/stage/dispatch/limit.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/relay"
 )
@@ -17,7 +18,7 @@
 	// maxNotices is the maximum number of targets whose notices are in one digest.
 	maxNotices = 32
 	// limitedRetryDelay is how long a caller should wait before it retries a request
-	// whose targets take none from this host: other hosts may have a share of them.
+	// whose targets take none from this host: other hosts may have a share of their limit.
 	limitedRetryDelay = 400 * time.Millisecond
 )
 
@@ -35,17 +36,17 @@
 	d.hostsVersion++
 }
 
-// withinLimit reports whether this host may send a request to a target now, under the
-// limit that the target named.
-func (d *Dispatcher) withinLimit(now time.Time, t *target) bool {
-	wait, ok := d.limitWait(now, t)
+// isWilling reports whether a target takes a request of this host now, according to
+// what the target says of itself.
+func (d *Dispatcher) isWilling(now time.Time, t *target) bool {
+	wait, ok := d.willingAfter(now, t)
 	return ok && wait == 0
 }
 
-// limitWait returns how long this host has to wait until it may send a request to a
-// target. It returns false if it must not send any.
-func (d *Dispatcher) limitWait(now time.Time, t *target) (time.Duration, bool) {
-	if t.notice.Limit() == 0 {
+// willingAfter returns how long this host has to wait until a target takes a request of
+// it. It returns false if the target takes none.
+func (d *Dispatcher) willingAfter(now time.Time, t *target) (time.Duration, bool) {
+	if t.notice.Unrestricted(now) {
 		return 0, true
 	}
 	return t.notice.Wait(now, d.shareOf(t))
@@ -83,19 +84,44 @@
 }
 
 // refuseWithoutTarget refuses a request for which there is no target, and says when to
-// try again if the limits of targets are the cause.
+// try again: once the first of its targets takes requests.
 func (d *Dispatcher) refuseWithoutTarget(now time.Time, r Request) Refuse {
-	limited := d.filterTargets(r, func(t *target) bool { return t.usable(now) })
-	if len(limited) == 0 {
-		return Refuse{Reason: "no target", RetryAfter: jitter(retryDelay)}
-	}
-	delay := limitedRetryDelay
-	for _, t := range limited {
-		if wait, ok := d.limitWait(now, t); ok {
-			delay = min(delay, max(wait, retryDelay))
+	var first time.Duration
+	unwilling := 0
+	for _, t := range d.services[r.Service] {
+		wait, ok := d.willingAfter(now, t)
+		if !t.usable(now) || ok && wait == 0 {
+			continue // a willing target was tried already
+		}
+		if !ok {
+			wait = limitedRetryDelay
 		}
+		if unwilling++; unwilling == 1 || wait < first {
+			first = wait
+		}
+	}
+	if unwilling == 0 {
+		return Refuse{Reason: "no target", RetryAfter: jitter(retryDelay)}
 	}
-	return Refuse{Reason: "limited by its targets", RetryAfter: jitter(delay)}
+	return Refuse{Reason: "its targets take no requests now", RetryAfter: first + jitter(retryDelay)}
+}
+
+// Willing reports whether the attempt's target still takes the request, which has waited
+// for its adapter.
+func (a *Attempt) Willing(now time.Time) bool {
+	d := a.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !a.target.notice.Leaving() && !a.target.notice.Quiet(now)
+}
+
+// Heard records what a target said of itself in the answer to an order or a report that
+// was asked for at the time sent. It reports whether that is new.
+func (d *Dispatcher) Heard(now, sent time.Time, of catalog.Target, n notice.Notice) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[of.Name]
+	return t != nil && t.SameIncarnation(of) && t.notice.Heard(now, sent, n)
 }
 
 // notices returns what to tell other hosts of what targets said: at most maxNotices, of
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -110,8 +110,8 @@
 	slotWait time.Duration // wait for an adapter slot if load is set
 }
 
-// Pick selects a target. The reasons of a Refuse are "no target", "limited by its
-// targets", "no adapter", "too late" and "no place for the adapter".
+// Pick selects a target. The reasons of a Refuse are "no target", "its targets take no
+// requests now", "no adapter", "too late" and "no place for the adapter".
 func (d *Dispatcher) Pick(now time.Time, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,9 +144,9 @@
 // all.
 func (d *Dispatcher) best(now time.Time, r Request) (*candidate, bool) {
 	var best *candidate
-	all := d.filterTargets(r, func(t *target) bool { return t.usable(now) && d.withinLimit(now, t) })
+	all := d.filterTargets(r, func(t *target) bool { return t.usable(now) && d.isWilling(now, t) })
 	if len(all) == 0 {
-		all = d.filterTargets(r, func(t *target) bool { return t.listed(now) && d.withinLimit(now, t) })
+		all = d.filterTargets(r, func(t *target) bool { return t.listed(now) && d.isWilling(now, t) })
 	}
 	r.baseFailureRate = d.baseFailureRate(all)
 	var ranks map[*target]int
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -1,5 +1,5 @@
-// Package notice holds what targets say of themselves in their answers, such as the
-// requests that they take.
+// Package notice holds what targets say of themselves in their answers: that they are
+// leaving, that they want no requests for a while, and how many they take.
 //
 // What a target said binds the host that heard it at once, whatever the store shows. It
 // holds until an answer to a later request says otherwise, or the target's process
@@ -39,6 +39,9 @@
 	limitAt  time.Time     // when a limit, or the end of one, was last said
 	newsAt   time.Time     // when this host learned of the last change
 	requests *rate.Limiter // requests of this host while there is a limit
+
+	leaving    bool
+	quietUntil time.Time
 }
 
 // A Share says which part of a target's limit a host has.
@@ -58,8 +61,14 @@
 }
 
 // Wait returns how long this host has to wait until it may send a request to the target.
-// It returns false if it must not send any while the limit holds.
+// It returns false if it must not send any as long as the target says what it says now.
 func (s *State) Wait(now time.Time, share Share) (time.Duration, bool) {
+	if s.leaving {
+		return 0, false
+	}
+	if now.Before(s.quietUntil) {
+		return s.quietUntil.Sub(now), true
+	}
 	if s.limit == 0 {
 		return 0, true
 	}
@@ -91,14 +100,38 @@
 	}
 }
 
-// Limit returns the limit that the target named, or 0.
-func (s *State) Limit() float64 { return s.limit }
+// Unrestricted reports whether the target said nothing that keeps requests from it.
+func (s *State) Unrestricted(now time.Time) bool {
+	return s.limit == 0 && !s.leaving && !now.Before(s.quietUntil)
+}
+
+// Leaving reports whether the target said that it is leaving. It doesn't change its mind.
+func (s *State) Leaving() bool { return s.leaving }
+
+// Quiet reports whether the target wants no requests now.
+func (s *State) Quiet(now time.Time) bool { return now.Before(s.quietUntil) }
 
 // Heard records what the answer to a request says that was sent at the time sent. It
-// reports whether the limit has changed. An answer without a limit ends the limit only
-// if its request was sent after the limit was named, since answers may overtake each
-// other.
+// reports whether what is known of the target has changed. An answer without a limit
+// ends the limit only if its request was sent after the limit was named, since answers
+// may overtake each other.
 func (s *State) Heard(now, sent time.Time, n Notice) (changed bool) {
+	changed = s.setRestrictions(n.Leaving, now.Add(n.Quiet))
+	return s.heardLimit(now, sent, n) || changed || n.Quiet > 0
+}
+
+// setRestrictions records that the target is leaving, and until when it wants no
+// requests. It reports whether it was not known to be leaving before.
+func (s *State) setRestrictions(leaving bool, quietUntil time.Time) (changed bool) {
+	changed = leaving && !s.leaving
+	s.leaving = s.leaving || leaving
+	if quietUntil.After(s.quietUntil) {
+		s.quietUntil = quietUntil
+	}
+	return changed
+}
+
+func (s *State) heardLimit(now, sent time.Time, n Notice) (changed bool) {
 	if n.Limit == 0 && (s.limit == 0 || !sent.After(s.limitAt)) {
 		return false
 	}
@@ -129,20 +162,30 @@
 	Started int64    // when the target's process started, in Unix milliseconds
 	Limit   float64  // 0: the target names none any more
 	Age     uint64   // milliseconds since the target said so
+	Leaving bool
+	Quiet   uint64 // milliseconds for which the target wants no requests yet
 }
 
 // Report returns what to tell other hosts, without the fields that identify the target.
 // It returns false if there is nothing to tell.
 func (s *State) Report(now time.Time) (Report, bool) {
-	if s.limit == 0 && now.Sub(s.newsAt) > newsDuration {
+	if s.Unrestricted(now) && now.Sub(s.newsAt) > newsDuration {
 		return Report{}, false
 	}
-	return Report{Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds()))}, true
+	return Report{
+		Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds())),
+		Leaving: s.leaving, Quiet: uint64(max(0, s.quietUntil.Sub(now).Milliseconds())),
+	}, true
 }
 
-// Learn records what another host reported, unless this host knows something newer. It
-// reports whether the limit has changed.
+// Learn records what another host reported. It reports whether what is known of the
+// target has changed. A limit counts unless this host knows a newer one.
 func (s *State) Learn(now time.Time, r Report) (changed bool) {
+	changed = s.setRestrictions(r.Leaving, now.Add(time.Duration(r.Quiet)*time.Millisecond))
+	return s.learnLimit(now, r) || changed
+}
+
+func (s *State) learnLimit(now time.Time, r Report) (changed bool) {
 	at := now.Add(-time.Duration(r.Age) * time.Millisecond)
 	if !at.After(s.limitAt) {
 		return false
