engine: idle connections are closed before a silent one fails

Cause, traced before: the request was cancelled first, so the next one could take an idle connection before these were closed. Change: the other order.

--- a/jacinthd/internal/engine/client.go
+++ b/jacinthd/internal/engine/client.go
@@ -144,12 +144,13 @@
 	return bytes.NewReader(text), nil
 }
 
-// stall cancels an exchange whose progress deadline has passed. It also closes the
-// idle connections: others may have gone silent too and must not be reused.
+// stall cancels an exchange whose progress deadline has passed. Before that it closes
+// the idle connections: others may have gone silent too, and the request that follows
+// the failure must not reuse them.
 func (x *exchange) stall() {
 	x.stalled.Store(true)
-	x.cancel()
 	x.client.httpTransport().CloseIdleConnections()
+	x.cancel()
 }
 
 // resetProgress moves the progress deadline forward.
