direct: after a lost relay, loads count once and don't vanish

Cause, traced before: a host that doesn't know yet that a relay is gone reports to another one, and is itself sent digests as a relay by those that know; both have the same loads. Second cause, seen now: a host that tries the lost relay again dropped at once what the other had told it (counts of 1 instead of 19 on three hosts, twice in 4 s). Change: a host that reports to a relay takes loads from its answers only; what the relay before said is dropped once another has answered.

--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -101,17 +101,30 @@
 }
 
 // setRelay sets the relay to which this host reports, empty if this host is a relay.
-// What the previous relay reported is dropped, because the new relay, or the other
-// relays, report it from now on.
 func (p *Peers) setRelay(to string) {
-	if to == p.currentRelay {
+	before := p.relayName()
+	if to == before {
 		return
 	}
-	p.Log.Info("peer: relay changed", zap.String("from", p.currentRelay), zap.String("to", to))
-	if p.currentRelay != "" {
-		p.Dispatcher.Forget(p.currentRelay)
+	p.Log.Info("peer: relay changed", zap.String("from", before), zap.String("to", to))
+	p.currentRelay.Store(&to)
+	if to == "" {
+		p.setAnsweredBy("")
+	}
+}
+
+// setAnsweredBy sets the relay whose answer holds the load of all other hosts, empty if
+// the other relays report it. What the relay before said is dropped: it counts until
+// then, so that a host doesn't lose sight of the others while it tries a relay that is
+// gone.
+func (p *Peers) setAnsweredBy(name string) {
+	p.mu.Lock()
+	before := p.answeredBy
+	p.answeredBy = name
+	p.mu.Unlock()
+	if before != "" && before != name {
+		p.Dispatcher.Forget(before)
 	}
-	p.currentRelay = to
 }
 
 // report sends this host's digest to its relay and applies the digest in the answer.
@@ -135,7 +148,11 @@
 			p.markUnreachable(to)
 			return
 		}
-		p.applyDigest(answer.Digest)
+		if p.relayName() != to {
+			return // another relay, or this host itself, counts by now
+		}
+		p.setAnsweredBy(to)
+		p.applyDigest(answer.Digest, true)
 		p.catchUp(ctx, set.members[to], answer.Digest.CopyStates, sent)
 	}()
 }
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/direct/peers.go
@@ -46,11 +46,12 @@
 	Log           *zap.Logger
 
 	peerSet      atomic.Pointer[peerSet]
-	currentRelay string   // relay to which this host reports; used only by the goroutine that runs SendDigests
-	reporting    sync.Map // names of the relays with a report in progress
-	fetching     sync.Map // kinds of objects that are being fetched
+	currentRelay atomic.Pointer[string] // relay to which this host reports; nil or empty if it is one
+	reporting    sync.Map               // names of the relays with a report in progress
+	fetching     sync.Map               // kinds of objects that are being fetched
 
 	mu               sync.Mutex
+	answeredBy       string               // see setAnsweredBy
 	unreachableUntil map[string]time.Time // when hosts that could not be reached are tried again, by name
 }
 
@@ -66,7 +67,7 @@
 func (p *Peers) answer(ctx context.Context, first peer.Message) peer.Message {
 	switch m := first.(type) {
 	case peer.Digest:
-		p.applyDigest(m.Digest)
+		p.applyDigest(m.Digest, m.Digest.ReportsToReceiver || p.relayName() == "")
 		if !m.Digest.ReportsToReceiver {
 			p.applyUnsolicitedStates(ctx, m.Digest)
 			return peer.Ack{}
@@ -85,10 +86,25 @@
 	}
 }
 
-// applyDigest passes another host's digest to the dispatcher.
-func (p *Peers) applyDigest(d relay.Digest) {
+// relayName returns the relay to which this host reports, or an empty name if this host
+// is a relay itself.
+func (p *Peers) relayName() string {
+	if name := p.currentRelay.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// applyDigest passes another host's digest to the dispatcher, with its loads or without.
+// A host that reports to a relay gets all loads in the answers; what a host sends it that
+// takes it for a relay would count twice.
+func (p *Peers) applyDigest(d relay.Digest, loads bool) {
 	p.Suspects.merge(d.From, d.Suspects)
-	if p.Dispatcher.MergeDigest(time.Now(), d) {
+	merge := p.Dispatcher.MergeDigest
+	if !loads {
+		merge = p.Dispatcher.MergeDigestWithoutLoads
+	}
+	if merge(time.Now(), d) {
 		p.Log.Info("config: another host has a newer version", zap.String("host", d.From), zap.Uint64("version", d.ConfigVersion))
 		p.OnNewerConfig()
 	}
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -80,7 +80,20 @@
 func (d *Dispatcher) MergeDigest(now time.Time, digest relay.Digest) (behind bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, u := range d.aggregator.Merge(now, d.Holder, digest) {
+	return d.mergeDigest(now, digest, d.aggregator.Merge(now, d.Holder, digest))
+}
+
+// MergeDigestWithoutLoads is MergeDigest for a report whose loads another host reports
+// as well.
+func (d *Dispatcher) MergeDigestWithoutLoads(now time.Time, digest relay.Digest) (behind bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mergeDigest(now, digest, d.aggregator.MergeReports(now, d.Holder, digest))
+}
+
+// mergeDigest merges a digest with the uses that are addressed to this host.
+func (d *Dispatcher) mergeDigest(now time.Time, digest relay.Digest, uses []relay.AdapterUse) (behind bool) {
+	for _, u := range uses {
 		if t := d.owned[u.Runner]; t != nil {
 			t.residency.RecordPeerUse(now, residency.Key{Model: u.Model, Adapter: u.Adapter}, digest.From, u.InProgress, u.Started)
 		}
--- a/stage/relay/aggregator.go
+++ b/stage/relay/aggregator.go
@@ -55,6 +55,11 @@
 // Merge merges a digest, which replaces the load that its sender reported before.
 // It returns the uses that are addressed to holder.
 func (a *Aggregator) Merge(now time.Time, holder string, d Digest) []AdapterUse {
+	a.mergeLoads(now, d)
+	return a.MergeReports(now, holder, d)
+}
+
+func (a *Aggregator) mergeLoads(now time.Time, d Digest) {
 	a.ensureMaps()
 	a.Forget(d.From)
 	c := &contribution{at: now, reporter: d.ReportsToReceiver, loads: make(map[TargetHash]TargetLoad, len(d.Loads))}
@@ -63,6 +68,12 @@
 		a.setTotal(a.totals[l.Target].add(l))
 	}
 	a.contributions[d.From] = c
+}
+
+// MergeReports merges the slot reports and uses of a digest, but not its loads. It
+// returns the uses that are addressed to holder.
+func (a *Aggregator) MergeReports(now time.Time, holder string, d Digest) []AdapterUse {
+	a.ensureMaps()
 	for _, s := range d.SlotReports {
 		at := now.Add(-time.Duration(s.Age) * time.Millisecond)
 		if at.After(a.slotReports[s.Runner].at) {
