suspect: popular requests and planned ends don't count

Requests cut off by a runner that had announced its end counted as crashing it. Cause: a crash counted whatever else was known of the content, and of the target. Found by asking what a false alarm costs. Change: content that got a complete answer within the last minute doesn't count; neither does the end of a target that is draining or said it leaves.

--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -71,9 +71,13 @@
 	return true
 }
 
-// connectionBroke adds a crash to the request if the process of its target has ended.
-// It is called when a connection broke with the request in progress.
+// connectionBroke adds a crash to the request if the process of its target has ended
+// without having announced it. It is called when a connection broke with the request in
+// progress.
 func (req *callerRequest) connectionBroke(ctx context.Context, target catalog.Target) {
+	if req.Dispatcher.IsLeaving(target) {
+		return
+	}
 	if !req.Suspects.hasEnded(ctx, target) {
 		req.noAnswer(target)
 		return
@@ -98,6 +102,10 @@
 func (s *Suspects) crashed(log *zap.Logger, fp quarantine.Fingerprint, target catalog.Target) {
 	s.Metrics.crashes.Inc()
 	refused := s.List.Crashed(time.Now(), fp, crashID(target))
+	if len(s.List.Crashes(fp)) == 0 {
+		log.Info("suspect: crash doesn't count, the same content was answered recently", zap.String("request", string(fp)), zap.String("target", target.Name))
+		return
+	}
 	log.Warn("suspect: target ended with the request in progress", zap.String("request", string(fp)), zap.String("target", target.Name),
 		zap.Strings("crashes", s.List.Crashes(fp)), zap.Int("refused", len(refused)))
 	for _, other := range refused {
@@ -129,7 +137,7 @@
 // answered drops the crashes of a request that got a complete answer other than an
 // error.
 func (req *callerRequest) answered() {
-	if req.status >= http.StatusInternalServerError || req.Suspects.List.Empty() {
+	if req.status >= http.StatusInternalServerError {
 		return
 	}
 	fp := req.fingerprint()
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -138,7 +138,7 @@
 func (d *Dispatcher) listedTargets(event catalog.Event) []catalog.Target {
 	var out []catalog.Target
 	add := func(t *target) {
-		if t != nil && t.State == catalog.Ready && t.expiresAt.IsZero() {
+		if t != nil && t.State == catalog.Ready && !t.notice.Leaving() && t.expiresAt.IsZero() {
 			out = append(out, t.Target)
 		}
 	}
--- a/stage/dispatch/limit.go
+++ b/stage/dispatch/notice.go
@@ -106,6 +106,14 @@
 	return Refuse{Reason: "its targets take no requests now", RetryAfter: first + jitter(retryDelay)}
 }
 
+// IsLeaving reports whether a target has announced its end, in its entry or in an answer.
+func (d *Dispatcher) IsLeaving(of catalog.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[of.Name]
+	return t != nil && t.SameIncarnation(of) && (t.State == catalog.Draining || t.notice.Leaving())
+}
+
 // Willing reports whether the attempt's target still takes the request, which has waited
 // for its adapter.
 func (a *Attempt) Willing(now time.Time) bool {
--- a/stage/suspect/list.go
+++ b/stage/suspect/list.go
@@ -5,8 +5,9 @@
 // crash to the request, which is identified by its content, since each attempt of a
 // caller has a new id. A crash has the same ID on every host. A request with two
 // crashes is refused, unless each of them is attributed to another request (package
-// quarantine). One that gets a complete answer did not cause its crashes, and they are
-// dropped.
+// quarantine). One that gets a complete answer did not cause its crashes: they are
+// dropped, and those of the next minute don't count, since many callers may send the
+// same request.
 //
 // Hosts pass on what is new to them and, in turn, the requests that are refused, so
 // that a host that missed a message or has started since learns of them too. Nothing
@@ -50,6 +51,7 @@
 
 	mu       sync.Mutex
 	history  quarantine.History
+	answered answered
 	changes  map[quarantine.Fingerprint]change
 	refused  map[quarantine.Fingerprint]bool
 	outdated bool // refused has to be determined again
@@ -110,6 +112,7 @@
 	defer l.mu.Unlock()
 	l.determineRefused()
 	wasRefused = l.refused[fp]
+	l.answered.add(now, fp)
 	l.clear(now, now, fp)
 	return wasRefused
 }
@@ -143,7 +146,7 @@
 // them is new.
 func (l *List) add(now, at time.Time, fp quarantine.Fingerprint, crashes []string) bool {
 	c := l.changes[fp]
-	if !at.After(c.cleared) || !l.history.Add(now, fp, crashes) {
+	if l.answered.recently(now, fp) || !at.After(c.cleared) || !l.history.Add(now, fp, crashes) {
 		return false
 	}
 	c.learned = now
