dispatch: a digest reports few targets that say something of themselves

At 370 hosts a relay gets some 60 digests a second; 32 reports in each, for as long as many runners of a release are leaving, are more than the 23 KB a second that a host has. Change: what is new is reported for 2 s, at most 32 targets; of the others two in each digest, at random. Evidence: TestNoticesAreBounded: 34 reports at first, 2 from then on (before: 32 each time), and a host that missed the news learns of all 200 targets.

--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -15,8 +15,11 @@
 	// assumedHosts is the number of hosts among which a target's limit is divided while
 	// the hosts are unknown. This host then counts as one of those that may send.
 	assumedHosts = 12
-	// maxNotices is the maximum number of targets whose notices are in one digest.
-	maxNotices = 32
+	// maxNews is the maximum number of targets of which one digest reports something new,
+	// and repeatedNotices the number of other targets that it reports once more, for hosts
+	// that missed the news.
+	maxNews         = 32
+	repeatedNotices = 2
 	// limitedRetryDelay is how long a caller should wait before it retries a request
 	// whose targets take none from this host: other hosts may have a share of their limit.
 	limitedRetryDelay = 400 * time.Millisecond
@@ -132,19 +135,23 @@
 	return t != nil && t.SameIncarnation(of) && t.notice.Heard(now, sent, n)
 }
 
-// notices returns what to tell other hosts of what targets said: at most maxNotices, of
+// notices returns what to tell other hosts of what targets said: news, and some other
 // targets chosen at random.
 func (d *Dispatcher) notices(now time.Time) []notice.Report {
 	var out []notice.Report
+	news, repeated := 0, 0
 	for _, t := range d.targets {
-		r, ok := t.notice.Report(now)
-		if !ok {
+		switch {
+		case t.notice.IsNews(now) && news < maxNews:
+			news++
+		case !t.notice.Unrestricted(now) && repeated < repeatedNotices:
+			repeated++
+		default:
 			continue
 		}
+		r := t.notice.Report(now)
 		r.Target, r.Started = uint32(t.hash), t.Started.UnixMilli()
-		if out = append(out, r); len(out) == maxNotices {
-			break
-		}
+		out = append(out, r)
 	}
 	return out
 }
--- a/stage/dispatch/notice_test.go
+++ b/stage/dispatch/notice_test.go
@@ -288,3 +288,36 @@
 		})
 	}
 }
+
+// TestNoticesAreBounded checks that a digest has few reports on targets however many
+// have said something, and that a host that missed the news still learns of all.
+func TestNoticesAreBounded(t *testing.T) {
+	const n = 200
+	var all []catalog.Target
+	for i := range n {
+		all = append(all, catalog.Target{Name: fmt.Sprint("t", i), Service: plain, Zone: "north-a", Slots: 50, Started: start})
+	}
+	newHost := func(name string) *dispatch.Dispatcher {
+		d := &dispatch.Dispatcher{Holder: name, Zone: "north-a", Regions: regions}
+		d.Apply(start, catalog.ConfigUpdated{Config: catalog.NewConfig(1, nil, []catalog.Service{{Name: plain}}, catalog.Limits{})})
+		d.Apply(start, catalog.TargetsListed{Revision: 1, Targets: all})
+		return d
+	}
+	teller, learner := newHost("a"), newHost("b")
+	for _, target := range all {
+		require.True(t, teller.Heard(start, start, target, notice.Notice{Leaving: true}))
+	}
+	tell := func(now time.Time) int {
+		digest := teller.Digest(now, "", relay.ToReporter, func(string) string { return "" })
+		learner.MergeDigest(now, digest)
+		return len(digest.Notices)
+	}
+	require.Equal(t, 34, tell(start))
+	later := start.Add(time.Minute)
+	for range 3000 {
+		require.Equal(t, 2, tell(later))
+	}
+	for _, target := range all {
+		require.True(t, learner.IsLeaving(target), target.Name)
+	}
+}
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -116,18 +116,26 @@
 // ends the limit only if its request was sent after the limit was named, since answers
 // may overtake each other.
 func (s *State) Heard(now, sent time.Time, n Notice) (changed bool) {
-	changed = s.setRestrictions(n.Leaving, now.Add(n.Quiet))
-	return s.heardLimit(now, sent, n) || changed || n.Quiet > 0
+	changed = s.setRestrictions(now, n.Leaving, now.Add(n.Quiet))
+	return s.heardLimit(now, sent, n) || changed
 }
 
+// quietTolerance is the time by which a report may arrive late without counting as a
+// change.
+const quietTolerance = 300 * time.Millisecond
+
 // setRestrictions records that the target is leaving, and until when it wants no
-// requests. It reports whether it was not known to be leaving before.
-func (s *State) setRestrictions(leaving bool, quietUntil time.Time) (changed bool) {
+// requests. It reports whether that is new.
+func (s *State) setRestrictions(now time.Time, leaving bool, quietUntil time.Time) (changed bool) {
 	changed = leaving && !s.leaving
 	s.leaving = s.leaving || leaving
-	if quietUntil.After(s.quietUntil) {
+	if quietUntil.After(now) && quietUntil.After(s.quietUntil) {
+		changed = changed || quietUntil.Sub(s.quietUntil) > quietTolerance
 		s.quietUntil = quietUntil
 	}
+	if changed {
+		s.newsAt = now
+	}
 	return changed
 }
 
@@ -151,8 +159,7 @@
 	return changed
 }
 
-// newsDuration is how long the end of a limit is passed on to other hosts. A limit is
-// passed on while it holds.
+// newsDuration is how long a change counts as news for other hosts.
 const newsDuration = 2 * time.Second
 
 // A Report is what one host tells another of what a target said.
@@ -166,22 +173,21 @@
 	Quiet   uint64 // milliseconds for which the target wants no requests yet
 }
 
+// IsNews reports whether what is known of the target has changed lately.
+func (s *State) IsNews(now time.Time) bool { return now.Sub(s.newsAt) <= newsDuration }
+
 // Report returns what to tell other hosts, without the fields that identify the target.
-// It returns false if there is nothing to tell.
-func (s *State) Report(now time.Time) (Report, bool) {
-	if s.Unrestricted(now) && now.Sub(s.newsAt) > newsDuration {
-		return Report{}, false
-	}
+func (s *State) Report(now time.Time) Report {
 	return Report{
 		Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds())),
 		Leaving: s.leaving, Quiet: uint64(max(0, s.quietUntil.Sub(now).Milliseconds())),
-	}, true
+	}
 }
 
 // Learn records what another host reported. It reports whether what is known of the
 // target has changed. A limit counts unless this host knows a newer one.
 func (s *State) Learn(now time.Time, r Report) (changed bool) {
-	changed = s.setRestrictions(r.Leaving, now.Add(time.Duration(r.Quiet)*time.Millisecond))
+	changed = s.setRestrictions(now, r.Leaving, now.Add(time.Duration(r.Quiet)*time.Millisecond))
 	return s.learnLimit(now, r) || changed
 }
 
