notice: hosts that don't know each other divide a limit among twelve

What a runner would see: at a start without the store each host took itself for the first of the few that may send (LIMIT). Cause: an unknown number of hosts had the rank 0. Change: the limit is divided by twelve then. Also, a refused request is written to the store until it succeeds, not 60 times.

--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -25,9 +25,7 @@
 	// suspectCallTimeout limits each call to the store for a suspect, and
 	// suspectCallInterval is the time between two tries.
 	suspectCallTimeout  = 2 * time.Second
-	suspectCallInterval = time.Second
-	// maxSuspectCalls is the maximum number of tries to write one suspect.
-	maxSuspectCalls = 60
+	suspectCallInterval = 2 * time.Second
 )
 
 // Suspects keeps requests that crash targets from being sent to further ones. The
@@ -158,10 +156,11 @@
 	}
 }
 
-// write writes a refused request to the store. An object of that name that has not
-// expired serves as well.
+// write writes a refused request to the store, and tries again until it succeeds or the
+// request isn't refused any more. An object of that name that has not expired serves as
+// well.
 func (s *Suspects) write(ctx context.Context, fp quarantine.Fingerprint) {
-	for range maxSuspectCalls {
+	for {
 		until, refused := s.List.Refused(fp)
 		if !refused {
 			return
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// assumedHosts is the number of hosts among which a target's limit is divided while
-	// the hosts are unknown. This host then counts as one of those that may send.
-	assumedHosts = 12
 	// maxNews is the maximum number of targets of which one digest reports something new,
 	// and repeatedNotices the number of other targets that it reports once more, for hosts
 	// that missed the news.
@@ -59,7 +56,7 @@
 // come first, in the order of a hash of host and target.
 func (d *Dispatcher) shareOf(t *target) notice.Share {
 	if len(d.hosts) == 0 {
-		return notice.Share{Hosts: assumedHosts}
+		return notice.Share{}
 	}
 	if t.shareVersion != d.hostsVersion {
 		t.share, t.shareVersion = d.rankShare(t), d.hostsVersion
--- a/stage/dispatch/notice_test.go
+++ b/stage/dispatch/notice_test.go
@@ -181,6 +181,26 @@
 	})
 }
 
+// TestLimitWhileHostsAreUnknown guards against hosts that each take themselves for one of
+// the few that may send to a target with a limit, because they don't know the others: at
+// a start without the store.
+func TestLimitWhileHostsAreUnknown(t *testing.T) {
+	for _, limit := range []float64{1.6, 7, 40} {
+		s := newLimitSystem(9, limit)
+		s.names = nil
+		for _, d := range s.hosts {
+			d.SetHosts(nil)
+		}
+		for range 400 {
+			for h := range s.hosts {
+				s.send(h)
+			}
+			s.step(2)
+		}
+		require.LessOrEqual(t, s.most(), allowed(limit))
+	}
+}
+
 // TestLimitIsUsed checks that a target with a limit gets most of what it takes, however
 // many hosts there are, and that callers of the others learn when to come back.
 func TestLimitIsUsed(t *testing.T) {
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -44,16 +44,24 @@
 	quietUntil time.Time
 }
 
-// A Share says which part of a target's limit a host has.
+// A Share says which part of a target's limit a host has. The zero value is that of a
+// host that doesn't know the others.
 type Share struct {
 	Rank  int // of the host among all that may send to the target, from 0
-	Hosts int // that may send to the target
+	Hosts int // that may send to the target; 0 if unknown
 }
 
+// assumedHosts is the number of hosts among which a limit is divided while the hosts are
+// unknown.
+const assumedHosts = 12
+
 // rate returns the requests a second that a host may send under a limit. It is 0 if the
 // host must not send any.
 func (s Share) rate(limit float64) float64 {
-	senders := min(max(1, s.Hosts), int(math.Ceil(limit)))
+	if s.Hosts == 0 {
+		return limit / assumedHosts
+	}
+	senders := min(s.Hosts, int(math.Ceil(limit)))
 	if s.Rank >= senders {
 		return 0
 	}
