notice: only an answer to a request that ran ends a limit

Cause: since orders and reports are heard too, their answers, which name no limit, ended it, and the next answer to a request began it anew, with a full burst on each host. Refusals could do the same. Change: limits end only with the answer to a request that ran.

--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -14,6 +14,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/verdict"
 )
 
@@ -143,7 +144,11 @@
 	}
 	head := req.Headers.ParseAnswer(x.Response.StatusCode, x.Response.Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load})
-	if attempt.Heard(time.Now(), head.Notice) {
+	source := notice.Other
+	if head.Verdict == verdict.Ran {
+		source = notice.Run
+	}
+	if attempt.Heard(time.Now(), head.Notice, source) {
 		req.Metrics.targetSpoke(head.Notice)
 		req.log.Info("target: says of itself", zap.String("target", attempt.Target.Name), zap.Float64("limit", head.Notice.Limit),
 			zap.Bool("leaving", head.Notice.Leaving), zap.Duration("quiet", head.Notice.Quiet))
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -191,10 +191,10 @@
 
 // Heard records what an answer to the attempt says of its target. It reports whether that
 // is new.
-func (a *Attempt) Heard(now time.Time, n notice.Notice) (changed bool) {
+func (a *Attempt) Heard(now time.Time, n notice.Notice, from notice.Source) (changed bool) {
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
-	return a.target.notice.Heard(now, a.sent, n)
+	return a.target.notice.Heard(now, a.sent, n, from)
 }
 
 // prefillDone records that the prompt was processed, and updates the target's
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -129,7 +129,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[of.Name]
-	return t != nil && t.SameIncarnation(of) && t.notice.Heard(now, sent, n)
+	return t != nil && t.SameIncarnation(of) && t.notice.Heard(now, sent, n, notice.Other)
 }
 
 // notices returns what to tell other hosts of what targets said: news, and some other
--- a/stage/dispatch/notice_test.go
+++ b/stage/dispatch/notice_test.go
@@ -98,7 +98,7 @@
 			open = append(open, a)
 			continue
 		}
-		a.attempt.Heard(s.now, notice.Notice{Limit: s.limit})
+		a.attempt.Heard(s.now, notice.Notice{Limit: s.limit}, notice.Run)
 		if _, ok := s.told[a.host]; !ok {
 			s.told[a.host] = s.now
 		}
@@ -292,7 +292,7 @@
 			s := newLimitSystem(3, 0)
 			sent, ok := s.send(0).(dispatch.Send)
 			require.True(t, ok)
-			require.True(t, sent.Attempt.Heard(s.now, c.notice))
+			require.True(t, sent.Attempt.Heard(s.now, c.notice, notice.Run))
 			require.False(t, sent.Attempt.Willing(s.now))
 			digest := s.hosts[0].Digest(s.now, "", relay.ToReporter, func(string) string { return "" })
 			s.hosts[1].MergeDigest(s.now, digest)
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -2,8 +2,8 @@
 // leaving, that they want no requests for a while, and how many they take.
 //
 // What a target said binds the host that heard it at once, whatever the store shows. It
-// holds until an answer to a later request says otherwise, or the target's process
-// ends: another process at the same address has said nothing yet. Hosts pass on to each
+// holds until the answer to a later request that ran says otherwise, or the target's
+// process ends: another process at the same address has said nothing yet. Hosts pass on to each
 // other what they heard, with its age; the newest counts.
 //
 // A limit holds for all hosts together, without a message for each request: as many
@@ -119,12 +119,25 @@
 // Quiet reports whether the target wants no requests now.
 func (s *State) Quiet(now time.Time) bool { return now.Before(s.quietUntil) }
 
-// Heard records what the answer to a request says that was sent at the time sent. It
+// A Source is the kind of answer in which a target says something of itself.
+type Source uint8
+
+// The kinds of answers. A target names its limit in each answer to a request that it
+// runs; whether others have it isn't known, so that they never end a limit.
+const (
+	Other Source = iota // a refusal, or the answer to an order or a report
+	Run                 // the answer to a request that ran
+)
+
+// Heard records what an answer says to something that was sent at the time sent. It
 // reports whether what is known of the target has changed. An answer without a limit
 // ends the limit only if its request was sent after the limit was named, since answers
 // may overtake each other.
-func (s *State) Heard(now, sent time.Time, n Notice) (changed bool) {
+func (s *State) Heard(now, sent time.Time, n Notice, from Source) (changed bool) {
 	changed = s.setRestrictions(now, n.Leaving, now.Add(n.Quiet))
+	if n.Limit == 0 && from != Run {
+		return changed
+	}
 	return s.heardLimit(now, sent, n) || changed
 }
 
