--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -133,9 +133,8 @@
 	if _, busy := p.reporting.LoadOrStore(to, true); busy {
 		return
 	}
-	digest := p.Dispatcher.Digest(time.Now(), to, relay.ToRelay, func(string) string { return to })
+	digest := p.digest(time.Now(), to, relay.ToRelay, func(string) string { return to })
 	digest.ReportsToReceiver = true
-	digest.Suspects = p.Suspects.List.News(time.Now())
 	sent := time.Now()
 	go func() {
 		defer p.reporting.Delete(to)
@@ -157,6 +156,14 @@
 	}()
 }
 
+// digest returns what this host tells another one, but for the states of its copies. See
+// dispatch.Dispatcher.Digest.
+func (p *Peers) digest(now time.Time, to string, path relay.Direction, nextHop func(owner string) string) relay.Digest {
+	digest := p.Dispatcher.Digest(now, to, path, nextHop)
+	digest.Suspects = p.Suspects.List.News(now)
+	return digest
+}
+
 // catchUp compares this host's copies of the platform's objects with those of
 // another host, whose states it reported at the time at, and fetches the kinds that
 // are behind.
@@ -190,9 +197,8 @@
 // relay.
 func (p *Peers) reportAnswer(from string) peer.Message {
 	now := time.Now()
-	digest := p.Dispatcher.Digest(now, from, relay.ToReporter, func(string) string { return "" })
+	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
 	digest.CopyStates = p.Copies.States(now)
-	digest.Suspects = p.Suspects.List.News(now)
 	return peer.Digest{Digest: digest}
 }
 
@@ -274,8 +280,7 @@
 // sendDigest sends a digest to a relay. The digest includes the copy states if the
 // relay is in this host's region.
 func (p *Peers) sendDigest(ctx context.Context, to host.Identity, nextHop func(string) string, states []relay.CopyState) {
-	digest := p.Dispatcher.Digest(time.Now(), to.Name, relay.ToRelay, nextHop)
-	digest.Suspects = p.Suspects.List.News(time.Now())
+	digest := p.digest(time.Now(), to.Name, relay.ToRelay, nextHop)
 	if p.Regions[to.Zone] == p.Regions[p.Zone] {
 		digest.CopyStates = states
 	}
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -113,8 +113,7 @@
 	p.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, OnOpen: metrics.opened.Inc}
 	suspects := &Suspects{Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
 	p.peers = &Peers{
-		Suspects: suspects,
-		Self:     s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Log: log,
+		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
 		Link: &peer.Link{Identity: identity, LivenessTimeout: peerIdleTimeout, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
 	p.controller = &ownership.Controller{
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -3,13 +3,12 @@
 //
 // A connection carries one request at a time, and the package never retries a
 // request. A response that carries the ID of another request is read and
-// discarded, and the next response is awaited. All sends of one request have the same
-// ID, so a request is never sent again on a connection that has carried it: a second copy
-// of the first response would count as the response to the second send. A connection
-// returns to the pool
-// only after the request was written completely and its response was read
-// completely, with no bytes left over. A response therefore never reaches a
-// request that it doesn't belong to.
+// discarded, and the next response is awaited. All sends of one request have the
+// same ID, so a request is never sent again on a connection that has carried it: a
+// second copy of the first response would count as the response to the second send.
+// A connection returns to the pool only after the request was written completely
+// and its response was read completely, with no bytes left over. A response
+// therefore never reaches a request that it doesn't belong to.
 //
 // A failure is an *Error, which says whether the target may have received the
 // request.
