dispatch: hosts that share a limit are those of the roster

dispatch.Host was a second type for the same host, and SetMembers filled both in one loop. The limits take relay.Host, whose region is known already. No change of behaviour; the tests name regions where they named zones.

--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/peer"
-	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/mirror"
 	"jacinthstage/stage/relay"
@@ -57,13 +56,11 @@
 func (p *Peers) SetMembers(all []host.Identity) {
 	set := &peerSet{members: make(map[string]host.Identity, len(all))}
 	hosts := make([]relay.Host, 0, len(all))
-	sharing := make([]dispatch.Host, 0, len(all))
 	for _, m := range all {
 		set.members[m.Name] = m
 		hosts = append(hosts, relay.Host{Name: m.Name, Region: p.Regions[m.Zone]})
-		sharing = append(sharing, dispatch.Host{Name: m.Name, Zone: m.Zone})
 	}
-	p.Dispatcher.SetHosts(sharing)
+	p.Dispatcher.SetHosts(hosts)
 	set.roster = relay.NewRoster(hosts)
 	p.peerSet.Store(set)
 }
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -52,7 +52,7 @@
 	aggregator    relay.Aggregator                       // state reported by other hosts
 	owners        map[string]Owner                       // by runner
 	hostCount     int                                    // hosts that share the load rate of the weight store
-	hosts         []Host                                 // all hosts; empty while they are unknown
+	hosts         []relay.Host                           // all hosts; empty while they are unknown
 	hostsVersion  uint64                                 // number of changes of hosts
 	nextModelLoad time.Time                              // earliest time of the next load of a base model
 	demandByModel map[string]float64                     // exponentially decayed number of requests
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -22,11 +22,8 @@
 	limitedRetryDelay = 400 * time.Millisecond
 )
 
-// A Host is a host of the system.
-type Host struct{ Name, Zone string }
-
 // SetHosts sets the hosts among which the limits of targets are divided.
-func (d *Dispatcher) SetHosts(all []Host) {
+func (d *Dispatcher) SetHosts(all []relay.Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if slices.Equal(d.hosts, all) {
@@ -69,10 +66,10 @@
 		remote bool
 		weight uint64
 	}
-	rankOf := func(h Host) rank {
-		return rank{d.Regions[h.Zone] != d.Regions[t.Zone], xxhash.Sum64String(h.Name + "@" + t.Name)}
+	rankOf := func(h relay.Host) rank {
+		return rank{h.Region != d.Regions[t.Zone], xxhash.Sum64String(h.Name + "@" + t.Name)}
 	}
-	own := rankOf(Host{Name: d.Holder, Zone: d.Zone})
+	own := rankOf(relay.Host{Name: d.Holder, Region: d.Regions[d.Zone]})
 	share := notice.Share{Hosts: len(d.hosts)}
 	for _, h := range d.hosts {
 		other := rankOf(h)
--- a/stage/dispatch/notice_test.go
+++ b/stage/dispatch/notice_test.go
@@ -27,7 +27,7 @@
 // a limit. Hosts tell each other what they heard with a delay.
 type limitSystem struct {
 	hosts    []*dispatch.Dispatcher
-	names    []dispatch.Host
+	names    []relay.Host
 	now      time.Time
 	limit    float64           // that the target names now
 	named    time.Time         // when the target first named its limit
@@ -53,8 +53,7 @@
 func newLimitSystem(hosts int, limit float64) *limitSystem {
 	s := &limitSystem{now: start, limit: limit, told: make(map[int]time.Time)}
 	for i := range hosts {
-		zone := []string{"north-a", "north-b", "south-a"}[i%3]
-		s.names = append(s.names, dispatch.Host{Name: fmt.Sprint("host-", i), Zone: zone})
+		s.names = append(s.names, relay.Host{Name: fmt.Sprint("host-", i), Region: regions[limitZone(i)]})
 	}
 	for i := range hosts {
 		s.hosts = append(s.hosts, s.newHost(i))
@@ -62,8 +61,11 @@
 	return s
 }
 
+// limitZone returns the zone of a host of a limitSystem.
+func limitZone(host int) string { return []string{"north-a", "north-b", "south-a"}[host%3] }
+
 func (s *limitSystem) newHost(i int) *dispatch.Dispatcher {
-	d := &dispatch.Dispatcher{Holder: s.names[i].Name, Zone: s.names[i].Zone, Regions: regions}
+	d := &dispatch.Dispatcher{Holder: s.names[i].Name, Zone: limitZone(i), Regions: regions}
 	d.Apply(s.now, catalog.ConfigUpdated{Config: catalog.NewConfig(1, nil, []catalog.Service{{Name: plain}}, catalog.Limits{})})
 	d.Apply(s.now, catalog.TargetsListed{Revision: 1, Targets: []catalog.Target{
 		{Name: "limited", Service: plain, Zone: "north-a", Slots: 50, Started: start},
