dispatch: what a process of a target said outlives its entry

Callers saw requests at a runner seconds after it had said in its answers that it leaves (DRAIN). What a target had said stood in the record of its entry: when the entry lapsed for some seconds (the store was away, or was restored, or the target drained) and came back, the record was new. An answer to an attempt of before wrote to the record that was dropped.

TestLapsedEntryEndsNoNotice (leaving, quiet, limit) and TestAnswerAfterLapsedEntryCounts failed before: the request was sent. Ruled out: that the header wasn't read (it is, in each answer that is passed on). New line: 'target: listed but not used', with the reason.

--- a/jacinthd/internal/direct/apply.go
+++ b/jacinthd/internal/direct/apply.go
@@ -20,6 +20,9 @@
 		p.configApplied(before, e.Config)
 	case catalog.TargetsListed:
 		p.log.Info("target: targets listed", zap.Uint64("revision", e.Revision), zap.Int("targets", len(e.Targets)))
+		for _, t := range e.Targets {
+			p.logUnused(t)
+		}
 	case catalog.TargetsChanged:
 		for _, c := range e.Changes {
 			p.logTargetChange(e.Revision, c)
@@ -44,7 +47,15 @@
 	case catalog.TargetUpdated:
 		p.log.Info("target: changed", zap.String("target", c.Target.Name), zap.Uint64("revision", revision),
 			zap.Bool("ready", c.Target.State == catalog.Ready), zap.Stringer("address", c.Target.Address), zap.Uint64("orders", c.Target.AcceptedOrders), zap.String("build", c.Target.Build))
+		p.logUnused(c.Target)
 	case catalog.TargetRemoved:
 		p.log.Info("target: removed", zap.String("target", c.Name), zap.Uint64("revision", revision))
 	}
 }
+
+// logUnused logs why a target whose entry says that it is ready is not used.
+func (p *Process) logUnused(t catalog.Target) {
+	if why := p.dispatcher.WhyUnused(t); why != "" {
+		p.log.Info("target: listed but not used", zap.String("target", t.Name), zap.Time("started", t.Started), zap.String("reason", why))
+	}
+}
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -194,7 +194,7 @@
 func (a *Attempt) Heard(now time.Time, n notice.Notice, from notice.Source) (changed bool) {
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
-	return a.target.notice.Heard(now, a.sent, n, from)
+	return a.target.process.heard(now, a.sent, n, from)
 }
 
 // prefillDone records that the prompt was processed, and updates the target's
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -43,10 +43,10 @@
 // willingAfter returns how long this host has to wait until a target takes a request of
 // it. It returns false if the target takes none.
 func (d *Dispatcher) willingAfter(now time.Time, t *target) (time.Duration, bool) {
-	if t.notice.Unrestricted(now) {
+	if t.process.notice.Unrestricted(now) {
 		return 0, true
 	}
-	return t.notice.Wait(now, d.shareOf(t))
+	return t.process.notice.Wait(now, d.shareOf(t))
 }
 
 // shareOf returns this host's share of a target's limit. Hosts in the target's region
@@ -107,8 +107,8 @@
 func (d *Dispatcher) IsLeaving(of catalog.Target) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := d.targets[of.Name]
-	return t != nil && t.SameIncarnation(of) && (t.State == catalog.Draining || t.notice.Leaving())
+	p := d.processes[idOf(of)]
+	return p != nil && p.isLeaving()
 }
 
 // Willing reports whether the attempt's target still takes the request, which has waited
@@ -117,7 +117,8 @@
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !a.target.notice.Leaving() && !a.target.notice.Quiet(now)
+	p := a.target.process
+	return !p.notice.Leaving() && !p.notice.Quiet(now)
 }
 
 // Heard records what a target said of itself in the answer to an order or a report that
@@ -125,44 +126,48 @@
 func (d *Dispatcher) Heard(now, sent time.Time, of catalog.Target, n notice.Notice) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := d.targets[of.Name]
-	return t != nil && t.SameIncarnation(of) && t.notice.Heard(now, sent, n, notice.Other)
+	p := d.processes[idOf(of)]
+	return p != nil && p.heard(now, sent, n, notice.Other)
 }
 
 // notices returns what to tell other hosts of what targets said: news, and some other
-// targets chosen at random.
+// listed targets chosen at random.
 func (d *Dispatcher) notices(now time.Time) []notice.Report {
 	var out []notice.Report
 	news, repeated := 0, 0
-	for _, t := range d.targets {
+	for id, p := range d.processes {
 		switch {
-		case t.notice.IsNews(now) && news < maxNews:
+		case p.notice.IsNews(now) && news < maxNews:
 			news++
-		case !t.notice.Unrestricted(now) && repeated < repeatedNotices:
+		case !p.notice.Unrestricted(now) && d.targets[id.name] != nil && d.targets[id.name].process == p && repeated < repeatedNotices:
 			repeated++
 		default:
 			continue
 		}
-		r := t.notice.Report(now)
-		r.Target, r.Started = uint32(t.hash), t.Started.UnixMilli()
+		r := p.notice.Report(now)
+		r.Target, r.Started = uint32(p.hash), p.started
 		out = append(out, r)
 	}
 	return out
 }
 
 // learnNotices records what another host reports of what targets said. Reports on
-// earlier processes of a target are ignored.
+// processes that this host hasn't known are ignored.
 func (d *Dispatcher) learnNotices(now time.Time, all []notice.Report) {
 	if len(all) == 0 {
 		return
 	}
-	reports := make(map[relay.TargetHash]notice.Report, len(all))
+	type key struct {
+		target  uint32
+		started int64
+	}
+	reports := make(map[key]notice.Report, len(all))
 	for _, r := range all {
-		reports[relay.TargetHash(r.Target)] = r
+		reports[key{r.Target, r.Started}] = r
 	}
-	for _, t := range d.targets {
-		if r, ok := reports[t.hash]; ok && r.Started == t.Started.UnixMilli() {
-			t.notice.Learn(now, r)
+	for _, p := range d.processes {
+		if r, ok := reports[key{uint32(p.hash), p.started}]; ok {
+			p.notice.Learn(now, r)
 		}
 	}
 }
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -340,7 +340,7 @@
 // sets the owner to ask.
 func (d *Dispatcher) newAttempt(now time.Time, r Request, c *candidate) *Attempt {
 	t := c.target
-	t.notice.Sent(now)
+	t.process.notice.Sent(now)
 	attempt := &Attempt{
 		Target: t.Target, Expected: c.latency,
 		dispatcher: d, target: t, request: r, sent: now,
