dispatch: an older copy of the store doesn't undo what was acknowledged of a target

After a restore the first list may show as ready a target whose removal had been acknowledged, and which still serves for seconds, or the process before the one that has the name now.

A process that drained never goes back to ready, also after its entry was removed. TestRestoredEntryOfRemovedTarget and TestRestoredEntryOfFormerProcess failed before (sent, and sent to the former process); TestRestoredEntryOfLivingTarget guards the other side.

--- a/jacinthd/internal/direct/apply.go
+++ b/jacinthd/internal/direct/apply.go
@@ -55,7 +55,7 @@
 
 // logUnused logs why a target whose entry says that it is ready is not used.
 func (p *Process) logUnused(t catalog.Target) {
-	if why := p.dispatcher.WhyUnused(t); why != "" {
+	if why := p.dispatcher.WhyUnused(time.Now(), t); why != "" {
 		p.log.Info("target: listed but not used", zap.String("target", t.Name), zap.Time("started", t.Started), zap.String("reason", why))
 	}
 }
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	revision      uint64 // revision of the platform's store that targets reflects
 	targets       map[string]*target
 	processes     map[processID]*process // of targets, listed or not
+	doubtUntil    time.Time              // entries that contradict what was acknowledged don't count yet, since the store has come back from an older copy
 	services      map[string]map[string]*target
 	newest        map[residency.Key]adapterVersion
 	owned         map[string]*target                     // runners that this host owns
@@ -109,6 +110,7 @@
 	ratedAt             time.Time
 	outcomes            outcomeWindow
 	process             *process
+	unconfirmedUntil    time.Time    // an older copy of the store lists the target, whose removal was acknowledged
 	share               notice.Share // this host's share of the target's limit
 	shareVersion        uint64       // value of hostsVersion that share is from
 }
@@ -118,7 +120,11 @@
 	case catalog.ConfigUpdated:
 		d.setConfig(e.Config)
 	case catalog.TargetsListed:
-		d.replaceTargets(now, e.Targets, d.restored(e))
+		restored := d.restored(e)
+		if restored {
+			d.doubtUntil = now.Add(restoreGrace)
+		}
+		d.replaceTargets(now, e.Targets, restored)
 		d.revision = max(d.revision, e.Revision)
 	case catalog.TargetsChanged:
 		d.applyChanges(now, e.Changes)
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -96,7 +96,7 @@
 
 // listed reports whether a target accepts new requests according to its entry.
 func (t *target) listed(now time.Time) bool {
-	return t.State == catalog.Ready && (t.expiresAt.IsZero() || !now.After(t.expiresAt))
+	return t.State == catalog.Ready && !now.Before(t.unconfirmedUntil) && (t.expiresAt.IsZero() || !now.After(t.expiresAt))
 }
 
 // usable reports whether new requests should go to a target: it is listed, and
--- a/stage/dispatch/process.go
+++ b/stage/dispatch/process.go
@@ -37,6 +37,7 @@
 	notice       notice.State
 	draining     bool      // which does not end
 	terminatesAt time.Time // of a draining process; zero if unknown
+	removed      bool      // the removal of the entry was acknowledged, and no list of the same era shows it again
 	seenAt       time.Time // last time at which the entry was listed or the process said something
 }
 
@@ -59,6 +60,7 @@
 // listed updates a process by its entry, and the entry by what is known of the process: no
 // process goes back to ready.
 func (p *process) listed(entry *catalog.Target) {
+	p.removed = false
 	if p.draining && entry.State == catalog.Ready {
 		entry.State, entry.TerminatesAt = catalog.Draining, p.terminatesAt
 	}
@@ -79,17 +81,21 @@
 
 // WhyUnused returns why a target is not used though an entry that was just listed says that
 // it is ready. It is empty if the entry counts.
-func (d *Dispatcher) WhyUnused(entry catalog.Target) string {
+func (d *Dispatcher) WhyUnused(now time.Time, entry catalog.Target) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.processes[idOf(entry)]
+	t, p := d.targets[entry.Name], d.processes[idOf(entry)]
 	switch {
-	case p == nil || entry.State != catalog.Ready:
+	case entry.State != catalog.Ready:
 		return ""
+	case t == nil || t.process != p:
+		return "a later process has its name"
 	case p.draining:
 		return "draining before"
 	case p.notice.Leaving():
 		return "said that it is leaving"
+	case now.Before(t.unconfirmedUntil):
+		return "removed before, not confirmed yet"
 	default:
 		return ""
 	}
--- a/stage/dispatch/targets.go
+++ b/stage/dispatch/targets.go
@@ -75,6 +75,9 @@
 	return out
 }
 
+// replaceTargets replaces all targets by a list. One that was read after the store has come
+// back from an older copy doesn't undo what was acknowledged before: for restoreGrace, a target
+// whose removal was acknowledged isn't used, and an entry of the process before counts as missing.
 func (d *Dispatcher) replaceTargets(now time.Time, all []catalog.Target, restored bool) {
 	grace := removalGrace
 	if restored {
@@ -82,22 +85,47 @@
 	}
 	listed := make(map[string]bool, len(all))
 	for _, t := range all {
+		if now.Before(d.doubtUntil) && d.isFormer(t) {
+			continue
+		}
 		listed[t.Name] = true
+		removed := d.wasRemoved(t)
 		d.updateTarget(now, t)
+		if removed && now.Before(d.doubtUntil) {
+			d.targets[t.Name].unconfirmedUntil = d.doubtUntil
+		}
 	}
-	for name := range d.targets {
-		if !listed[name] {
-			d.removeTarget(now, name, grace)
+	for name, t := range d.targets {
+		if listed[name] {
+			continue
 		}
+		t.process.removed = t.process.removed || !restored
+		d.removeTarget(now, name, grace)
 	}
 }
 
+// isFormer reports whether an entry is of a process that ended before the present one of
+// its target started.
+func (d *Dispatcher) isFormer(entry catalog.Target) bool {
+	t := d.targets[entry.Name]
+	return t != nil && !t.SameIncarnation(entry) && entry.Started.Before(t.Started)
+}
+
+// wasRemoved reports whether the removal of the entry of a process was acknowledged.
+func (d *Dispatcher) wasRemoved(entry catalog.Target) bool {
+	p := d.processes[idOf(entry)]
+	return p != nil && p.removed
+}
+
 func (d *Dispatcher) applyChanges(now time.Time, all []catalog.TargetChange) {
 	for _, c := range all {
 		switch c := c.(type) {
 		case catalog.TargetUpdated:
 			d.updateTarget(now, c.Target)
 		case catalog.TargetRemoved:
+			if t := d.targets[c.Name]; t != nil {
+				t.process.removed = true
+			}
 			d.removeTarget(now, c.Name, removalGrace)
 		default:
 			panic("dispatch: unknown change")
@@ -120,7 +148,7 @@
 		known = d.addTarget(p, t)
 	}
 	known.Target = t
-	known.expiresAt = time.Time{}
+	known.expiresAt, known.unconfirmedUntil = time.Time{}, time.Time{}
 	d.builds.saw(now, t.Service, t.Build)
 	known.noteResidentAdapters(now)
 }
@@ -209,6 +237,7 @@
 	var all []catalog.Target
 	for _, t := range d.targets {
 		if !t.expiresAt.IsZero() && now.After(t.expiresAt) {
+			t.process.removed = true
 			d.deleteTarget(now, t)
 			continue
 		}
