mirror, direct: the configuration doesn't go back where hosts start after a restore

Routes of a confirmed configuration were answered with 404 by a host that started while the store held an older copy, though all other hosts held the newer one (CONFIG): it took what the store listed, and digests only made it read the store again. What other hosts passed on had gone back as well, since their copy of the store's objects did.

A kind may now have an order of its own (the configuration: its version), in which the copy of no host goes back.

--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -68,6 +68,7 @@
 	set.hosts = hosts
 	set.roster = relay.NewRoster(hosts)
 	p.peerSet.Store(set)
+	p.askStarted(set)
 }
 
 // SendDigests sends digests until ctx ends: to this host's relay or, if this host is
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -126,6 +126,7 @@
 		OnMembers: p.peers.SetMembers, OnOwned: metrics.setOwned,
 		LeaseTiming: lease.Timing{Duration: leaseDuration, RenewInterval: leaseRenewInterval, ClockMargin: leaseClockMargin},
 	}
+	p.peers.Era = deps.Store.Era
 	p.controller.OnRestored = suspects.WriteAgain
 	p.controller.Client.Valid = p.controller.Valid
 	p.controller.Init()
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/direct/peers.go
@@ -44,13 +44,17 @@
 	Wake func()
 	// OnNewerConfig is called when another host has a newer configuration.
 	OnNewerConfig func()
-	Log           *zap.Logger
+	// Era returns the era of the store. It is 0, or Era nil, if the store names none.
+	Era func() uint64
+	Log *zap.Logger
 
 	peerSet      atomic.Pointer[peerSet]
 	currentRelay atomic.Pointer[string] // relay to which this host reports; nil or empty if it is one
 	reporting    sync.Map               // names of the relays with a report in progress
 	fetching     sync.Map               // kinds of objects that are being fetched
 
+	askAtStart sync.Once
+
 	origins origin.Memory // of streams that began here, or that this host keeps
 
 	mu               sync.Mutex
@@ -115,6 +119,9 @@
 	if merge(time.Now(), d) {
 		p.Log.Info("config: another host has a newer version", zap.String("host", d.From), zap.Uint64("version", d.ConfigVersion))
 		p.OnNewerConfig()
+		if set := p.peerSet.Load(); set != nil {
+			go p.takeNewer(set, d.From)
+		}
 	}
 }
 
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -54,6 +54,7 @@
 // A Copy is a copy of all objects of one kind. It is safe for concurrent use.
 type Copy struct {
 	apply func(Page)
+	order func(Object) uint64 // nil if the order of changes is that of revisions
 
 	mu         sync.Mutex
 	objects    map[string]Object // nil before the first list
@@ -137,7 +138,13 @@
 
 // replace replaces all objects by those of a full page.
 func (c *Copy) replace(p Page) {
-	c.objects = p.byName()
+	objects := p.byName()
+	for name, known := range c.objects {
+		if listed, ok := objects[name]; c.order != nil && (!ok || c.order(known) > c.order(listed)) {
+			objects[name] = known
+		}
+	}
+	c.objects, c.encoded = objects, encodedPage{}
 	c.batches, c.batchBytes, c.floor = nil, 0, p.Revision
 	c.revision, c.lastChange = p.Revision, p.Revision
 }
@@ -147,11 +154,12 @@
 	size := 0
 	for _, o := range p.Objects {
 		size += len(o.Body) + len(o.Name)
-		if o.Removed {
+		switch {
+		case o.Removed && c.order == nil:
 			delete(c.objects, o.Name)
-			continue
+		case !o.Removed && c.isNewer(o):
+			c.objects[o.Name] = o
 		}
-		c.objects[o.Name] = o
 	}
 	c.revision, c.lastChange = p.Revision, p.Revision
 	c.batches = append(c.batches, batch{p.Revision, p.Objects, size})
@@ -163,6 +171,38 @@
 	}
 }
 
+// isNewer reports whether an object may replace the one with its name.
+func (c *Copy) isNewer(o Object) bool {
+	known, ok := c.objects[o.Name]
+	return c.order == nil || !ok || c.order(o) >= c.order(known)
+}
+
+// merge takes over the objects of a full page of another host that are newer by the copy's
+// own order, whatever the revisions. It reports whether there were any.
+func (c *Copy) merge(p Page) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newer := Page{Revision: c.revision}
+	for _, o := range p.Objects {
+		known, ok := c.objects[o.Name]
+		if c.order == nil || o.Removed || ok && c.order(o) <= c.order(known) {
+			continue
+		}
+		if c.objects == nil {
+			c.objects = make(map[string]Object)
+		}
+		c.objects[o.Name] = o
+		newer.Objects = append(newer.Objects, o)
+	}
+	if len(newer.Objects) == 0 {
+		return false
+	}
+	// The changes that are kept lack the merged objects.
+	c.batches, c.batchBytes, c.floor, c.encoded = nil, 0, c.revision, encodedPage{}
+	c.apply(newer)
+	return true
+}
+
 // pageSince returns what a copy at the given revision lacks. The page is full if
 // this copy no longer holds every change after that revision.
 func (c *Copy) pageSince(revision uint64) Page {
--- a/stage/mirror/mirror_test.go
+++ b/stage/mirror/mirror_test.go
@@ -193,3 +193,45 @@
 		}
 	})
 }
+
+// TestOrderedCopyKeepsNewerObject guards against an object that goes back because the store
+// has come back from an older copy, in the copy itself and in what others get from it.
+func TestOrderedCopyKeepsNewerObject(t *testing.T) {
+	open := func() (*mirror.Set, *mirror.Copy, *string) {
+		var set mirror.Set
+		seen := new(string)
+		order := func(o mirror.Object) uint64 { return uint64(len(o.Body)) }
+		return &set, set.OpenOrdered("kind", order, func(p mirror.Page) {
+			for _, o := range p.Objects {
+				*seen = string(o.Body)
+			}
+		}), seen
+	}
+	list := func(revision uint64, body string) mirror.Page {
+		return mirror.Page{Revision: revision, Full: true, Objects: []mirror.Object{object("a", body)}}
+	}
+	set, copied, _ := open()
+	copied.Update(list(10, "long"), 0, at(0))
+	copied.Update(list(20, "old"), 0, at(10))
+	copied.Update(mirror.Page{Revision: 21, Objects: []mirror.Object{object("a", "o")}}, 20, at(20))
+	copied.Update(mirror.Page{Revision: 22, Objects: []mirror.Object{{Name: "a", Removed: true}}}, 21, at(30))
+
+	other, behind, seen := open()
+	behind.Update(list(30, "old"), 0, at(40))
+	data, err := set.EncodePage("kind", 0)
+	require.NoError(t, err)
+	newer, err := other.MergePage("kind", data)
+	require.NoError(t, err)
+	require.True(t, newer)
+	require.Equal(t, "long", *seen)
+	newer, err = other.MergePage("kind", data)
+	require.NoError(t, err)
+	require.False(t, newer)
+
+	copied.Update(list(40, "longer"), 0, at(50))
+	data, err = set.EncodePage("kind", 0)
+	require.NoError(t, err)
+	_, err = other.MergePage("kind", data)
+	require.NoError(t, err)
+	require.Equal(t, "longer", *seen)
+}
--- a/stage/mirror/set.go
+++ b/stage/mirror/set.go
@@ -38,6 +38,28 @@
 	return c
 }
 
+// OpenOrdered creates the copy of a kind whose objects have an order of their own: in the
+// copy none gives way to one of a lower order, and none is removed. The store, when it comes
+// back from an older copy, may hold older ones than were acknowledged before.
+func (s *Set) OpenOrdered(kind string, order func(Object) uint64, apply func(Page)) *Copy {
+	c := s.Open(kind, apply)
+	c.order = order
+	return c
+}
+
+// OrderedKinds returns the kinds that OpenOrdered created copies of.
+func (s *Set) OrderedKinds() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for kind, c := range s.copies {
+		if c.order != nil {
+			out = append(out, kind)
+		}
+	}
+	return out
+}
+
 func (s *Set) copy(kind string) *Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,6 +135,20 @@
 	return c.update(p, after, currentTime(received, state), true), nil
 }
 
+// MergePage takes over the objects of a full page, which another host encoded, that are
+// newer by the order of their kind. It reports whether there were any.
+func (s *Set) MergePage(kind string, data []byte) (bool, error) {
+	c := s.copy(kind)
+	if c == nil {
+		return false, nil
+	}
+	p, err := decode(data)
+	if err != nil {
+		return false, err
+	}
+	return c.merge(p), nil
+}
+
 func encode(p Page) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
