--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -493,3 +493,11 @@
 		require.Less(t, time.Since(start), 750*time.Millisecond, "half of the time that the caller has")
 	}
 }
+
+// newLinkedSystem returns a testSystem whose handler runs on the first of several linked
+// hosts, all of which know its targets.
+func newLinkedSystem(t *testing.T, hosts []*testHost, targets int, handle targetFunc) *testSystem {
+	s := &testSystem{suspects: hosts[0].peers.Suspects, dispatcher: hosts[0].dispatcher, peers: hosts[0].peers}
+	s.start(t, targets, handle)
+	return s
+}
--- /dev/null
+++ b/jacinthd/internal/direct/partition_test.go
@@ -0,0 +1,70 @@
+package direct_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A cut is what happens to a host's connections to targets while it is partitioned from them.
+type cut struct {
+	active atomic.Bool
+	dial   func(ctx context.Context) error // result of a new connection
+}
+
+// apply makes a host's new connections to targets fail while the cut is active.
+func (c *cut) apply(h *testHost) {
+	pool := h.peers.Suspects.Pool
+	dial := pool.Dial
+	pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if c.active.Load() {
+			return nil, c.dial(ctx)
+		}
+		return dial(ctx, network, address)
+	}
+}
+
+func hangs(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(600 * time.Millisecond):
+	}
+	return context.DeadlineExceeded
+}
+
+func isRefused(context.Context) error { return syscall.ECONNREFUSED }
+
+// TestPartitionedHostServesThroughOthers guards against a host that serves nothing while it
+// can't reach any target, though other hosts reach them.
+func TestPartitionedHostServesThroughOthers(t *testing.T) {
+	for name, dial := range map[string]func(context.Context) error{"hangs": hangs, "refused": isRefused} {
+		t.Run(name, func(t *testing.T) {
+			hosts := startHosts(t, 3)
+			c := &cut{dial: dial}
+			c.apply(hosts[0])
+			s := newLinkedSystem(t, hosts, 3, func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.Header().Set("Signed", "1")
+				_, _ = w.Write([]byte("done"))
+			})
+			c.active.Store(true)
+			for range 3 { // the first ones may fail while the host finds out
+				_, _, _ = s.send(t, http.MethodGet, "/read/x", "")
+			}
+			for range 10 {
+				for _, path := range []string{"/read/x", "/once/x", "/stream/x"} {
+					response, body, err := s.send(t, http.MethodGet, path, "")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.StatusCode)
+					require.Equal(t, "done", body)
+				}
+			}
+			require.LessOrEqual(t, s.runs.Load(), s.sent.Load(), "each runs once")
+		})
+	}
+}
