suspect: a target has not ended if this host reaches no other target either

Now another target must be reached before a refused connection counts. TestPartitionIsNoCrash failed before (a crash was told to other hosts).

--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -112,7 +112,7 @@
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	p.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, OnOpen: metrics.opened.Inc}
-	suspects := &Suspects{Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
+	suspects := &Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
 	p.reach = &Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: metrics, Log: log}
 	p.pool.Watcher = p.reach
 	p.peers = &Peers{
--- a/jacinthd/internal/direct/partition_test.go
+++ b/jacinthd/internal/direct/partition_test.go
@@ -71,3 +71,27 @@
 		})
 	}
 }
+
+// TestPartitionIsNoCrash guards against requests that are taken for ones that crash targets,
+// and refused on all hosts, since a host lost its connections to targets with them in progress
+// and can't open new ones.
+func TestPartitionIsNoCrash(t *testing.T) {
+	hosts := startHosts(t, 2)
+	c := &cut{dial: isRefused}
+	c.apply(hosts[0])
+	var reached atomic.Int32
+	s := newLinkedSystem(t, hosts, 4, func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.Header.Get("Last") == "" && reached.Add(1) <= 4 {
+			c.active.Store(true)
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Signed", "1")
+		_, _ = w.Write([]byte(event))
+	})
+	s.suspects.Ready = s.dispatcher.ReadyAddresses
+	for range 3 {
+		_, _, _ = s.send(t, http.MethodPost, "/once/x", "same")
+		c.active.Store(false)
+	}
+	require.Empty(t, s.suspects.List.News(time.Now()))
+}
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -23,6 +26,8 @@
 	// crashProbeTimeout limits the time in which a host finds out whether a target
 	// refuses new connections after one of its connections broke.
 	crashProbeTimeout = 150 * time.Millisecond
+	// maxOtherProbes is the number of other targets that are tried then.
+	maxOtherProbes = 3
 	// suspectCallTimeout limits each call to the store for a suspect, and
 	// suspectCallInterval is the time between two tries.
 	suspectCallTimeout  = 2 * time.Second
@@ -44,6 +49,8 @@
 	Store   store.Objects
 	Metrics *Metrics
 	Log     *zap.Logger
+	// Ready, if set, returns the addresses of the targets that should accept connections.
+	Ready func(now time.Time) []netip.AddrPort
 
 	probes     singleflight.Group
 	writing    sync.Map // traits that are being written to the store
@@ -153,11 +160,31 @@
 		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 			s.Log.Info("suspect: unknown whether the target ended", zap.String("target", target.Name), zap.Error(err))
 		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		return errors.Is(err, syscall.ECONNREFUSED) && s.reachesOthers(ctx, target), nil
 	})
 	return ended.(bool)
 }
 
+// reachesOthers reports whether this host can connect to another target than the one that
+// refuses it. Otherwise its own links may be at fault.
+func (s *Suspects) reachesOthers(ctx context.Context, than catalog.Target) bool {
+	if s.Ready == nil {
+		return true
+	}
+	others := slices.DeleteFunc(s.Ready(time.Now()), func(a netip.AddrPort) bool { return a == than.Address })
+	if len(others) == 0 {
+		return true
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, a := range others[:min(len(others), maxOtherProbes)] {
+		if s.Pool.Open(ctx, a) == nil {
+			return true
+		}
+	}
+	s.Log.Info("suspect: unknown whether the target ended, no other is reached", zap.String("target", than.Name))
+	return false
+}
+
 // answered clears the request's traits once it has got a complete answer other than an
 // error, or an answer has been arriving for a while.
 func (req *callerRequest) answered() {
