--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	copies     *mirror.Set
 	copy       *mirror.Copy
 	stop       context.CancelFunc
+	stopping   atomic.Bool
 
 	mu      sync.Mutex
 	objects map[string]string // bodies of the copy's objects by name
@@ -85,7 +87,7 @@
 	}
 	suspects := h.peers.Suspects
 	reach := &direct.Reach{Pool: suspects.Pool, Dispatcher: h.dispatcher, Suspects: suspects, Metrics: suspects.Metrics, Log: zap.NewNop()}
-	h.peers.Proxy = &direct.Proxy{Headers: testHeaders{}, Reach: reach, Stopping: func() bool { return false }}
+	h.peers.Proxy = &direct.Proxy{Headers: testHeaders{}, Reach: reach, Stopping: h.stopping.Load}
 	h.identity = host.Identity{Name: name, Zone: "z", Peer: netip.MustParseAddrPort(socket.LocalAddr().String())}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
