--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -111,7 +111,7 @@
 	metrics := NewMetrics(registry)
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
-	p.pool = &outbound.Pool{Dial: outbound.Dialer().DialContext, OnOpen: metrics.opened.Inc}
+	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: metrics.opened.Inc}
 	suspects := &Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
 	p.reach = &Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: metrics, Log: log}
 	p.pool.Watcher = p.reach
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -113,7 +113,7 @@
 // newSuspects returns Suspects with a store and connections of their own.
 func newSuspects() *direct.Suspects {
 	return &direct.Suspects{
-		Pool: &outbound.Pool{Dial: outbound.Dialer().DialContext}, Store: new(memory.Store),
+		Pool: &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext}, Store: new(memory.Store),
 		Metrics: direct.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	}
 }
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -28,6 +28,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,8 +113,11 @@
 
 // A Watcher observes the connections of a Pool. Its methods are called by many goroutines.
 type Watcher interface {
+	// Connected says that a new connection works: bytes have arrived on it, or it has stayed
+	// open for a moment.
 	Connected(target netip.AddrPort)
-	// NotConnected says that no connection could be opened, though the caller still wanted it.
+	// NotConnected says that no connection could be opened, though the caller still wanted it,
+	// or that a new one was reset before any bytes arrived.
 	NotConnected(target netip.AddrPort, cause error)
 	Sent()  // a request
 	Heard() // bytes from a target
@@ -182,6 +186,9 @@
 	go func() { x.written <- r.write(c, request) }()
 	if err := x.readResponse(request, filter); err != nil {
 		x.discard()
+		if !c.source.heard && errors.Is(err, syscall.ECONNRESET) {
+			p.notConnected(address, err)
+		}
 		return nil, &Error{Cause: err}
 	}
 	return x, nil
@@ -343,54 +350,70 @@
 }
 
 // Open opens a connection to address and keeps it for later requests. It fails if the
-// target does not accept one, or resets it at once and does not accept another.
+// target does not accept one, or resets it at once and does not accept another that lasts.
 func (p *Pool) Open(ctx context.Context, address netip.AddrPort) error {
-	c, err := p.open(ctx, address)
-	if err != nil {
-		return err
-	}
-	time.Sleep(settleTime)
-	if !reusable(c.Conn) {
-		_ = c.Conn.Close()
-		if c, err = p.open(ctx, address); err != nil {
+	for range 2 {
+		c, err := p.open(ctx, address)
+		if err != nil {
 			return err
 		}
+		time.Sleep(settleTime)
+		if reusable(c.Conn) {
+			p.connected(address)
+			p.put(address, c, defaultIdleTimeout)
+			return nil
+		}
+		_ = c.Conn.Close()
 	}
-	p.put(address, c, defaultIdleTimeout)
-	return nil
+	p.notConnected(address, errReset)
+	return errReset
 }
 
+// errReset means that a target accepts connections and resets them at once.
+var errReset = errors.New("reset at once")
+
 func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*poolConn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	conn, err := p.Dial(dialCtx, "tcp", address.String())
-	if p.Watcher != nil && err == nil {
-		p.Watcher.Connected(address)
-	}
-	if p.Watcher != nil && err != nil && ctx.Err() == nil {
-		p.Watcher.NotConnected(address, err)
-	}
 	if err != nil {
+		if ctx.Err() == nil {
+			p.notConnected(address, err)
+		}
 		return nil, err
 	}
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return p.newConn(conn), nil
+	return p.newConn(address, conn), nil
 }
 
-func (p *Pool) newConn(conn net.Conn) *poolConn {
-	c := &poolConn{Conn: conn, source: &limitedReader{conn: conn, remaining: math.MaxInt64, watcher: p.Watcher}}
+func (p *Pool) newConn(address netip.AddrPort, conn net.Conn) *poolConn {
+	c := &poolConn{Conn: conn, source: &limitedReader{conn: conn, remaining: math.MaxInt64, address: address, watcher: p.Watcher}}
 	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	return c
 }
 
+func (p *Pool) connected(address netip.AddrPort) {
+	if p.Watcher != nil {
+		p.Watcher.Connected(address)
+	}
+}
+
+func (p *Pool) notConnected(address netip.AddrPort, cause error) {
+	if p.Watcher != nil {
+		p.Watcher.NotConnected(address, cause)
+	}
+}
+
 // A limitedReader reads from a connection and fails after a number of bytes, unlike
 // io.LimitReader, which ends as if the connection were closed.
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
+	address   netip.AddrPort
 	watcher   Watcher // may be nil
+	heard     bool    // bytes have arrived
 }
 
 // Read implements io.Reader.
@@ -401,8 +424,12 @@
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
 	if n > 0 && r.watcher != nil {
+		if !r.heard {
+			r.watcher.Connected(r.address)
+		}
 		r.watcher.Heard()
 	}
+	r.heard = r.heard || n > 0
 	return n, err
 }
 
--- a/jacinthd/internal/outbound/outbound_test.go
+++ b/jacinthd/internal/outbound/outbound_test.go
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func newPool() *outbound.Pool { return &outbound.Pool{Dial: outbound.Dialer().DialContext} }
+func newPool() *outbound.Pool { return &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext} }
 
 // fetch sends a request and reads the complete response body.
 func fetch(p *outbound.Pool, address netip.AddrPort, id string, body []byte) (string, error) {
--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -25,10 +26,15 @@
 )
 
 // Dialer returns a dialer whose connections end soon after the remote side stops
-// responding, even while they are idle.
-func Dialer() *net.Dialer {
+// responding, even while they are idle. They come from the address source, or from one
+// that the system chooses if it is the zero value.
+func Dialer(source netip.Addr) *net.Dialer {
+	var local net.Addr
+	if source.IsValid() {
+		local = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
 	return &net.Dialer{
-		Timeout: DialTimeout,
+		Timeout: DialTimeout, LocalAddr: local,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
--- a/jacinthd/internal/ownership/client_test.go
+++ b/jacinthd/internal/ownership/client_test.go
@@ -48,7 +48,7 @@
 	defer server.Close()
 	replies := make(chan string, 1)
 	client := ownership.RunnerClient{
-		Dispatcher: new(dispatch.Dispatcher), Codec: idCodec{}, Pool: &outbound.Pool{Dial: outbound.Dialer().DialContext}, Log: zap.NewNop(),
+		Dispatcher: new(dispatch.Dispatcher), Codec: idCodec{}, Pool: &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext}, Log: zap.NewNop(),
 		OnReply: func(reply string) { replies <- reply }, Valid: func() bool { return true },
 	}
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
--- a/jacinthd/internal/ownership/ownership_test.go
+++ b/jacinthd/internal/ownership/ownership_test.go
@@ -85,7 +85,7 @@
 		all = append(all, catalog.Target{Name: fmt.Sprint("runner-", i), Service: serviceName, Zone: "z"})
 	}
 	dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 7, Targets: all})
-	pool := &outbound.Pool{Dial: outbound.Dialer().DialContext}
+	pool := &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext}
 	c := &ownership.Controller{
 		Self:       host.Identity{Name: name, Incarnation: name + time.Now().String(), Zone: "z", Peer: netip.MustParseAddrPort("127.0.0.1:1")},
 		Store:      hosts.store,
--- a/jacinthd/serve.go
+++ b/jacinthd/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -78,7 +79,7 @@
 	defer stop()
 	go s.reload(ctx, level, log)
 	transport := &http.Transport{
-		DialContext: outbound.Dialer().DialContext, MaxIdleConnsPerHost: storeConnections,
+		DialContext: outbound.Dialer(netip.Addr{}).DialContext, MaxIdleConnsPerHost: storeConnections,
 		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}
 	registry := prometheus.NewRegistry()
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -17,6 +17,7 @@
 	Name    string            // name of the host
 	Zone    string            // availability zone of the host
 	Regions map[string]string // region of each availability zone
+	Source  netip.Addr        // address from which the host connects to targets; the zero value lets the system choose
 	Caller  netip.AddrPort    // HTTP address for callers
 	Ready   netip.AddrPort    // HTTP address of the readiness endpoint
 	Admin   netip.AddrPort    // HTTP address of the metrics; the zero value where they are not served
@@ -61,6 +62,7 @@
 		{section: "host", key: "zone", set: platformName(&d.Zone)},
 		{section: "host", key: "zones", set: zoneRegions(&d.Regions)},
 		{section: "host", key: "memory", fallback: "0", set: integer(&d.MemoryLimitMB, 0, maxMemory)},
+		{section: "host", key: "source", optional: true, set: ip(&d.Source)},
 		{section: "listen", key: "caller", set: address(&d.Caller)},
 		{section: "listen", key: "peer", set: address(&d.Peer)},
 		{section: "listen", key: "ready", set: address(&d.Ready)},
@@ -88,6 +90,18 @@
 	}
 }
 
+// ip accepts an IP address.
+func ip(dst *netip.Addr) func(string) error {
+	return func(t string) error {
+		a, err := netip.ParseAddr(t)
+		if err != nil {
+			return errors.Errorf("%q is no IP address", t)
+		}
+		*dst = a
+		return nil
+	}
+}
+
 // boolean accepts the spellings of strconv.ParseBool.
 func boolean(dst *bool) func(string) error {
 	return func(t string) error {
