outbound: connections to targets outlast a silence of two seconds

A sound target that was silent for a second or so lost its connections, with the requests and streams on them. TCP_USER_TIMEOUT (1.5 s) also decides when keep-alive probes give up, whatever their count, and probes are whole seconds apart: a silence of 1.5 s that began 0.3, 0.7 or 0.95 s after the last byte ended the connection each time.

The timeout for targets is now 3.5 s; the store keeps 1.5 s. In the middle of an answer a lost target must be noticed sooner, since the caller of a stream leaves after 3 to 4 s: after 2.5 s without bytes and without any acknowledged probe (TCP_INFO) the answer breaks off (TestLostTargetIsNoticed: lost, slow, silent).

--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,6 +63,12 @@
 	rememberedIDs = 8
 	// bufferSize is the size of a connection's read and write buffers, in bytes.
 	bufferSize = 4 << 10
+	// bodySilence is how long nothing may arrive in the middle of an answer, neither bytes nor
+	// acknowledgements of probes, before its connection counts as lost. The caller of a stream
+	// waits little longer for its next event.
+	bodySilence = 2500 * time.Millisecond
+	// probeMargin is the time by which the last acknowledgement may be younger than that.
+	probeMargin = 100 * time.Millisecond
 	// settleTime is how long Open watches a new connection: a process that is ending
 	// may still accept it and reset it at once.
 	settleTime = 10 * time.Millisecond
@@ -238,6 +245,7 @@
 		}
 		if filter == nil || filter(response.Header) {
 			x.Response = response
+			x.conn.source.inBody = true
 			return nil
 		}
 		if err := discardStray(response.Body); err != nil {
@@ -268,6 +276,7 @@
 // requests. It gives up after limit bytes or at the time until; Close then closes the
 // connection.
 func (x *Exchange) Discard(limit int64, until time.Time) error {
+	x.conn.source.inBody = false
 	if err := x.conn.SetReadDeadline(until); err != nil {
 		return errors.WithStack(err)
 	}
@@ -304,6 +313,11 @@
 		x.discard()
 		return
 	}
+	x.conn.source.inBody = false
+	if x.conn.SetReadDeadline(time.Time{}) != nil {
+		x.discard()
+		return
+	}
 	x.pool.put(x.address, x.conn, idleTimeout(x.Response.Header))
 }
 
@@ -414,6 +428,7 @@
 	address   netip.AddrPort
 	watcher   Watcher // may be nil
 	heard     bool    // bytes have arrived
+	inBody    bool    // fails once the connection is lost, before the system does
 }
 
 // Read implements io.Reader.
@@ -421,7 +436,7 @@
 	if r.remaining <= 0 {
 		return 0, errors.Errorf("header larger than %d bytes", maxHeadBytes)
 	}
-	n, err := r.conn.Read(p[:min(int64(len(p)), r.remaining)])
+	n, err := r.readConn(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
 	if n > 0 && r.watcher != nil {
 		if !r.heard {
@@ -433,6 +448,24 @@
 	return n, err
 }
 
+func (r *limitedReader) readConn(p []byte) (int, error) {
+	if !r.inBody {
+		return r.conn.Read(p)
+	}
+	for {
+		if err := r.conn.SetReadDeadline(time.Now().Add(bodySilence)); err != nil {
+			return 0, err
+		}
+		n, err := r.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if isLost(r.conn, bodySilence-probeMargin) {
+			return 0, errors.Errorf("nothing arrived for %v", bodySilence)
+		}
+	}
+}
+
 // noteCarried records that a request is sent on the connection.
 func (c *poolConn) noteCarried(id string) {
 	c.carried = append(c.carried, id)
--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"syscall"
@@ -14,19 +15,22 @@
 	// DialTimeout limits the time to open a connection. A host that can't connect sends
 	// through another one, which has to fit into what is left of a short deadline.
 	DialTimeout = 300 * time.Millisecond
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as lost (TCP_USER_TIMEOUT).
-	userTimeout = 1500 * time.Millisecond
+	// targetTimeout and storeTimeout are how long nothing may arrive on a connection, while
+	// sent bytes or keep-alive probes wait for it, before the connection counts as lost
+	// (TCP_USER_TIMEOUT). Probes are a second apart, whatever their count, and a sound target
+	// may be silent for a second or two: it must miss three in a row.
+	targetTimeout = 3500 * time.Millisecond
+	storeTimeout  = 1500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval are the times before and between TCP
-	// keep-alive probes. After keepAliveCount probes without a reply the
-	// connection counts as lost.
+	// keep-alive probes, in whole seconds on Linux. Where no timeout is set, the connection
+	// counts as lost after keepAliveCount probes without a reply.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second
 	keepAliveCount    = 3
 )
 
-// Dialer returns a dialer whose connections end soon after the remote side stops
-// responding, even while they are idle. They come from the address source, or from one
+// Dialer returns a dialer for targets, whose connections end some seconds after the target
+// stops responding, even while they are idle. They come from the address source, or from one
 // that the system chooses if it is the zero value.
 func Dialer(source netip.Addr) *net.Dialer {
 	var local net.Addr
@@ -38,10 +42,18 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
+		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, targetTimeout) },
 	}
 }
 
+// StoreDialer returns a dialer for the store, whose connections end sooner: a watch waits on
+// them for long, and what it tells has to arrive within seconds.
+func StoreDialer() *net.Dialer {
+	d := Dialer(netip.Addr{})
+	d.Control = func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, storeTimeout) }
+	return d
+}
+
 // Listen listens on address. The connections it accepts end soon after the remote
 // side stops responding.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
@@ -54,10 +66,10 @@
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
-func setUserTimeout(c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -65,6 +77,29 @@
 	return sockErr
 }
 
+// isLost reports whether nothing has arrived on a connection for a time, not even the
+// acknowledgement of a keep-alive probe. It returns false if the system doesn't tell.
+func isLost(conn net.Conn, after time.Duration) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	lost := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		last := time.Duration(math.MaxInt64)
+		if err == nil {
+			last = time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
+		}
+		lost = err == nil && last >= after
+	})
+	return lost
+}
+
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func reusable(conn net.Conn) bool {
--- a/jacinthd/serve.go
+++ b/jacinthd/serve.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -79,7 +78,7 @@
 	defer stop()
 	go s.reload(ctx, level, log)
 	transport := &http.Transport{
-		DialContext: outbound.Dialer(netip.Addr{}).DialContext, MaxIdleConnsPerHost: storeConnections,
+		DialContext: outbound.StoreDialer().DialContext, MaxIdleConnsPerHost: storeConnections,
 		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}
 	registry := prometheus.NewRegistry()
