notice, dispatch: brittle targets are not sent more than they have room for

What finds no room is refused by the host, with when to come back. Hosts tell each other, and that a target has just rejected a request.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -46,7 +46,7 @@
 		attempt.Report(now, dispatch.Failed{Connected: true})
 		return mayHaveRun{reason: "refusal without an id on a used connection, status " + strconv.Itoa(status)}
 	case head.Verdict == verdict.NotRun:
-		full := status == http.StatusServiceUnavailable && head.Load.Known && head.Load.Waiting > 0
+		full := status == http.StatusServiceUnavailable && (head.Load.Known && head.Load.Waiting > 0 || head.Notice.Brittle)
 		req.discardBody(x)
 		attempt.Report(now, dispatch.Rejected{QueueFull: full})
 		// A runner that refused the request because its adapter is not loaded yet
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -157,7 +157,7 @@
 
 func logNotice(log *zap.Logger, target catalog.Target, n notice.Notice) {
 	log.Info("target: says of itself", zap.String("target", target.Name), zap.Float64("limit", n.Limit),
-		zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
+		zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Bool("brittle", n.Brittle), zap.Int("tolerated", n.Tolerated))
 }
 
 // isOwnAnswer reports whether the headers of an answer can belong to this request:
--- a/jacinthd/internal/direct/metrics.go
+++ b/jacinthd/internal/direct/metrics.go
@@ -53,7 +53,7 @@
 		targets: prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_targets", Help: "Known targets."}),
 
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "jacinth_target_notices_total", Help: "Changes of what targets say of themselves: limit, leaving or quiet."}, []string{"kind"}),
+			Name: "jacinth_target_notices_total", Help: "Changes of what targets say of themselves: limit, leaving, quiet or brittle."}, []string{"kind"}),
 		crashes:         prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_crashed_requests_total", Help: "Requests in progress at the end of a target's process."}),
 		suspects:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_suspects", Help: "Contents and parts of requests that are refused because they crashed targets."}),
 		suspectsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_suspects_refused_total", Help: "Requests that were refused because of them."}),
@@ -91,6 +91,8 @@
 		m.notices.WithLabelValues("leaving").Inc()
 	case n.Quiet > 0:
 		m.notices.WithLabelValues("quiet").Inc()
+	case n.Brittle:
+		m.notices.WithLabelValues("brittle").Inc()
 	default:
 		m.notices.WithLabelValues("limit").Inc()
 	}
--- a/jacinthd/internal/ownership/client.go
+++ b/jacinthd/internal/ownership/client.go
@@ -133,7 +133,7 @@
 	defer x.Close()
 	n := c.Codec.ParseNotice(x.Response.StatusCode, x.Response.Header)
 	if c.Dispatcher.Heard(time.Now(), sent, t, n, notice.Other) {
-		c.Log.Info("target: says of itself", zap.String("target", t.Name), zap.Float64("limit", n.Limit), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
+		c.Log.Info("target: says of itself", zap.String("target", t.Name), zap.Float64("limit", n.Limit), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Bool("brittle", n.Brittle))
 	}
 	body, err := io.ReadAll(io.LimitReader(x, maxReportBytes))
 	if err != nil {
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -233,6 +233,10 @@
 // otherwise the runner lacks the adapter.
 func (a *Attempt) rejected(now time.Time, r Rejected) {
 	t := a.target
+	if r.QueueFull {
+		t.process.notice.Rejected(now)
+		a.dispatcher.rejectedByBrittle(now, t)
+	}
 	if r.QueueFull || !a.request.needsEngine() {
 		t.reportedLoad = call.TargetLoad{Known: true, Running: t.Slots, Waiting: t.Slots, Slots: t.Slots}
 		t.reportedAt, t.inFlightAtReport = now, t.inFlight
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -54,6 +54,7 @@
 	answeredAt    time.Time                              // last answer of any target over a connection of this host
 	aggregator    relay.Aggregator                       // state reported by other hosts
 	owners        map[string]Owner                       // by runner
+	riskFrom      map[string]time.Time                   // by service, see mayRisk
 	builds        builds                                 // of each service's targets, lately
 	hostCount     int                                    // hosts that share the load rate of the weight store
 	hosts         []relay.Host                           // all hosts; empty while they are unknown
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -121,6 +121,9 @@
 	// cachedLoadCost that of loading one that is cached on the runner.
 	loadCost       = 0.30
 	cachedLoadCost = 0.03
+	// spreadCost is the largest random cost of a brittle target: hosts that know as little of
+	// each other's requests must not all send to the same one.
+	spreadCost = 0.05
 	// rankCost is the cost of each runner that precedes this one in the adapter's
 	// rendezvous order, in which later requests look for the adapter.
 	rankCost = 0.012
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -20,6 +20,10 @@
 	// limitedRetryDelay is how long a caller should wait before it retries a request
 	// whose targets take none from this host: other hosts may have a share of their limit.
 	limitedRetryDelay = 400 * time.Millisecond
+	// roomDelay is the same where brittle targets have no room.
+	roomDelay = 300 * time.Millisecond
+	// waitingAge is how long a target's word counts that requests wait there.
+	waitingAge = 500 * time.Millisecond
 )
 
 // SetHosts sets the hosts among which the limits of targets are divided.
@@ -43,10 +47,15 @@
 // willingAfter returns how long this host has to wait until a target takes a request of
 // it. It returns false if the target takes none.
 func (d *Dispatcher) willingAfter(now time.Time, t *target) (time.Duration, bool) {
-	if t.process.notice.Unrestricted(now) {
+	n := &t.process.notice
+	if n.Unrestricted(now) {
 		return 0, true
 	}
-	return t.process.notice.Wait(now, d.shareOf(t))
+	share := d.shareOf(t)
+	if !n.HasRoom(now, share, d.roomAt(now, t)) {
+		return roomDelay, true
+	}
+	return n.Wait(now, share)
 }
 
 // shareOf returns this host's share of a target's limit. Hosts in the target's region
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -234,6 +235,9 @@
 		c.cost += l.cost
 	}
 	c.cost += latencyCost(c.latency, r.Objective.Sub(now))
+	if t.process.notice.Brittle() {
+		c.cost += spreadCost * rand.Float64()
+	}
 	return c, true
 }
 
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -1,5 +1,6 @@
 // Package notice holds what targets say of themselves in their answers: that they are
-// leaving, that they want no requests for a while, and how many they take.
+// leaving, that they want no requests for a while, how many they take, and that they are
+// brittle: one that has to reject many requests for want of room ends.
 //
 // What a target said binds the host that heard it at once, whatever the store shows. It
 // holds until the answer to a later request that ran says otherwise, or the target's
@@ -30,6 +31,10 @@
 	Leaving bool
 	// Quiet is how long the target wants no requests from the host that it answers.
 	Quiet time.Duration
+	// Brittle says that the target ends if it has to reject more than Tolerated requests in a
+	// second for want of room.
+	Brittle   bool
+	Tolerated int
 }
 
 // A State is what one host knows of what one target said. The zero value is that of a
@@ -42,6 +47,11 @@
 
 	leaving    bool
 	quietUntil time.Time
+
+	brittle   bool
+	tolerated int
+	brittleAt time.Time // when the target last said whether it is brittle
+	fullUntil time.Time // a brittle target has rejected a request for want of room
 }
 
 // A Share says which part of a target's limit a host has. The zero value is that of a
@@ -110,7 +120,7 @@
 
 // Unrestricted reports whether the target said nothing that keeps requests from it.
 func (s *State) Unrestricted(now time.Time) bool {
-	return s.limit == 0 && !s.leaving && !now.Before(s.quietUntil)
+	return s.limit == 0 && !s.leaving && !s.brittle && !now.Before(s.quietUntil)
 }
 
 // Leaving reports whether the target said that it is leaving. It doesn't change its mind.
@@ -147,6 +157,9 @@
 // may overtake each other.
 func (s *State) Heard(now, sent time.Time, n Notice, from Source) (changed bool) {
 	changed = s.setRestrictions(now, n.Leaving, now.Add(n.Quiet))
+	if n.Brittle || from == Run {
+		changed = s.heardBrittle(now, sent, n.Brittle, n.Tolerated) || changed
+	}
 	if n.Limit == 0 && from != Run {
 		return changed
 	}
@@ -204,6 +217,11 @@
 	Age     uint64   // milliseconds since the target said so
 	Leaving bool
 	Quiet   uint64 // milliseconds for which the target wants no requests yet
+	Brittle bool
+	// Tolerated is the number of rejections in a second that a brittle target bears.
+	Tolerated uint64
+	Heard     uint64 // milliseconds since the target said whether it is brittle
+	Full      uint64 // milliseconds for which a brittle target counts as full yet
 }
 
 // IsNews reports whether what is known of the target has changed lately.
@@ -214,6 +232,7 @@
 	return Report{
 		Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds())),
 		Leaving: s.leaving, Quiet: uint64(max(0, s.quietUntil.Sub(now).Milliseconds())),
+		Brittle: s.brittle, Tolerated: uint64(s.tolerated), Heard: uint64(max(0, now.Sub(s.brittleAt).Milliseconds())), Full: uint64(max(0, s.fullUntil.Sub(now).Milliseconds())),
 	}
 }
 
@@ -221,6 +240,7 @@
 // target has changed. A limit counts unless this host knows a newer one.
 func (s *State) Learn(now time.Time, r Report) (changed bool) {
 	changed = s.setRestrictions(now, r.Leaving, now.Add(time.Duration(r.Quiet)*time.Millisecond))
+	changed = s.learnBrittle(now, r) || changed
 	return s.learnLimit(now, r) || changed
 }
 
