--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -97,6 +97,7 @@
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
 	stop       atomic.Bool
+	targets    []catalog.Target
 }
 
 // routeKinds are the kinds of a testSystem's routes by the first segment of their
@@ -153,6 +154,7 @@
 		})
 	}
 	s.dispatcher.Apply(time.Now(), catalog.ConfigUpdated{Config: catalog.NewConfig(2, routes, []catalog.Service{{Name: "s"}}, catalog.Limits{MaxBody: 100})})
+	s.targets = all
 	s.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 1, Targets: all})
 	s.startHandler(t)
 }
@@ -502,5 +504,8 @@
 func newLinkedSystem(t *testing.T, hosts []*testHost, targets int, handle targetFunc) *testSystem {
 	s := &testSystem{suspects: hosts[0].peers.Suspects, dispatcher: hosts[0].dispatcher, peers: hosts[0].peers}
 	s.start(t, targets, handle)
+	for _, h := range hosts[1:] {
+		h.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 1, Targets: s.targets})
+	}
 	return s
 }
--- a/jacinthd/internal/direct/indirect_test.go
+++ b/jacinthd/internal/direct/indirect_test.go
@@ -155,3 +155,17 @@
 func listOf(all ...catalog.Target) catalog.Event {
 	return catalog.TargetsListed{Revision: 2, Targets: all}
 }
+
+// TestProxySendsToTargetsOnly guards against a host that sends what it is asked to any address.
+func TestProxySendsToTargetsOnly(t *testing.T) {
+	hosts := startHosts(t, 2)
+	c := &cut{dial: isRefused}
+	c.apply(hosts[0])
+	c.active.Store(true)
+	s := &testSystem{suspects: hosts[0].peers.Suspects, dispatcher: hosts[0].dispatcher, peers: hosts[0].peers}
+	s.start(t, 1, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "a") })
+	response, _, err := s.send(t, http.MethodPost, "/once/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Zero(t, s.runs.Load())
+}
--- a/jacinthd/internal/direct/proxy.go
+++ b/jacinthd/internal/direct/proxy.go
@@ -72,6 +72,9 @@
 		return &peer.ProxyRefusal{Cause: "the host is stopping"}
 	case active > maxProxied || m.Size > maxProxiedBody:
 		return &peer.ProxyRefusal{Cause: "the host sends too much for others"}
+	case !p.Reach.Dispatcher.Knows(target):
+		// The other host is not proved to be one: nothing is sent to any other address.
+		return &peer.ProxyRefusal{Cause: "the host doesn't know the target"}
 	case p.Reach.Links.Indirect(time.Now(), target.Address):
 		return &peer.ProxyRefusal{Cause: "the host doesn't reach the target itself"}
 	case !p.Reach.Dispatcher.Accepts(time.Now(), target):
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -139,13 +139,19 @@
 	return p != nil && p.heard(now, sent, n, from)
 }
 
-// Accepts reports whether this host may send a request for another one to a target. One that
-// this host doesn't know is the other host's business.
+// Knows reports whether this host has seen a process of a target in the list of targets.
+func (d *Dispatcher) Knows(of catalog.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.processes[idOf(of)] != nil
+}
+
+// Accepts reports whether this host may send a request for another one to a target.
 func (d *Dispatcher) Accepts(now time.Time, of catalog.Target) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.processes[idOf(of)]
-	return p == nil || !p.isLeaving() && !p.notice.Quiet(now)
+	return p != nil && !p.isLeaving() && !p.notice.Quiet(now)
 }
 
 // notices returns what to tell other hosts of what targets said: news, and some other
