--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -46,7 +46,7 @@
 const objectKind = "objects"
 
 // startHosts starts n hosts of one region that know each other.
-func startHosts(t *testing.T, n int) []*testHost {
+func startHosts(t testing.TB, n int) []*testHost {
 	var all []*testHost
 	var identities []host.Identity
 	for i := range n {
@@ -61,7 +61,7 @@
 }
 
 // startHost starts a host that knows one runner and no other host yet.
-func startHost(t *testing.T, name string) *testHost {
+func startHost(t testing.TB, name string) *testHost {
 	identity, err := peer.Ephemeral(name)
 	require.NoError(t, err)
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -134,7 +134,7 @@
 	return s
 }
 
-func (s *testSystem) start(t *testing.T, targets int, handle targetFunc) {
+func (s *testSystem) start(t testing.TB, targets int, handle targetFunc) {
 	var all []catalog.Target
 	for i := range targets {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -159,7 +159,7 @@
 	s.startHandler(t)
 }
 
-func (s *testSystem) startHandler(t *testing.T) {
+func (s *testSystem) startHandler(t testing.TB) {
 	if s.peers == nil {
 		s.peers = &direct.Peers{Self: "alone", Zone: "z", Dispatcher: s.dispatcher, Suspects: s.suspects, Log: zap.NewNop()}
 	}
@@ -176,17 +176,17 @@
 }
 
 // send sends a request as a caller and reads the complete answer.
-func (s *testSystem) send(t *testing.T, method, path, body string) (*http.Response, string, error) {
+func (s *testSystem) send(t testing.TB, method, path, body string) (*http.Response, string, error) {
 	return s.sendWithin(t, 1500*time.Millisecond, method, path, body)
 }
 
 // sendWithin sends a request as a caller that waits for limit.
-func (s *testSystem) sendWithin(t *testing.T, limit time.Duration, method, path, body string) (*http.Response, string, error) {
+func (s *testSystem) sendWithin(t testing.TB, limit time.Duration, method, path, body string) (*http.Response, string, error) {
 	return s.sendWith(t, limit, method, path, body, nil)
 }
 
 // sendWith sends a request with further headers as a caller that waits for limit.
-func (s *testSystem) sendWith(t *testing.T, limit time.Duration, method, path, body string, header map[string]string) (*http.Response, string, error) {
+func (s *testSystem) sendWith(t testing.TB, limit time.Duration, method, path, body string, header map[string]string) (*http.Response, string, error) {
 	r, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
 	require.NoError(t, err)
 	r.Host = "one.example"
@@ -501,7 +501,7 @@
 
 // newLinkedSystem returns a testSystem whose handler runs on the first of several linked
 // hosts, all of which know its targets.
-func newLinkedSystem(t *testing.T, hosts []*testHost, targets int, handle targetFunc) *testSystem {
+func newLinkedSystem(t testing.TB, hosts []*testHost, targets int, handle targetFunc) *testSystem {
 	s := &testSystem{suspects: hosts[0].peers.Suspects, dispatcher: hosts[0].dispatcher, peers: hosts[0].peers}
 	s.start(t, targets, handle)
 	for _, h := range hosts[1:] {
