spec: leases and owners where the store loses acknowledged writes

Shown wrong without the mechanisms: a holder that takes answers of a new era as before, an observer whose wait goes on or whose delete counts in another era, epochs that go on from those of the copy, a handover that counts as the copy tells it.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -16,12 +16,22 @@
  * before the wait was over. The delete that follows is conditional, so the result
  * is the same. The code waits for a read that was sent after the wait.
  *
+ * With -DRESTORE the store may also lose acknowledged writes once: it comes back
+ * from an older copy, in a new era, and gives its versions out again. Answers name
+ * the era. What a holder learns from the first answer of a new era, it does not
+ * count for a lease of before: its generation has ended. An observer begins its wait
+ * anew, since the holder may have renewed its lease in what is lost, and counts a
+ * delete only in the era in which it has waited. The property is the same.
+ *
  * Variants that must fail:
  *   FROMANSWER      the holder counts the term from the answer
  *   SHORTWAIT       the observer waits for less than the term
  *   NODELETE        the observer takes over without deleting the object
  *   SAMEGENERATION  a holder whose object was deleted writes it again in the same
  *                   generation
+ *   IGNOREERA       with -DRESTORE: the holder takes answers of a new era as before
+ *   KEEPWAIT        with -DRESTORE: the observer's wait goes on in a new era
+ *   DELETEANYERA    with -DRESTORE: the observer counts a delete of any era
  */
 
 #define TERM 3
@@ -38,6 +48,16 @@
 byte version = 1;
 byte sequence = 0;  /* sequence number of the write that made the version */
 
+#ifdef RESTORE
+byte copyVersion = 1;   /* the copy from which the store may come back */
+byte copySequence = 0;
+byte era = 0;
+byte knownEra = 0;      /* era that the holder has heard of */
+byte answerEra = 0;     /* era in the answer to the holder's write */
+byte readEra = 0;       /* era in the answer to the observer's read */
+byte observedEra = 0;   /* era that the observer has heard of */
+#endif
+
 /* The holder. It starts with a valid lease that it has just written. */
 byte knownVersion = 1;         /* version on which its next write is conditional */
 byte validTicks = TERM;        /* ticks for which the holder regards the lease as valid */
@@ -68,6 +88,38 @@
 
 #define NEXTVERSION(v) (v + 1)
 
+#if defined(RESTORE) && !defined(IGNOREERA)
+#define ISNEWERA(e) ((e) > knownEra)
+#else
+#define ISNEWERA(e) false
+#endif
+#ifdef RESTORE
+#define ERAOFANSWER answerEra
+#define ERAOFREAD era
+#define SETANSWERERA answerEra = era
+#define SETREADERA readEra = era
+#else
+#define ERAOFANSWER 0
+#define ERAOFREAD 0
+#define SETANSWERERA skip
+#define SETREADERA skip
+#endif
+#if defined(RESTORE) && !defined(KEEPWAIT)
+#define RESTARTSWAIT (readEra > observedEra)
+#else
+#define RESTARTSWAIT false
+#endif
+#ifdef RESTORE
+#define HEARERA observedEra = readEra
+#else
+#define HEARERA skip
+#endif
+#if defined(RESTORE) && !defined(DELETEANYERA)
+#define DELETECOUNTS (era == observedEra)
+#else
+#define DELETECOUNTS true
+#endif
+
 active proctype Holder() {
 	do
 	/* Renew the lease. */
@@ -80,7 +132,12 @@
 	}
 	/* The answer arrives. */
 	:: atomic {
-		awaitingAnswer && writeState == succeeded ->
+		awaitingAnswer && writeState == succeeded && ISNEWERA(ERAOFANSWER) ->
+		awaitingAnswer = false; writeState = idle;
+		generationEnded = true; validTicks = 0
+	}
+	:: atomic {
+		awaitingAnswer && writeState == succeeded && !ISNEWERA(ERAOFANSWER) ->
 		awaitingAnswer = false; writeState = idle;
 		knownVersion = NEXTVERSION(baseVersion);
 #ifdef FROMANSWER
@@ -105,13 +162,14 @@
 		mustReadBack ->
 		mustReadBack = false;
 		if
-		:: version == 0 ->
+		:: ISNEWERA(ERAOFREAD) -> generationEnded = true; validTicks = 0
+		:: !ISNEWERA(ERAOFREAD) && version == 0 ->
 #ifdef SAMEGENERATION
 			knownVersion = 0
 #else
 			generationEnded = true; validTicks = 0
 #endif
-		:: version != 0 && sequence == newestSequence -> knownVersion = version; validTicks = termTicks
+		:: !ISNEWERA(ERAOFREAD) && version != 0 && sequence == newestSequence -> knownVersion = version; validTicks = termTicks
 		:: else -> knownVersion = version
 		fi
 	}
@@ -124,6 +182,7 @@
 	do
 	:: atomic {
 		writeState == inFlight ->
+		SETANSWERERA;
 		if
 		:: baseVersion == version -> version = NEXTVERSION(version); sequence = writeSequence; writeState = succeeded
 		:: else -> writeState = conflict
@@ -138,7 +197,12 @@
 		fi;
 		delayedBase = 0; delayedSequence = 0
 	}
-	:: atomic { readState == inFlight -> readVersion = version; readState = succeeded }
+	:: atomic { readState == inFlight -> SETREADERA; readVersion = version; readState = succeeded }
+#ifdef RESTORE
+	/* A copy is made, and later the store comes back from it. */
+	:: atomic { era == 0 -> copyVersion = version; copySequence = sequence }
+	:: atomic { era == 0 -> era = 1; version = copyVersion; sequence = copySequence }
+#endif
 	od
 }
 
@@ -153,14 +217,17 @@
 		readState == succeeded ->
 		readState = idle;
 		if
-		:: readVersion != 0 && readVersion != observedVersion -> observedVersion = readVersion; waitTicks = WAIT
-		:: readVersion != 0 && readVersion == observedVersion && waitTicks == 0 ->
+		:: readVersion != 0 && (RESTARTSWAIT || readVersion != observedVersion) ->
+			HEARERA;
+			observedVersion = readVersion; waitTicks = WAIT
+		:: readVersion != 0 && !RESTARTSWAIT && readVersion == observedVersion && waitTicks == 0 ->
+			HEARERA;
 #ifdef NODELETE
 			revoked = true
 #else
 			/* The delete is conditional on the version that the observer judged expired. */
 			if
-			:: version == observedVersion -> version = 0; sequence = 0; revoked = true
+			:: version == observedVersion -> version = 0; sequence = 0; revoked = DELETECOUNTS
 			:: else
 			fi
 #endif
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -18,6 +18,11 @@
  * holder acts; lease.pml shows when it may occur. Faults, orders and requests are
  * bounded, so every run ends; the monitor checks the final state.
  *
+ * With -DRESTORE (and -DFENCING) the store once loses the last write of the
+ * assignment that it has acknowledged: it comes back from an older copy, in a new
+ * era. Epochs of the new era are above all of before, and whoever acquires the
+ * runner in it takes over, whatever the copy says of how it was handed over.
+ *
  * Properties
  *   - no unload takes effect while a request runs on the adapter
  *   - on an engine that checks fencing numbers, no order takes effect after one of
@@ -50,6 +55,8 @@
  *   LAPSETAKEOVER       engine ignores numbers: a lapsed lease alone is enough for
  *                       a takeover
  *   ADMITEARLY          engine ignores numbers: requests are admitted during the wait
+ *   NOERA               with -DRESTORE: epochs go on from those of the copy
+ *   KEEPDRAINED         with -DRESTORE: what the copy says of draining counts
  *
  * Not in the model: an engine that restarts and forgets the highest fencing
  * number, and a host that the platform reports as gone while it still runs.
@@ -84,6 +91,21 @@
 bool drained = true;       /* the former owner had drained the runner */
 byte handoverFrom = NONE;  /* the host that handed the runner over and reports when it is drained, or NONE */
 
+#ifdef RESTORE
+#ifdef NOERA
+#define ERASHIFT 0
+#else
+#define ERASHIFT 16
+#endif
+byte copyOwner = 0;      /* the assignment before its last write */
+byte copyEpoch = 1;
+bool copyDrained = true;
+bool restored = false;
+#define KEEPCOPY copyOwner = owner; copyEpoch = epoch; copyDrained = drained
+#else
+#define KEEPCOPY skip
+#endif
+
 /* The hosts. */
 typedef Host {
 	bool alive;
@@ -208,6 +230,7 @@
 
 /* assign makes host "to" the owner; callers check READISCURRENT, the write condition. */
 inline assign(to, isDrained) {
+	KEEPCOPY;
 	owner = to;
 	handoverFrom = NONE;
 	drained = isDrained;
@@ -350,10 +373,12 @@
 	/* Takeover from a host that the platform reports as gone, or whose lease lapsed. */
 	:: atomic {
 		host[i].alive && owner != i && READISCURRENT(i) && !host[owner].alive ->
+		KEEPCOPY;
 		owner = i; drained = false; handoverFrom = NONE; INCREMENTEPOCH(i)
 	}
 	:: atomic {
 		host[i].alive && owner != i && READISCURRENT(i) && host[owner].alive && MAYLOSELEASE(owner) ->
+		KEEPCOPY;
 		faults--; owner = i; drained = false; handoverFrom = NONE; INCREMENTEPOCH(i)
 	}
 
@@ -387,7 +412,7 @@
 		skip
 #else
 		if
-		:: owner == i -> drained = false; handoverFrom = NONE; epoch++
+		:: owner == i -> KEEPCOPY; drained = false; handoverFrom = NONE; epoch++
 		:: else
 		fi
 #endif
@@ -482,6 +507,24 @@
 	fi
 }
 
+#ifdef RESTORE
+active proctype Store() {
+	atomic {
+		!restored && faults > 0 ->
+		faults--;
+		restored = true;
+		owner = copyOwner;
+		epoch = copyEpoch + ERASHIFT;
+#ifdef KEEPDRAINED
+		drained = copyDrained;
+#else
+		drained = false;
+#endif
+		handoverFrom = NONE
+	}
+}
+#endif
+
 active proctype Engine() {
 nextEvent:
 	do
