--- a/stage/mirror/set.go
+++ b/stage/mirror/set.go
@@ -27,26 +27,22 @@
 
 // Open creates the copy of a kind. The copy calls apply with each page that is new
 // in it; apply must not call the copy.
-func (s *Set) Open(kind string, apply func(Page)) *Copy {
+func (s *Set) Open(kind string, apply func(Page)) *Copy { return s.OpenOrdered(kind, nil, apply) }
+
+// OpenOrdered creates the copy of a kind whose objects have an order of their own: in the
+// copy none gives way to one of a lower order, and none is removed. The store, when it comes
+// back from an older copy, may hold older ones than were acknowledged before.
+func (s *Set) OpenOrdered(kind string, order func(Object) uint64, apply func(Page)) *Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.copies == nil {
 		s.copies = make(map[string]*Copy)
 	}
-	c := &Copy{apply: apply}
+	c := &Copy{apply: apply, order: order}
 	s.copies[kind] = c
 	return c
 }
 
-// OpenOrdered creates the copy of a kind whose objects have an order of their own: in the
-// copy none gives way to one of a lower order, and none is removed. The store, when it comes
-// back from an older copy, may hold older ones than were acknowledged before.
-func (s *Set) OpenOrdered(kind string, order func(Object) uint64, apply func(Page)) *Copy {
-	c := s.Open(kind, apply)
-	c.order = order
-	return c
-}
-
 // OrderedKinds returns the kinds that OpenOrdered created copies of.
 func (s *Set) OrderedKinds() []string {
 	s.mu.Lock()
