--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -144,11 +144,7 @@
 	}
 	head := req.Headers.ParseAnswer(x.Response().StatusCode, x.Response().Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load, Indirect: req.via != ""})
-	source := notice.Other
-	if head.Verdict == verdict.Ran {
-		source = notice.Run
-	}
-	if attempt.Heard(time.Now(), head.Notice, source) {
+	if attempt.Heard(time.Now(), head.Notice, sourceOf(head)) {
 		req.Metrics.targetSpoke(head.Notice)
 		logNotice(req.log, attempt.Target, head.Notice)
 	}
@@ -160,11 +156,21 @@
 		zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Bool("brittle", n.Brittle), zap.Int("tolerated", n.Tolerated))
 }
 
-// isOwnAnswer reports whether the headers of an answer can belong to this request:
-// they have its ID or none.
-func (req *callerRequest) isOwnAnswer(h http.Header) bool {
-	id := req.Headers.ParseAnswer(0, h).ID
-	return id == "" || id == req.call.ID
+// sourceOf returns the kind of answer that a target gave.
+func sourceOf(head call.Response) notice.Source {
+	if head.Verdict == verdict.Ran {
+		return notice.Run
+	}
+	return notice.Other
+}
+
+// answersOf returns the filter of the answers that can belong to a request: they have its ID
+// or none.
+func answersOf(headers HeaderCodec, id string) outbound.ResponseFilter {
+	return func(h http.Header) bool {
+		got := headers.ParseAnswer(0, h).ID
+		return got == "" || got == id
+	}
 }
 
 // classifyError returns the outcome of an attempt that failed with err, and reports
--- a/jacinthd/internal/direct/indirect.go
+++ b/jacinthd/internal/direct/indirect.go
@@ -82,7 +82,7 @@
 	if req.Reach.Links.Indirect(time.Now(), t.Address) {
 		return req.exchangeThrough(ctx, t, r)
 	}
-	x, err := req.Pool.Do(ctx, t.Address, r, req.isOwnAnswer)
+	x, err := req.Pool.Do(ctx, t.Address, r, answersOf(req.Headers, r.ID))
 	if err == nil {
 		return ownExchange{x}, nil
 	}
@@ -166,6 +166,11 @@
 	return out
 }
 
+// failedAt returns the failure of a request that a proxy may have sent.
+func failedAt(proxy, cause string) error {
+	return &outbound.Error{Cause: &proxyError{proxy: proxy, cause: cause}}
+}
+
 // tryProxy sends a request through one host. It returns a refusal if the request was not sent.
 func (p *Peers) tryProxy(ctx context.Context, name string, messages []peer.Message) (exchange, *peer.ProxyRefusal, error) {
 	unavailable := func(cause error) *peer.ProxyRefusal {
@@ -181,12 +186,12 @@
 		return nil, unavailable(err), nil
 	}
 	if err != nil {
-		return nil, nil, &outbound.Error{Cause: &proxyError{proxy: name, cause: err.Error()}}
+		return nil, nil, failedAt(name, err.Error())
 	}
 	m, err := stream.Recv()
 	if err != nil {
 		stream.Close()
-		return nil, nil, &outbound.Error{Cause: &proxyError{proxy: name, cause: err.Error()}}
+		return nil, nil, failedAt(name, err.Error())
 	}
 	switch m := m.(type) {
 	case peer.ProxyRefusal:
@@ -196,7 +201,7 @@
 		x, err := newProxyExchange(name, stream, m)
 		if err != nil {
 			stream.Close()
-			return nil, nil, &outbound.Error{Cause: &proxyError{proxy: name, cause: err.Error()}}
+			return nil, nil, failedAt(name, err.Error())
 		}
 		return x, nil, nil
 	case peer.ProxyEnd:
@@ -204,7 +209,7 @@
 		return nil, nil, &outbound.Error{Cause: &proxyError{proxy: name, cause: m.Broken, ended: m.Ended}}
 	default:
 		stream.Close()
-		return nil, nil, &outbound.Error{Cause: &proxyError{proxy: name, cause: "unexpected answer"}}
+		return nil, nil, failedAt(name, "unexpected answer")
 	}
 }
 
--- a/jacinthd/internal/direct/proxy.go
+++ b/jacinthd/internal/direct/proxy.go
@@ -17,7 +17,6 @@
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/catalog"
-	"jacinthstage/stage/notice"
 	"jacinthstage/stage/verdict"
 )
 
@@ -97,10 +96,7 @@
 	sent := time.Now()
 	x, err := p.Reach.Pool.Do(ctx, m.Address, outbound.Request{
 		ID: m.ID, Method: m.Method, RequestURI: m.RequestURI, Host: m.Host, Header: header, Body: body, AtMostOnce: m.AtMostOnce,
-	}, func(h http.Header) bool {
-		id := p.Headers.ParseAnswer(0, h).ID
-		return id == "" || id == m.ID
-	})
+	}, answersOf(p.Headers, m.ID))
 	var fault *outbound.Error
 	if errors.As(err, &fault) && fault.Verdict == verdict.NotRun {
 		_ = stream.Send(peer.ProxyRefusal{Reason: peer.TargetUnreached, Cause: err.Error()})
@@ -117,11 +113,7 @@
 // hear records what the answer says of its target, which binds this host as well.
 func (p *Proxy) hear(sent time.Time, target catalog.Target, response *http.Response) {
 	head := p.Headers.ParseAnswer(response.StatusCode, response.Header)
-	source := notice.Other
-	if head.Verdict == verdict.Ran {
-		source = notice.Run
-	}
-	if p.Reach.Dispatcher.Heard(time.Now(), sent, target, head.Notice, source) {
+	if p.Reach.Dispatcher.Heard(time.Now(), sent, target, head.Notice, sourceOf(head)) {
 		logNotice(p.Reach.Log, target, head.Notice)
 	}
 }
@@ -143,7 +135,7 @@
 		}
 		switch {
 		case err == io.EOF && x.EndsWithConnection():
-			if !p.Reach.Dispatcher.IsLeaving(target) && p.Reach.Suspects.hasEnded(ctx, target) {
+			if p.Reach.endedUnannounced(ctx, target) {
 				return peer.ProxyEnd{Broken: "body may be cut off, its target has ended", Ended: true}, nil
 			}
 			return peer.ProxyEnd{}, nil
@@ -157,7 +149,7 @@
 
 // broken returns the end of an answer that broke off, or never began.
 func (p *Proxy) broken(ctx context.Context, target catalog.Target, cause error) peer.ProxyEnd {
-	ended := ctx.Err() == nil && !p.Reach.Dispatcher.IsLeaving(target) && p.Reach.Suspects.hasEnded(ctx, target)
+	ended := ctx.Err() == nil && p.Reach.endedUnannounced(ctx, target)
 	return peer.ProxyEnd{Broken: cause.Error(), Ended: ended}
 }
 
--- a/jacinthd/internal/direct/reach.go
+++ b/jacinthd/internal/direct/reach.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/reach"
 )
@@ -54,6 +55,11 @@
 // Heard implements outbound.Watcher.
 func (r *Reach) Heard() { r.Links.Heard(time.Now()) }
 
+// endedUnannounced reports whether a target's process has ended without having announced it.
+func (r *Reach) endedUnannounced(ctx context.Context, target catalog.Target) bool {
+	return !r.Dispatcher.IsLeaving(target) && r.Suspects.hasEnded(ctx, target)
+}
+
 // Probe opens connections to targets that are in doubt until ctx ends. The connections are
 // kept for later requests.
 func (r *Reach) Probe(ctx context.Context) {
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -103,10 +103,8 @@
 		return
 	}
 	var atProxy *proxyError
-	ended := false
-	if errors.As(cause, &atProxy) {
-		ended = atProxy.ended
-	} else {
+	ended := errors.As(cause, &atProxy) && atProxy.ended
+	if atProxy == nil {
 		ended = req.Suspects.hasEnded(ctx, target)
 	}
 	if !ended {
--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -77,15 +77,21 @@
 	return sockErr
 }
 
-// isLost reports whether nothing has arrived on a connection for a time, not even the
-// acknowledgement of a keep-alive probe. It returns false if the system doesn't tell.
-func isLost(conn net.Conn, after time.Duration) bool {
+// rawConn returns the socket of a connection, and whether it has one.
+func rawConn(conn net.Conn) (syscall.RawConn, bool) {
 	s, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil, false
 	}
 	raw, err := s.SyscallConn()
-	if err != nil {
+	return raw, err == nil
+}
+
+// isLost reports whether nothing has arrived on a connection for a time, not even the
+// acknowledgement of a keep-alive probe. It returns false if the system doesn't tell.
+func isLost(conn net.Conn, after time.Duration) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
 		return false
 	}
 	lost := false
@@ -103,16 +109,12 @@
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func reusable(conn net.Conn) bool {
-	s, ok := conn.(syscall.Conn)
+	raw, ok := rawConn(conn)
 	if !ok {
 		return false
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
 		_, _, recvErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = recvErr == unix.EAGAIN
