--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -93,6 +93,7 @@
 	dispatcher *dispatch.Dispatcher
 	suspects   *direct.Suspects
 	peers      *direct.Peers
+	reach      *direct.Reach
 	sent       atomic.Int32 // requests of callers
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
@@ -165,6 +166,7 @@
 	}
 	reach := &direct.Reach{Pool: s.suspects.Pool, Dispatcher: s.dispatcher, Suspects: s.suspects, Metrics: s.suspects.Metrics, Log: zap.NewNop()}
 	s.suspects.Pool.Watcher = reach
+	s.reach = reach
 	handler := &direct.Handler{
 		Reach:      reach,
 		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects, Peers: s.peers,
