suspect: repeats are known by path, caller and body

What callers saw: a service of three targets ended again and again under one request, which each host sent on, and served next to nobody.

Cause: a request was known by the hash of host, path, query and body. Class: what is remembered of one thing is kept under a key that its repetitions don't share, as for parts of prompts.

Now a request has one more trait, of caller (address), host, path and body, beside its content, which hosts of the last landings know too. Traits of repeats bear a mark, since an answer clears them in another way: it speaks for its own bytes first. The first answer to bytes a host doesn't know, or a trial's, clears the trait; further ones clear the crashes at which the same bytes were in progress, and let them through while the trait is refused. Repeats some of which are answered explain no crash while something else does. The messages between hosts have not changed.

Log lines name the caller and the path of a request at a crash, and every trait that an answer cleared.

--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -57,17 +57,33 @@
 	unanswered suspect.Attempts
 }
 
-// suspectTraits returns what the request may share with others that crash targets: its
-// content, which is the same for requests with the same host, path, query and body, and the
-// parts of its prompt.
-func (req *callerRequest) suspectTraits() []suspect.Trait {
-	if req.traits == nil {
-		req.traits = append(req.traits, suspect.ContentTrait(req.r.Host+" "+req.r.RequestURI, req.body))
-		for _, part := range req.call.SharedSegments() {
-			req.traits = append(req.traits, suspect.PartTrait(part.ID))
-		}
+// suspectRequest returns what the request may share with others that crash targets.
+func (req *callerRequest) suspectRequest() suspect.Request {
+	if req.identified {
+		return req.identity
+	}
+	uri, caller := req.r.Host+" "+req.r.RequestURI, callerOf(req.r)
+	req.identity = suspect.Request{
+		Exact:   suspect.ExactTrait(caller, uri, req.body),
+		Repeat:  suspect.RepeatTrait(caller, hostname(req.r.Host), path(req.r.RequestURI), req.body),
+		Content: suspect.ContentTrait(uri, req.body),
+	}
+	for _, part := range req.call.SharedSegments() {
+		req.identity.Parts = append(req.identity.Parts, suspect.PartTrait(part.ID))
 	}
-	return req.traits
+	req.identified = true
+	return req.identity
+}
+
+// callerOf returns the address from which a request came, invalid if it is unknown.
+func callerOf(r *http.Request) netip.Addr {
+	address, _ := netip.ParseAddrPort(r.RemoteAddr)
+	return address.Addr()
+}
+
+// attemptAt returns an attempt that got no answer.
+func (req *callerRequest) attemptAt(now time.Time) suspect.Attempt {
+	return suspect.Attempt{Request: req.suspectRequest(), ID: req.call.ID, Caller: callerOf(req.r), Path: path(req.r.RequestURI), At: now}
 }
 
 // refuseSuspect refuses the request if one of its traits is refused, and reports whether
@@ -76,8 +92,11 @@
 	if req.trial || req.Suspects.List.Empty() {
 		return false
 	}
-	switch d := req.Suspects.List.Check(time.Now(), req.suspectTraits()).(type) {
+	switch d := req.Suspects.List.Check(time.Now(), req.suspectRequest()).(type) {
 	case suspect.Allowed:
+		if d.Despite != 0 {
+			req.log.Info("suspect: request is sent, since the same one was answered", zap.Stringer("trait", d.Despite), zap.Int("crashes", req.Suspects.List.Crashes(d.Despite)))
+		}
 		return false
 	case suspect.Trial:
 		req.trial = true
@@ -86,7 +105,7 @@
 		return false
 	case suspect.Refuse:
 		req.Metrics.suspectsRefused.Inc()
-		req.log.Info("suspect: request is not sent", zap.Stringer("trait", d.Trait), zap.Stringers("traits", req.traits),
+		req.log.Info("suspect: request is not sent", zap.Stringer("trait", d.Trait), zap.Stringers("traits", req.identity.Traits()),
 			zap.Stringers("parts", req.call.SharedSegments()), zap.Int("crashes", req.Suspects.List.Crashes(d.Trait)), zap.Time("until", d.Until))
 		req.fail("crashed targets", time.Until(d.Until))
 		return true
@@ -111,14 +130,15 @@
 		req.noAnswer(target)
 		return
 	}
-	req.Suspects.crashed(suspect.Attempt{Traits: req.suspectTraits(), ID: req.call.ID, At: time.Now()}, target)
+	req.Suspects.crashed(req.attemptAt(time.Now()), target)
 }
 
 // noAnswer records that an attempt got no answer, in case the target turns out to have
 // ended.
 func (req *callerRequest) noAnswer(target catalog.Target) {
 	if !req.cleared {
-		req.Suspects.unanswered.Add(time.Now(), crashOf(target), suspect.Attempt{Traits: req.suspectTraits(), ID: req.call.ID})
+		now := time.Now()
+		req.Suspects.unanswered.Add(now, crashOf(target), req.attemptAt(now))
 	}
 }
 
@@ -132,13 +152,14 @@
 
 func (s *Suspects) crashed(a suspect.Attempt, target catalog.Target) {
 	s.Metrics.crashes.Inc()
-	refused := s.List.Crashed(time.Now(), a.At, a.Traits, crashOf(target))
-	counts := make([]int, len(a.Traits))
-	for i, t := range a.Traits {
+	refused := s.List.Crashed(time.Now(), a.At, a.Request, crashOf(target))
+	traits := a.Request.Traits()
+	counts := make([]int, len(traits))
+	for i, t := range traits {
 		counts[i] = s.List.Crashes(t)
 	}
 	s.Log.Warn("suspect: target ended with the request in progress", zap.String("id", a.ID), zap.String("target", target.Name),
-		zap.Stringers("traits", a.Traits), zap.Ints("crashes", counts), zap.Stringers("refused", refused))
+		zap.Stringer("caller", a.Caller), zap.String("path", a.Path), zap.Stringers("traits", traits), zap.Ints("crashes", counts), zap.Stringers("refused", refused))
 	for _, t := range refused {
 		go s.write(context.Background(), t)
 	}
@@ -190,9 +211,11 @@
 		return
 	}
 	req.cleared = true
-	for _, t := range req.Suspects.List.Answered(time.Now(), req.suspectTraits()) {
-		req.log.Info("suspect: cleared by an answer", zap.Stringer("trait", t), zap.Bool("trial", req.trial))
-		go req.Suspects.remove(context.WithoutCancel(req.r.Context()), t)
+	for _, c := range req.Suspects.List.Answered(time.Now(), req.suspectRequest(), req.trial) {
+		req.log.Info("suspect: cleared by an answer", zap.Stringer("trait", c.Trait), zap.Int("crashes", c.Crashes), zap.Bool("refused", c.Refused), zap.Bool("trial", req.trial))
+		if c.Refused {
+			go req.Suspects.remove(context.WithoutCancel(req.r.Context()), c.Trait)
+		}
 	}
 }
 
--- a/stage/suspect/answered.go
+++ b/stage/suspect/answered.go
@@ -10,6 +10,15 @@
 // targets may end at once with requests that share a popular part.
 const exemption = 2 * time.Second
 
+// exemptionOf returns the exemption of a trait. What repeats have in common is that of one
+// caller: it is in progress at few crashes by chance.
+func exemptionOf(t Trait) time.Duration {
+	if t.isRepeat() {
+		return 0
+	}
+	return exemption
+}
+
 // answered remembers when requests with each trait were last answered. The zero value is
 // ready to use.
 type answered struct{ times recent.Map[Trait, time.Time] }
@@ -29,5 +38,5 @@
 // exempts reports whether a crash at a time doesn't count against a trait.
 func (a *answered) exempts(t Trait, crash time.Time) bool {
 	last := a.last(t)
-	return !last.IsZero() && crash.Sub(last) <= exemption
+	return !last.IsZero() && crash.Sub(last) <= exemptionOf(t)
 }
--- a/stage/suspect/attempts.go
+++ b/stage/suspect/attempts.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -15,9 +16,11 @@
 
 // An Attempt is one attempt at a request that got no answer.
 type Attempt struct {
-	Traits []Trait
-	ID     string    // that the caller gave to the request
-	At     time.Time // when the host gave the attempt up
+	Request Request
+	ID      string     // that the caller gave to the request
+	Caller  netip.Addr // that sent it
+	Path    string
+	At      time.Time // when the host gave the attempt up
 }
 
 // Attempts holds attempts without an answer until it is known whether the process of
--- a/stage/suspect/list.go
+++ b/stage/suspect/list.go
@@ -1,6 +1,6 @@
 // Package suspect finds what crashes the targets that run it, from what hosts tell each
-// other: a request that comes again and again, or a part that the prompts of different
-// requests share. Both are traits of requests.
+// other: a request that comes again and again, as it is or with another query, or a part that
+// the prompts of different requests share. All of these are traits of requests.
 //
 // A host that has a request in progress at the end of a target's process adds the crash to
 // each trait of the request, unless the target had been answering it for a while. A crash
@@ -8,6 +8,13 @@
 // neither did any of its traits: their crashes before that answer, and for a short time
 // after it, don't count. So parts that many requests share are never suspected for long.
 //
+// What a caller's repeats have in common is wider than the bytes of each, so an answer speaks
+// for these bytes first. The first answer to bytes that the host doesn't know clears the trait
+// of the repeats; further ones clear only the crashes at which the same bytes were in progress,
+// and let the same bytes through while the trait is refused. Otherwise a sound request that a
+// caller sends all the time would hide one that crashes targets beside it. Nor do repeats some
+// of which are answered explain a crash: what was never answered goes first.
+//
 // A trait with two crashes that no other trait explains better is refused. What looks like
 // the cause and isn't has to be cleared, although it is refused: now and then one request
 // with a refused trait is sent. Its answer clears the trait; a crash makes the next wait
@@ -56,11 +63,14 @@
 
 // A record is what is known of a trait that was at crashes.
 type record struct {
-	crashes map[Crash]time.Time // since the last answer
+	crashes map[Crash]time.Time // since the last answer that cleared the trait
 	cleared map[Crash]bool      // crashes that don't count any more, also where another host's clock says otherwise
 	learned time.Time           // when this host learned of the last change
 	trials  int                 // steps of trialWaits that trials have used up since the last answer
 	triedAt time.Time           // time of the last trial
+	// answeredAt is the time of the last answer that did not clear the trait, which is one of
+	// repeats. Zero if there was none.
+	answeredAt time.Time
 }
 
 // Empty reports whether nothing is suspected.
@@ -69,8 +79,9 @@
 // A Decision says whether a request may be sent: Allowed, Trial or Refuse.
 type Decision interface{ decision() }
 
-// Allowed says that nothing speaks against the request.
-type Allowed struct{}
+// Allowed says that nothing speaks against the request, or that an answer to the same bytes
+// of the same caller outweighs its refused trait Despite.
+type Allowed struct{ Despite Trait }
 
 // Trial says that the request may be sent once, to find out whether its refused trait
 // crashes targets.
@@ -86,20 +97,22 @@
 func (Trial) decision()   {}
 func (Refuse) decision()  {}
 
-// Check decides whether a request with the given traits may be sent. A Trial counts as
-// sent.
-func (l *List) Check(now time.Time, traits []Trait) Decision {
+// Check decides whether a request may be sent. A Trial counts as sent.
+func (l *List) Check(now time.Time, r Request) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.determineRefused()
 	var refused []Trait
-	for _, t := range traits {
+	for _, t := range r.Traits() {
 		if l.refused[t] > 0 {
 			refused = append(refused, t)
 		}
 	}
-	if len(refused) == 0 {
+	switch {
+	case len(refused) == 0:
 		return Allowed{}
+	case len(refused) == 1 && refused[0] == r.Repeat && l.isProven(r):
+		return Allowed{Despite: r.Repeat}
 	}
 	factor := time.Duration(1)
 	if len(refused) > 1 {
@@ -120,6 +133,21 @@
 	return Trial{Trait: last.Trait}
 }
 
+// isProven reports whether the same bytes of the same caller have been answered since the first
+// crash at which a repeat of them was in progress, or before it, if there were few crashes and
+// none with these bytes.
+func (l *List) isProven(r Request) bool {
+	repeat, last := l.records[r.Repeat], l.answered.last(r.Exact)
+	if repeat == nil || last.IsZero() {
+		return false
+	}
+	if last.After(repeat.firstCrash()) {
+		return true
+	}
+	content := l.records[r.Content]
+	return len(repeat.crashes) <= doubtLimit && (content == nil || len(content.crashes) == 0)
+}
+
 // IsRefused reports whether requests with the trait are refused.
 func (l *List) IsRefused(t Trait) bool {
 	l.mu.Lock()
@@ -162,11 +190,12 @@
 // Crashed adds a crash at the time at, which this host observed, to the traits of a request.
 // It returns those of them that are refused, and the others that are refused from now on
 // because of it.
-func (l *List) Crashed(now, at time.Time, traits []Trait, crash Crash) []Trait {
+func (l *List) Crashed(now, at time.Time, r Request, crash Crash) []Trait {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.determineRefused()
 	before := l.refused
+	traits := r.Traits()
 	for _, t := range traits {
 		if !l.answered.exempts(t, at) {
 			l.add(now, at, t, crash)
@@ -182,19 +211,42 @@
 	return out
 }
 
-// Answered clears the traits of a request that was answered. It returns those that were
-// refused.
-func (l *List) Answered(now time.Time, traits []Trait) (wereRefused []Trait) {
+// A Cleared is a trait whose crashes an answer has dropped, all or some of them.
+type Cleared struct {
+	Trait   Trait
+	Crashes int  // that were dropped
+	Refused bool // the trait was refused before
+}
+
+// Answered drops the crashes of a request's traits that its answer speaks against. trial means
+// that the request was sent as one.
+func (l *List) Answered(now time.Time, r Request, trial bool) []Cleared {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.determineRefused()
-	for _, t := range traits {
-		if l.refused[t] > 0 {
-			wereRefused = append(wereRefused, t)
+	var out []Cleared
+	dropped := func(t Trait, crashes int) {
+		if crashes > 0 {
+			out = append(out, Cleared{Trait: t, Crashes: crashes, Refused: l.refused[t] > 0})
 		}
-		l.clear(now, now, t)
 	}
-	return wereRefused
+	known := !l.answered.last(r.Exact).IsZero()
+	if r.Exact != 0 {
+		l.answered.add(now, now, r.Exact)
+	}
+	if r.Repeat != 0 && known && !trial {
+		dropped(r.Repeat, l.clearShared(now, r))
+		l.mix(now, now, r.Repeat)
+	} else if r.Repeat != 0 {
+		dropped(r.Repeat, l.clear(now, now, r.Repeat))
+	}
+	if r.Content != 0 {
+		dropped(r.Content, l.clear(now, now, r.Content))
+	}
+	for _, t := range r.Parts {
+		dropped(t, l.clear(now, now, t))
+	}
+	return out
 }
 
 // Restore adds the crashes of a refused trait that was read from the store.
@@ -253,26 +305,60 @@
 	l.outdated = true
 }
 
-// clear drops the crashes of a trait before the answer to a request at the time at, and
-// those shortly after it.
-func (l *List) clear(now, at time.Time, t Trait) {
+// clear drops the crashes of a trait before the answer to a request at the time at, and those
+// shortly after it. It returns their number.
+func (l *List) clear(now, at time.Time, t Trait) int {
 	l.answered.add(now, at, t)
+	dropped := l.drop(now, t, func(_ Crash, crash time.Time) bool { return crash.Sub(at) <= exemptionOf(t) })
+	if dropped > 0 {
+		l.records[t].trials, l.records[t].triedAt = 0, time.Time{}
+	}
+	return dropped
+}
+
+// clearShared drops the crashes of a request's repeats at which the same bytes were in progress,
+// and returns their number.
+func (l *List) clearShared(now time.Time, r Request) int {
+	content := l.records[r.Content]
+	if content == nil {
+		return 0
+	}
+	return l.drop(now, r.Repeat, func(c Crash, _ time.Time) bool { return content.cleared[c] || !content.crashes[c].IsZero() })
+}
+
+// mix records that some requests with the trait of repeats are answered.
+func (l *List) mix(now, at time.Time, t Trait) {
 	r := l.records[t]
-	if r == nil {
+	if r == nil || !at.After(r.answeredAt) {
 		return
 	}
+	before := r.isMixed()
+	r.answeredAt = at
+	if !before && r.isMixed() {
+		r.learned = now
+		l.outdated = true
+	}
+}
+
+// drop drops the crashes of a trait that don't count any more, and returns their number.
+func (l *List) drop(now time.Time, t Trait, refuted func(Crash, time.Time) bool) int {
+	r := l.records[t]
+	if r == nil {
+		return 0
+	}
 	before := len(r.crashes)
-	for c, crash := range r.crashes {
-		if crash.Sub(at) <= exemption {
+	for c, at := range r.crashes {
+		if refuted(c, at) {
 			delete(r.crashes, c)
 			r.cleared[c] = true
 		}
 	}
 	if len(r.crashes) == before {
-		return
+		return 0
 	}
-	r.learned, r.trials, r.triedAt = now, 0, time.Time{}
+	r.learned = now
 	l.outdated = true
+	return before - len(r.crashes)
 }
 
 // Sweep forgets the traits whose time has passed, and returns the number of those that are
--- a/stage/suspect/news.go
+++ b/stage/suspect/news.go
@@ -22,7 +22,7 @@
 	_        struct{} `cbor:",toarray"`
 	Trait    Trait
 	Crashes  []CrashAge // at which requests with the trait were in progress
-	Answered uint64     // 1 + milliseconds since the last answer to such a request; 0 if none is known
+	Answered uint64     // 1 + milliseconds since the last answer to such a request; 0 if none is known. Crashes before it don't count, unless they are listed
 	Trials   int        // steps of waiting used up by requests that were sent although the trait is refused
 	Tried    uint64     // milliseconds since the last of them
 }
@@ -34,6 +34,11 @@
 	Age   uint64 // milliseconds
 }
 
+// isMixed reports whether the answer did not clear the trait: crashes before it still count.
+func (s Sighting) isMixed() bool {
+	return s.Trait.isRepeat() && slices.ContainsFunc(s.Crashes, func(c CrashAge) bool { return c.Age >= s.Answered })
+}
+
 // Merge adds what another host told. It returns the traits of which this host did not know
 // all crashes.
 func (l *List) Merge(now time.Time, all []Sighting) []Trait {
@@ -50,7 +55,12 @@
 
 func (l *List) merge(now time.Time, s Sighting) (learned bool) {
 	ago := func(ms uint64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
-	if at := ago(s.Answered - 1); s.Answered > 0 && at.Sub(l.answered.last(s.Trait)) > maxTransit {
+	at := ago(s.Answered - 1)
+	switch {
+	case s.Answered == 0:
+	case s.isMixed():
+		defer l.mix(now, at, s.Trait)
+	case at.Sub(l.answered.last(s.Trait)) > maxTransit:
 		l.clear(now, at, s.Trait)
 	}
 	for _, c := range s.Crashes {
@@ -113,7 +123,9 @@
 	for c, at := range r.crashes {
 		s.Crashes = append(s.Crashes, CrashAge{Crash: c, Age: age(at)})
 	}
-	if at := l.answered.last(t); !at.IsZero() {
+	if at := l.answered.last(t); r.isMixed() {
+		s.Answered = 1 + age(r.answeredAt)
+	} else if !at.IsZero() {
 		s.Answered = 1 + age(at)
 	}
 	if r.trials > 0 {
--- a/stage/suspect/trait.go
+++ b/stage/suspect/trait.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -14,15 +15,41 @@
 )
 
 // A Trait is something that a request may share with others and that may crash targets:
-// the whole content of the request, or a part of its prompt. It is a truncated hash.
+// the content of the request, what it has in common with its repeats, or a part of its
+// prompt. It is a truncated hash. Hosts of all builds must form it alike.
 type Trait uint64
 
-// ContentTrait returns the trait of all requests of a caller with the given body.
-func ContentTrait(caller string, body []byte) Trait {
+// repeatMark is the first 16 bits of the traits of repeats, which an answer clears in another
+// way. Other hosts don't tell what a trait stands for.
+const repeatMark = 0x7e9e
+
+// ContentTrait returns the trait of all requests for a URI, with its host, that have the given
+// body.
+func ContentTrait(uri string, body []byte) Trait { return hashOf("content", body, uri) }
+
+// RepeatTrait returns the trait of all requests of a caller for a path of a host with the given
+// body.
+func RepeatTrait(caller netip.Addr, host, path string, body []byte) Trait {
+	return hashOf("repeat", body, caller.Unmap().String(), host, path)&(1<<48-1) | repeatMark<<48
+}
+
+// ExactTrait returns the trait of a caller's requests for a URI, with its host, that have the
+// given body.
+func ExactTrait(caller netip.Addr, uri string, body []byte) Trait {
+	return hashOf("exact", body, caller.Unmap().String(), uri)
+}
+
+// isRepeat reports whether t is the trait of repeats.
+func (t Trait) isRepeat() bool { return t>>48 == repeatMark }
+
+// hashOf returns the hash of a body and of texts that hold no zero bytes.
+func hashOf(kind string, body []byte, texts ...string) Trait {
 	hash := sha256.New()
-	hash.Write([]byte("content "))
-	hash.Write([]byte(caller))
-	hash.Write([]byte{0})
+	hash.Write([]byte(kind + " "))
+	for _, text := range texts {
+		hash.Write([]byte(text))
+		hash.Write([]byte{0})
+	}
 	hash.Write(body)
 	return Trait(binary.BigEndian.Uint64(hash.Sum(nil)))
 }
