suspect: the same sound request is known on all hosts

Beside repeats that crash targets, their caller may send a sound request that differs in the query alone. A host kept to itself which bytes were answered: now such a proof goes to all hosts while the repeats are refused, in a sighting without crashes, which builds before take for an answer of no meaning. And the culprit's own content, at two crashes, explained those of its repeats: only other repeats do now. An answer acquits repeats once; if they crash targets again, it speaks for its own bytes only.

--- a/jacinthd/internal/direct/repeat_test.go
+++ b/jacinthd/internal/direct/repeat_test.go
@@ -25,14 +25,19 @@
 	// this after the third crash is a repeat, of which maxRepeats may.
 	lateTime   = 4 * time.Second
 	maxRepeats = 3
-	// downTime is how long a fleet's target is down after a crash.
-	downTime = time.Second
+	// minDownTime is how long at least a fleet's target is down after a crash, and maxDownTime
+	// how long at most.
+	minDownTime = time.Second
+	maxDownTime = 3500 * time.Millisecond
+	// soundFirst is the time in which only sound requests come.
+	soundFirst = 700 * time.Millisecond
 )
 
 // A fleet is a service of few targets, which requests of callers crash. A target that
-// crashed is back after downTime, at its address and under a new name.
+// crashed is back after its downTime, at its address and under a new name.
 type fleet struct {
-	systems []*testSystem
+	systems  []*testSystem
+	downTime time.Duration // after a crash
 
 	mu      sync.Mutex
 	targets []catalog.Target
@@ -42,7 +47,7 @@
 
 // newFleet starts linked hosts and the targets.
 func newFleet(t *testing.T, hosts, targets int) *fleet {
-	f := new(fleet)
+	f := &fleet{downTime: minDownTime + rand.N(maxDownTime-minDownTime)}
 	shared := new(memory.Store)
 	for _, h := range startHosts(t, hosts) {
 		s := startWithStore(t, h.peers.Suspects, shared, nil)
@@ -83,17 +88,19 @@
 	list := catalog.TargetsListed{Revision: uint64(f.starts) + 2, Targets: append([]catalog.Target(nil), f.targets...)}
 	f.mu.Unlock()
 	for _, s := range f.systems {
-		s.dispatcher.Apply(time.Now(), list)
+		for _, ended := range s.dispatcher.Apply(time.Now(), list) {
+			s.suspects.TargetEnded(ended)
+		}
 	}
 }
 
-// crashed records the crash of a target, which is back after downTime.
+// crashed records the crash of a target, which is back after its downTime.
 func (f *fleet) crashed(t *testing.T, i int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashes = append(f.crashes, time.Now())
 	address := f.targets[i].Address.String()
-	time.AfterFunc(downTime, func() {
+	time.AfterFunc(f.downTime, func() {
 		if listener, err := net.Listen("tcp", address); err == nil {
 			f.start(t, i, listener)
 		}
@@ -191,6 +198,10 @@
 			{caller: "127.0.0.3", method: http.MethodGet, path: "/read/a", query: anyQuery},
 			{caller: "127.0.0.2", method: http.MethodGet, path: "/read/b", query: anyQuery},
 		}},
+		{name: "with the bytes of others", hosts: 3, bad: repeated{method: http.MethodGet, path: "/read/a", query: noQuery}, sound: []repeated{
+			{caller: "127.0.0.3", method: http.MethodGet, path: "/read/a", query: noQuery},
+			{caller: "127.0.0.4", method: http.MethodGet, path: "/read/a", query: anyQuery},
+		}},
 		{name: "beside one of the same caller", hosts: 3, bad: repeated{method: http.MethodGet, path: "/read/a"}, sound: []repeated{
 			{caller: "127.0.0.2", method: http.MethodGet, path: "/read/a", query: func() string { return "?page=sound" }},
 		}},
@@ -198,10 +209,16 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, c.hosts, 3)
-			c.bad.id, c.bad.caller, c.bad.query = crashPart, "127.0.0.2", anyQuery
+			c.bad.id, c.bad.caller = crashPart, "127.0.0.2"
+			if c.bad.query == nil {
+				c.bad.query = anyQuery
+			}
 			stop := make(chan struct{})
 			var senders sync.WaitGroup
-			senders.Go(func() { f.repeat(c.bad, 150*time.Millisecond, stop) })
+			senders.Go(func() {
+				time.Sleep(soundFirst)
+				f.repeat(c.bad, 150*time.Millisecond, stop)
+			})
 			for _, r := range c.sound {
 				r.id = "sound"
 				senders.Go(func() {
@@ -216,7 +233,7 @@
 			close(stop)
 			senders.Wait()
 			all, late := f.late()
-			t.Logf("%d crashes, %d of them late", all, late)
+			t.Logf("%d crashes, %d of them late; targets down for %s", all, late, f.downTime)
 			require.LessOrEqual(t, late, maxRepeats, "crashes later than 4 s after the third, of %d", all)
 		})
 	}
--- a/stage/suspect/cause.go
+++ b/stage/suspect/cause.go
@@ -16,7 +16,8 @@
 // against the others; then the next one. Traits that were at equally many are all refused:
 // nothing tells them apart yet. Example: trait p was at crashes 1, 2 and 3, q at 1 and 2,
 // r at 3, 4 and 5. p and r are refused, and q is not, since p explains both of its crashes.
-// Traits some of whose requests are answered come last, and explain nothing.
+// Repeats some of which are answered come last. They explain nothing, and only other repeats
+// explain their crashes: each content that crashes targets is one of theirs.
 func (l *List) determineRefused() {
 	if !l.outdated {
 		return
@@ -33,8 +34,13 @@
 			open = append(open, t)
 		}
 	}
+	l.refuseCauses(open)
 	explained := make(map[Crash]bool)
-	l.refuseCauses(open, explained)
+	for t := range l.refused {
+		if t.isRepeat() {
+			l.explain(t, explained)
+		}
+	}
 	for _, t := range mixed {
 		if n := l.unexplained(t, explained); n >= crashLimit {
 			l.refused[t] = n
@@ -42,9 +48,9 @@
 	}
 }
 
-// refuseCauses refuses the traits that explain crashes best, and adds these crashes to
-// explained.
-func (l *List) refuseCauses(open []Trait, explained map[Crash]bool) {
+// refuseCauses refuses the traits that explain crashes best.
+func (l *List) refuseCauses(open []Trait) {
+	explained := make(map[Crash]bool)
 	for {
 		most, causes := l.strongest(open, explained)
 		if most < crashLimit {
@@ -52,9 +58,7 @@
 		}
 		for _, t := range causes {
 			l.refused[t] = most
-			for c := range l.records[t].crashes {
-				explained[c] = true
-			}
+			l.explain(t, explained)
 		}
 	}
 }
@@ -74,6 +78,13 @@
 	return most, causes
 }
 
+// explain adds the crashes of a trait to explained.
+func (l *List) explain(t Trait, explained map[Crash]bool) {
+	for c := range l.records[t].crashes {
+		explained[c] = true
+	}
+}
+
 // unexplained returns the number of a trait's crashes that aren't explained.
 func (l *List) unexplained(t Trait, explained map[Crash]bool) int {
 	n := 0
--- a/stage/suspect/list.go
+++ b/stage/suspect/list.go
@@ -10,10 +10,11 @@
 //
 // What a caller's repeats have in common is wider than the bytes of each, so an answer speaks
 // for these bytes first. The first answer to bytes that the host doesn't know clears the trait
-// of the repeats; further ones clear only the crashes at which the same bytes were in progress,
-// and let the same bytes through while the trait is refused. Otherwise a sound request that a
-// caller sends all the time would hide one that crashes targets beside it. Nor do repeats some
-// of which are answered explain a crash: what was never answered goes first.
+// of the repeats, unless it has been cleared before and crashed targets again; further ones
+// clear only the crashes at which the same bytes were in progress. While the trait is refused,
+// the same bytes are let through once they were answered, on all hosts. Otherwise a sound
+// request that a caller sends all the time would hide one that crashes targets beside it. Nor do
+// repeats some of which are answered explain a crash: what was never answered goes first.
 //
 // A trait with two crashes that no other trait explains better is refused. What looks like
 // the cause and isn't has to be cleared, although it is refused: now and then one request
@@ -45,6 +46,8 @@
 	suspectRetention = time.Hour
 	refusedRetention = 24 * time.Hour
 	clearedRetention = time.Minute
+	// proofInterval is the time between two messages that the same request was answered.
+	proofInterval = 20 * time.Second
 )
 
 // A List is what one host knows of the traits of requests that were in progress at
@@ -71,6 +74,7 @@
 	// answeredAt is the time of the last answer that did not clear the trait, which is one of
 	// repeats. Zero if there was none.
 	answeredAt time.Time
+	acquitted  bool // an answer has cleared the trait when it was at several crashes
 }
 
 // Empty reports whether nothing is suspected.
@@ -230,16 +234,13 @@
 			out = append(out, Cleared{Trait: t, Crashes: crashes, Refused: l.refused[t] > 0})
 		}
 	}
-	known := !l.answered.last(r.Exact).IsZero()
-	if r.Exact != 0 {
-		l.answered.add(now, now, r.Exact)
-	}
-	if r.Repeat != 0 && known && !trial {
+	if r.Repeat != 0 && l.speaksForRepeats(r, trial) {
+		dropped(r.Repeat, l.clear(now, now, r.Repeat))
+	} else if r.Repeat != 0 {
 		dropped(r.Repeat, l.clearShared(now, r))
 		l.mix(now, now, r.Repeat)
-	} else if r.Repeat != 0 {
-		dropped(r.Repeat, l.clear(now, now, r.Repeat))
 	}
+	l.prove(now, r)
 	if r.Content != 0 {
 		dropped(r.Content, l.clear(now, now, r.Content))
 	}
@@ -249,6 +250,29 @@
 	return out
 }
 
+// speaksForRepeats reports whether an answer to a request clears what its repeats share.
+func (l *List) speaksForRepeats(r Request, trial bool) bool {
+	if record := l.records[r.Repeat]; record != nil && record.acquitted && len(record.crashes) >= crashLimit {
+		return false
+	}
+	return trial || l.answered.last(r.Exact).IsZero()
+}
+
+// prove records that a request was answered. While its repeats are refused, the other hosts
+// learn of it.
+func (l *List) prove(now time.Time, r Request) {
+	if r.Exact == 0 {
+		return
+	}
+	l.answered.add(now, now, r.Exact)
+	if l.refused[r.Repeat] == 0 {
+		return
+	}
+	if proof := l.record(r.Exact); now.Sub(proof.learned) > proofInterval {
+		proof.learned = now
+	}
+}
+
 // Restore adds the crashes of a refused trait that was read from the store.
 func (l *List) Restore(now time.Time, t Trait, crashes []Crash) {
 	l.mu.Lock()
@@ -313,6 +337,9 @@
 	if dropped > 0 {
 		l.records[t].trials, l.records[t].triedAt = 0, time.Time{}
 	}
+	if dropped >= crashLimit {
+		l.records[t].acquitted = true
+	}
 	return dropped
 }
 
--- a/stage/suspect/news.go
+++ b/stage/suspect/news.go
@@ -58,6 +58,8 @@
 	at := ago(s.Answered - 1)
 	switch {
 	case s.Answered == 0:
+	case s.Trait.isExact():
+		l.learnProof(now, at, s.Trait)
 	case s.isMixed():
 		defer l.mix(now, at, s.Trait)
 	case at.Sub(l.answered.last(s.Trait)) > maxTransit:
@@ -72,6 +74,15 @@
 	return learned
 }
 
+// learnProof records that a request was answered on another host, and passes it on.
+func (l *List) learnProof(now, at time.Time, t Trait) {
+	if at.Sub(l.answered.last(t)) <= maxTransit {
+		return
+	}
+	l.answered.add(now, at, t)
+	l.record(t).learned = now
+}
+
 // News returns what to tell another host: recent changes, those of traits with several
 // crashes first, and one more refused trait, chosen at random.
 func (l *List) News(now time.Time) []Sighting {
@@ -103,13 +114,13 @@
 	return out
 }
 
-// newsRank returns 0 for traits that are refused, 1 for others with several crashes, and 2
-// for the rest, which are many.
+// newsRank returns 0 for traits that are refused, 1 for others with several crashes and for
+// proofs, and 2 for the rest, which are many.
 func (l *List) newsRank(t Trait) int {
 	switch {
 	case l.refused[t] > 0:
 		return 0
-	case len(l.records[t].crashes) >= crashLimit:
+	case len(l.records[t].crashes) >= crashLimit || t.isExact():
 		return 1
 	default:
 		return 2
--- a/stage/suspect/repeat_test.go
+++ b/stage/suspect/repeat_test.go
@@ -111,7 +111,10 @@
 	backAt    []time.Time
 	downTime  time.Duration
 	repeaters []*repeater
+	beside    bool // the repeaters send a sound request with the same path and body too
 	ends      int
+	besides   int // sound requests of repeaters that came while a target was up
+	answers   int // those of them that were answered
 	sound     int // sound requests that came while a target was up
 	served    int
 }
@@ -150,6 +153,9 @@
 			}
 		}
 		d.sendSound(now)
+		if d.beside {
+			d.sendBeside(now)
+		}
 		if now.Sub(start)%(10*deploymentStep) == 0 {
 			d.tell(now)
 		}
@@ -187,7 +193,11 @@
 	d.ends++
 	c := suspect.NewCrash(fmt.Sprint(target), now)
 	host.Crashed(now, now, request, c)
-	for _, bystander := range []suspect.Request{d.soundRequest(), sent(r.caller, "/own", query(d.random.IntN(5)), "")} {
+	bystanders := []suspect.Request{d.soundRequest(), sent(r.caller, "/own", query(d.random.IntN(5)), "")}
+	if d.beside && d.random.IntN(4) == 0 {
+		bystanders = append(bystanders, r.soundRequest())
+	}
+	for _, bystander := range bystanders {
 		other := d.hosts[d.random.IntN(len(d.hosts))]
 		if _, refused := other.Check(now, bystander).(suspect.Refuse); !refused {
 			other.Crashed(now, now, bystander, c)
@@ -222,6 +232,29 @@
 	}
 }
 
+func (r *repeater) soundRequest() suspect.Request { return sent(r.caller, r.path, "?sound", r.body) }
+
+// sendBeside sends sound requests of repeaters that only their query tells from the others.
+func (d *deployment) sendBeside(now time.Time) {
+	for _, r := range d.repeaters {
+		if d.random.IntN(10) > 0 {
+			continue
+		}
+		if _, up := d.up(now); !up {
+			continue
+		}
+		host := d.hosts[d.random.IntN(len(d.hosts))]
+		d.besides++
+		decision := host.Check(now, r.soundRequest())
+		if _, refused := decision.(suspect.Refuse); refused {
+			continue
+		}
+		_, trial := decision.(suspect.Trial)
+		d.answers++
+		host.Answered(now, r.soundRequest(), trial)
+	}
+}
+
 // tell has each host tell the others what is new, but for one message in ten.
 func (d *deployment) tell(now time.Time) {
 	for i, from := range d.hosts {
@@ -250,3 +283,20 @@
 		}
 	}
 }
+
+// TestSoundRequestBesideRepeats plays repeaters that also send a sound request all the time, with
+// the same path and body. It is served, and hides the others from none of the hosts.
+func TestSoundRequestBesideRepeats(t *testing.T) {
+	for _, hosts := range []int{1, 3, 9} {
+		for seed := range 25 {
+			d := newDeployment(uint64(seed), hosts)
+			d.beside = true
+			d.run(30 * time.Second)
+			for _, r := range d.repeaters {
+				require.LessOrEqual(t, r.late, 3, "%d hosts, seed %d: repeats of %s later than 4 s after the third crash, of %d", hosts, seed, r.path, len(r.crashes))
+			}
+			t.Logf("%d hosts, seed %d: %d repeaters, %d targets ended, %d of %d sound requests of theirs served", hosts, seed, len(d.repeaters), d.ends, d.answers, d.besides)
+			require.GreaterOrEqual(t, float64(d.answers), 0.5*float64(d.besides), "%d hosts, seed %d: sound requests of repeaters served", hosts, seed)
+		}
+	}
+}
--- a/stage/suspect/trait.go
+++ b/stage/suspect/trait.go
@@ -19,9 +19,12 @@
 // prompt. It is a truncated hash. Hosts of all builds must form it alike.
 type Trait uint64
 
-// repeatMark is the first 16 bits of the traits of repeats, which an answer clears in another
-// way. Other hosts don't tell what a trait stands for.
-const repeatMark = 0x7e9e
+// The first 16 bits of some traits tell what they stand for, since an answer means something
+// else for these, and hosts tell each other the bare hash.
+const (
+	repeatMark = 0x7e9e
+	exactMark  = 0x7e9d
+)
 
 // ContentTrait returns the trait of all requests for a URI, with its host, that have the given
 // body.
@@ -30,18 +33,21 @@
 // RepeatTrait returns the trait of all requests of a caller for a path of a host with the given
 // body.
 func RepeatTrait(caller netip.Addr, host, path string, body []byte) Trait {
-	return hashOf("repeat", body, caller.Unmap().String(), host, path)&(1<<48-1) | repeatMark<<48
+	return hashOf("repeat", body, caller.Unmap().String(), host, path).marked(repeatMark)
 }
 
 // ExactTrait returns the trait of a caller's requests for a URI, with its host, that have the
 // given body.
 func ExactTrait(caller netip.Addr, uri string, body []byte) Trait {
-	return hashOf("exact", body, caller.Unmap().String(), uri)
+	return hashOf("exact", body, caller.Unmap().String(), uri).marked(exactMark)
 }
 
-// isRepeat reports whether t is the trait of repeats.
+func (t Trait) marked(mark Trait) Trait { return t&(1<<48-1) | mark<<48 }
+
 func (t Trait) isRepeat() bool { return t>>48 == repeatMark }
 
+func (t Trait) isExact() bool { return t>>48 == exactMark }
+
 // hashOf returns the hash of a body and of texts that hold no zero bytes.
 func hashOf(kind string, body []byte, texts ...string) Trait {
 	hash := sha256.New()
