direct: a host that is cut off remembers who crashed targets

Three targets that refuse connections within moments look like a partition of the host from all, also where one request ended them. The host then dropped all attempts without an answer, the only trace of a crash whose target couldn't be told from an unreachable one, so that the list of targets, which shows their end seconds later, found nobody to blame. TestCutHostRemembersWhoCrashedTargets failed before. Attempts are kept now, for 10 s as always: an entry that ends shows a real end, and a request needs two of them to be refused. Not changed: that three such targets are taken for a partition until the next probe (0.4 s) reaches another one.

--- a/jacinthd/internal/direct/partition_test.go
+++ b/jacinthd/internal/direct/partition_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/suspect"
 )
 
 // A cut is what happens to a host's connections to targets while it is partitioned from them.
@@ -95,3 +99,30 @@
 	}
 	require.Empty(t, s.suspects.List.News(time.Now()))
 }
+
+// TestCutHostRemembersWhoCrashedTargets guards against a request that crashes all targets of a
+// service at once, and is forgotten since the host takes itself for partitioned from them (BUDGET).
+func TestCutHostRemembersWhoCrashedTargets(t *testing.T) {
+	s := newTestSystem(t, 0, nil)
+	all, _ := crashingTargets(t, 3)
+	s.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 2, Targets: all})
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, ended.Close())
+	s.suspects.Ready = func(time.Time) []netip.AddrPort {
+		return []netip.AddrPort{netip.MustParseAddrPort(ended.Addr().String())}
+	}
+	for range 3 {
+		_, _, err := s.send(t, http.MethodPost, "/once/", crashBody)
+		require.NoError(t, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, target := range all {
+		s.reach.NotConnected(target.Address, syscall.ECONNREFUSED)
+	}
+	require.True(t, s.reach.Links.Cut())
+	for _, target := range all {
+		s.suspects.TargetEnded(target)
+	}
+	require.True(t, s.suspects.List.IsRefused(suspect.ContentTrait("one.example /once/", []byte(crashBody))))
+}
--- a/jacinthd/internal/direct/reach.go
+++ b/jacinthd/internal/direct/reach.go
@@ -41,9 +41,9 @@
 // NotConnected implements outbound.Watcher.
 func (r *Reach) NotConnected(target netip.AddrPort, cause error) {
 	if r.Links.Failed(time.Now(), target) {
-		// What failed lately says something of this host's links, not of the targets.
+		// What failed lately says something of this host's links, not of the targets. Attempts
+		// without an answer are kept: a target that turns out to have ended did so anyway.
 		r.Dispatcher.SetCut(time.Now(), true)
-		r.Suspects.unanswered.Clear()
 		r.Metrics.cut.Set(1)
 		r.Log.Warn("reach: no target is reached, requests go through other hosts", zap.Stringer("address", target), zap.Error(cause))
 	}
--- a/stage/suspect/attempts.go
+++ b/stage/suspect/attempts.go
@@ -54,13 +54,6 @@
 	return taken
 }
 
-// Clear drops all attempts.
-func (a *Attempts) Clear() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.open = nil
-}
-
 // expire drops the attempts that are too old.
 func (a *Attempts) expire(now time.Time) {
 	for crash, all := range a.open {
