peer, wire: hosts of different builds understand each other

Messages between hosts, and what they store, are arrays by position; a reader refused each of another length, and with it the whole message, unlogged. So a digest that held any notice was lost between.

From here on fields are only appended. A reader ignores elements and kinds of messages that it doesn't know, on all levels, and takes fields tagged as later for zero where an earlier build doesn't send them (package wire). Data of the reader's own shape is decoded as before; the rest is fitted first. What hosts tell has the same bytes as before: its golden file, written by its own code, is read, and equals what this build writes.

Hosts offer jacinthstage/2 beside jacinthstage/1 at the handshake: a later build sends longer messages to those that ignore what they don't know. The certificate names the build. An unreadable call is counted, and logged once for each connection. The build and protocols stand in the start line, in jacinthd version, and in jacinth_build_info and jacinth_peers.

--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/direct/digest.go
@@ -67,7 +67,9 @@
 	p.Suspects.List.SetHosts(p.Self, names)
 	set.hosts = hosts
 	set.roster = relay.NewRoster(hosts)
-	p.peerSet.Store(set)
+	if before := p.peerSet.Swap(set); before != nil {
+		p.forgetVersions(before, set)
+	}
 	p.askStarted(set)
 }
 
@@ -143,7 +145,7 @@
 		defer p.reporting.Delete(to)
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		m, err := p.Link.Call(ctx, set.members[to].Peer, to, peer.Digest{Digest: digest})
+		m, err := p.Link.Call(ctx, set.members[to].Peer, to, p.digestMessage(to, digest))
 		answer, ok := m.(peer.Digest)
 		if err != nil || !ok {
 			p.Log.Warn("peer: report to relay failed", zap.String("host", to), zap.Error(err))
@@ -202,7 +204,7 @@
 	now := time.Now()
 	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
 	digest.CopyStates = p.Copies.States(now)
-	return peer.Digest{Digest: digest}
+	return p.digestMessage(from, digest)
 }
 
 // ReaderInfo returns the values that determine how often this host reads the store.
@@ -290,7 +292,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 		defer cancel()
-		if _, err := p.Link.Call(ctx, to.Peer, to.Name, peer.Digest{Digest: digest}); err != nil {
+		if _, err := p.Link.Call(ctx, to.Peer, to.Name, p.digestMessage(to.Name, digest)); err != nil {
 			p.Log.Debug("peer: digest not sent", zap.String("host", to.Name), zap.Error(err))
 			p.markUnreachable(to.Name)
 		}
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -31,6 +31,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/boottime"
+	"jacinthstage/jacinthd/internal/build"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/ownership"
 	"jacinthstage/jacinthd/internal/peer"
@@ -102,7 +103,7 @@
 // New returns a Process with the settings s. It registers the process's metrics
 // at the registry of deps.
 func New(s settings.Direct, deps Dependencies, log *zap.Logger, sink *Sink) (*Process, error) {
-	identity, err := peer.Ephemeral(s.Name)
+	identity, err := peer.EphemeralOf(s.Name, build.Commit())
 	if err != nil {
 		return nil, err
 	}
@@ -119,6 +120,7 @@
 		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
 		Link: &peer.Link{Identity: identity, LivenessTimeout: peerIdleTimeout, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
+	p.peers.Link.OnVersion, p.peers.Link.OnUnreadable = p.peers.OnVersion, p.peers.OnUnreadable
 	p.controller = &ownership.Controller{
 		Self:       host.Identity{Name: s.Name, Incarnation: incarnation(), Peer: s.Peer, Zone: s.Zone},
 		Regions:    s.Regions,
@@ -171,7 +173,8 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller))
+	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
+		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()))
 	callers := &http.Server{
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
--- a/jacinthd/internal/direct/metrics.go
+++ b/jacinthd/internal/direct/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"jacinthstage/jacinthd/internal/build"
 	"jacinthstage/stage/notice"
 )
 
@@ -30,6 +31,8 @@
 	storeEra        prometheus.Gauge
 	cut             prometheus.Gauge
 	indirect        *prometheus.CounterVec
+	peers           *prometheus.GaugeVec
+	unreadable      prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -65,7 +68,12 @@
 	m.cut = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_cut", Help: "1 while this host can't reach any target."})
 	m.indirect = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_indirect_requests_total", Help: "Attempts that were sent through another host, by whether they got an answer."}, []string{"outcome"})
-	r.MustRegister(m.streamsTakenUp, m.storeEra, m.cut, m.indirect)
+	m.peers = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "jacinth_peers", Help: "Other hosts by the build and the protocol of their last connection."}, []string{"build", "protocol"})
+	m.unreadable = prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_peer_unreadable_total", Help: "Calls of other hosts that could not be read."})
+	info := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "jacinth_build_info", Help: "1 for the build of this host."}, []string{"build"})
+	info.WithLabelValues(build.Commit()).Set(1)
+	r.MustRegister(m.streamsTakenUp, m.storeEra, m.cut, m.indirect, m.peers, m.unreadable, info)
 	r.MustRegister(m.notices, m.crashes, m.suspects, m.suspectsRefused, m.suspectTrials)
 	r.MustRegister(m.requests, m.latency, m.active, m.stalls, m.opened, m.orders, m.owned, m.version, m.targets)
 	return m
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/direct/peers.go
@@ -62,6 +62,8 @@
 	mu               sync.Mutex
 	answeredBy       string               // see setAnsweredBy
 	avoidedUntil     map[string]time.Time // see avoidProxy
+	versions         map[string]peer.Version
+	earlier          map[string]bool      // hosts that get digests in an earlier shape
 	unreachableUntil map[string]time.Time // when hosts that could not be reached are tried again, by name
 }
 
--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"reflect"
 	"slices"
@@ -13,11 +14,12 @@
 
 	"jacinthstage/stage/adapter"
 	"jacinthstage/stage/load"
+	"jacinthstage/stage/wire"
 )
 
 // On the wire, a message is a 4-byte big-endian length, a one-byte kind, and a
 // body in CBOR. The length counts the kind and the body. The kind is the index
-// of the message's type in kinds.
+// of the message's type in kinds. Bodies of later builds may hold more, see package wire.
 
 // MaxMessage is the largest size of a message in bytes, including its kind.
 const MaxMessage = 2 << 20
@@ -103,7 +105,7 @@
 	}
 	start := out.Len()
 	out.Write(make([]byte, headerSize))
-	if err := encMode.MarshalToBuffer(m, out); err != nil {
+	if err := encMode.MarshalToBuffer(bodyOf(m), out); err != nil {
 		return errors.Wrap(err, "peer: encode")
 	}
 	frame := out.Bytes()[start:]
@@ -115,6 +117,14 @@
 	return nil
 }
 
+// bodyOf returns what is encoded of a message.
+func bodyOf(m Message) any {
+	if d, ok := m.(Digest); ok && d.Earlier {
+		return d.earlier()
+	}
+	return m
+}
+
 // Read reads one message. It returns io.EOF if the input ends before the message
 // begins. Memory use grows with the bytes received, not with the length that the
 // sender claims.
@@ -146,13 +156,20 @@
 	return m, headerSize + body.Len(), err
 }
 
+// An UnknownKindError means that a message is of a kind that this build doesn't know. A later
+// build has sent it.
+type UnknownKindError struct{ Kind byte }
+
+// Error returns a text that names the kind.
+func (e *UnknownKindError) Error() string { return fmt.Sprintf("peer: unknown kind %d", e.Kind) }
+
 // decode decodes and validates a body. The message shares no memory with it.
 func decode(number byte, body []byte) (Message, error) {
 	if int(number) >= len(kinds) {
-		return nil, errors.Errorf("peer: unknown kind %d", number)
+		return nil, &UnknownKindError{Kind: number}
 	}
 	value := reflect.New(reflect.TypeOf(kinds[number]))
-	if err := decMode.Unmarshal(body, value.Interface()); err != nil {
+	if err := wire.UnmarshalWith(decMode, body, value.Interface()); err != nil {
 		return nil, errors.Wrapf(err, "peer: decode kind %d", number)
 	}
 	m := value.Elem().Interface().(Message)
--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -131,6 +131,11 @@
 		require.NoError(f, peer.Write(&wire, m))
 		f.Add(wire.Bytes())
 	}
+	for _, landing := range landings {
+		for _, g := range readGolden(f, landing) {
+			f.Add(g.data)
+		}
+	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(t *testing.T, wire []byte) {
 		m, err := peer.Read(bytes.NewReader(wire))
--- a/jacinthd/internal/peer/connection.go
+++ b/jacinthd/internal/peer/connection.go
@@ -78,6 +78,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.link.livenessTimeout())
 	defer cancel()
 	d.conn, d.err = p.link.quicTransport().Dial(ctx, net.UDPAddrFromAddrPort(p.addr), p.link.Identity.clientTLS(p.name), p.link.quicConfig())
+	if d.err == nil {
+		p.link.connected(p.name, d.conn)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer close(d.done)
--- a/jacinthd/internal/peer/credentials.go
+++ b/jacinthd/internal/peer/credentials.go
@@ -6,16 +6,25 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"crypto/x509/pkix"
 	"math/big"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 )
 
-// protocol is the ALPN protocol name.
-const protocol = "jacinthstage/1"
+// protocols are the ALPN names of the versions of the protocol that this build speaks, the
+// preferred one first. A host of version 1 refuses messages of which it doesn't know all
+// fields; hosts of later versions ignore what they don't know.
+var protocols = []string{"jacinthstage/2", firstProtocol}
+
+// Protocols returns the versions of the protocol that this build speaks.
+func Protocols() []string { return slices.Clone(protocols) }
+
+const firstProtocol = "jacinthstage/1"
 
 // Credentials names the PEM files with which a host authenticates to its peers.
 // The host's name is the first DNS name of its certificate.
@@ -60,13 +69,16 @@
 // Ephemeral returns an identity with a newly generated key, for hosts without
 // credentials. Connections are encrypted, but the names of peers aren't
 // authenticated.
-func Ephemeral(name string) (*Identity, error) {
+func Ephemeral(name string) (*Identity, error) { return EphemeralOf(name, "") }
+
+// EphemeralOf is Ephemeral for a host that tells its peers its build.
+func EphemeralOf(name, build string) (*Identity, error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: key")
 	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{name},
+		SerialNumber: big.NewInt(1), DNSNames: []string{name}, Subject: pkix.Name{OrganizationalUnit: []string{build}},
 		NotBefore: time.Now().Add(-ephemeralValidity), NotAfter: time.Now().Add(ephemeralValidity),
 	}
 	certificate, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
@@ -119,7 +131,7 @@
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    i.authorities,
 		MinVersion:   tls.VersionTLS13,
-		NextProtos:   []string{protocol},
+		NextProtos:   protocols,
 	}
 	if i.unverified {
 		c.ClientAuth = tls.RequireAnyClientCert
@@ -134,7 +146,7 @@
 		RootCAs:      i.authorities,
 		ServerName:   name,
 		MinVersion:   tls.VersionTLS13,
-		NextProtos:   []string{protocol},
+		NextProtos:   protocols,
 
 		InsecureSkipVerify: i.unverified,
 	}
--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,7 +63,13 @@
 	Region func(name string) string
 	// Log receives the events of connections. nil disables logging.
 	Log *zap.Logger
+	// OnVersion, if set, is called when a peer has another version than before.
+	OnVersion func(name string, v Version)
+	// OnUnreadable, if set, is called for each call whose first message can't be read. again
+	// means that there was one on the same connection before.
+	OnUnreadable func(name string, cause error, again bool)
 
+	versions  versions
 	once      sync.Once
 	transport *quic.Transport
 	counters  byteCounters
@@ -128,19 +135,22 @@
 		return
 	}
 	l.Log.Debug("peer: connection from " + name)
+	l.connected(name, conn)
 	counter := l.counters.forRegion(l.region(name))
+	var unreadable atomic.Bool
 	for {
 		raw, err := conn.AcceptStream(ctx)
 		if err != nil {
 			l.Log.Debug("peer: connection from "+name+" ended", zap.Error(err))
 			return
 		}
-		go l.handle(ctx, name, newStream(raw, counter), handler)
+		go l.handle(ctx, name, newStream(raw, counter), handler, &unreadable)
 	}
 }
 
-// handle reads the first message of a call and runs handler.
-func (l *Link) handle(ctx context.Context, name string, stream *Stream, handler Handler) {
+// handle reads the first message of a call and runs handler. A message of a later build is
+// refused as one that did nothing. unreadable is set if there was one on the connection.
+func (l *Link) handle(ctx context.Context, name string, stream *Stream, handler Handler, unreadable *atomic.Bool) {
 	defer stream.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -148,7 +158,9 @@
 	_ = stream.raw.SetReadDeadline(time.Now().Add(l.livenessTimeout()))
 	first, err := stream.Recv()
 	if err != nil {
-		l.Log.Info("peer: unreadable message from "+name, zap.Error(err))
+		if l.OnUnreadable != nil {
+			l.OnUnreadable(name, err, unreadable.Swap(true))
+		}
 		_ = stream.Send(Refusal{Verdict: verdict.NotRun, Code: verdict.Malformed, Message: "the message can't be read"})
 		return
 	}
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -152,6 +152,8 @@
 type Digest struct {
 	_      struct{} `cbor:",toarray"`
 	Digest relay.Digest
+	// Earlier means that the receiver is of a build before 0c2534b. It is not sent.
+	Earlier bool `cbor:"-"`
 }
 
 // ObjectsRequest asks for the platform objects of a kind that changed after a
--- a/jacinthd/internal/peer/stream.go
+++ b/jacinthd/internal/peer/stream.go
@@ -14,8 +14,13 @@
 	"jacinthstage/stage/verdict"
 )
 
-// readBufferSize is the size of the read buffer of a stream, in bytes.
-const readBufferSize = 1 << 10
+const (
+	// readBufferSize is the size of the read buffer of a stream, in bytes.
+	readBufferSize = 1 << 10
+	// maxSkipped is the number of messages of unknown kinds that are passed over one after the
+	// other.
+	maxSkipped = 16
+)
 
 // A Stream is one call in progress, on either side. Send and Recv may each be used
 // by one goroutine at a time; Close may be called from any goroutine.
@@ -27,6 +32,7 @@
 	stopWatch func() bool
 	closeOnce sync.Once
 	connLost  atomic.Bool
+	begun     bool // the first message was received
 }
 
 func newStream(raw *quic.Stream, counter *ByteCounter) *Stream {
@@ -58,8 +64,7 @@
 // Recv returns the peer's next message. A Refusal is returned as a *verdict.Error,
 // or as a *CrashError that wraps one. Any other error is a *LinkError.
 func (s *Stream) Recv() (Message, error) {
-	m, n, err := read(s.reader)
-	s.counter.received.Add(uint64(n))
+	m, err := s.read()
 	if err != nil {
 		return nil, s.linkError(err)
 	}
@@ -74,6 +79,20 @@
 	return nil, refused
 }
 
+// read returns the next message. Behind the first one, it passes over some of kinds that this
+// build doesn't know.
+func (s *Stream) read() (Message, error) {
+	for skipped := 0; ; skipped++ {
+		m, n, err := read(s.reader)
+		s.counter.received.Add(uint64(n))
+		var unknown *UnknownKindError
+		if !errors.As(err, &unknown) || !s.begun || skipped == maxSkipped {
+			s.begun = true
+			return m, err
+		}
+	}
+}
+
 // HasBuffered reports whether the next message has already arrived, so that Recv
 // returns without waiting.
 func (s *Stream) HasBuffered() bool {
--- a/jacinthd/version.go
+++ b/jacinthd/version.go
@@ -4,9 +4,13 @@
 	"context"
 	"flag"
 	"fmt"
-	"runtime/debug"
+	"runtime"
+	"strings"
 
 	"github.com/google/subcommands"
+
+	"jacinthstage/jacinthd/internal/build"
+	"jacinthstage/jacinthd/internal/peer"
 )
 
 // version is the command that prints the version of the program.
@@ -16,7 +20,9 @@
 func (*version) Name() string { return "version" }
 
 // Synopsis implements subcommands.Command.
-func (*version) Synopsis() string { return "print the version" }
+func (*version) Synopsis() string {
+	return "print the commit and the versions of the protocol between hosts"
+}
 
 // Usage implements subcommands.Command.
 func (*version) Usage() string { return "version\n" }
@@ -26,10 +32,6 @@
 
 // Execute implements subcommands.Command.
 func (*version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	text := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		text = info.Main.Version + " " + info.GoVersion
-	}
-	fmt.Println("jacinthd", text)
+	fmt.Println("jacinthd", build.Commit(), runtime.Version(), strings.Join(peer.Protocols(), " "))
 	return subcommands.ExitSuccess
 }
--- a/stage/host/table.go
+++ b/stage/host/table.go
@@ -31,6 +31,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/wire"
 )
 
 const prefix = "assign/"
@@ -136,7 +137,7 @@
 // Decode parses a stored table. It fails on data that Encode can't have produced.
 func Decode(data []byte) (Table, error) {
 	var t Table
-	if err := cbor.Unmarshal(data, &t); err != nil {
+	if err := wire.Unmarshal(data, &t); err != nil {
 		return Table{}, errors.Wrap(err, "host: decode")
 	}
 	return t, nil
--- a/stage/lease/value.go
+++ b/stage/lease/value.go
@@ -26,6 +26,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"jacinthstage/stage/wire"
 )
 
 // A Value is the content of a lease object.
@@ -45,16 +47,9 @@
 	Sequence uint64
 	// ConfigVersion is the configuration version in force on the host at that
 	// renewal, or 0 if there was none.
-	ConfigVersion uint64
+	ConfigVersion uint64 `wire:"later"`
 }
 
-// fieldCount is the number of encoded fields of a Value. Processes of earlier
-// versions write only fieldCountWithoutConfig fields, without ConfigVersion.
-const (
-	fieldCount              = 8
-	fieldCountWithoutConfig = 7
-)
-
 const prefix = "lease/"
 
 // Prefix returns the prefix of the keys of all leases of a region.
@@ -78,27 +73,16 @@
 	return data
 }
 
-// Decode parses the stored content of a lease object. It fails on data that no
-// version of Encode can have produced.
+// Decode parses the stored content of a lease object, which a process of another build may
+// have written.
 func Decode(data []byte) (Value, error) {
 	var v Value
-	if err := cbor.Unmarshal(addMissingConfig(data), &v); err != nil {
+	if err := wire.Unmarshal(data, &v); err != nil {
 		return Value{}, errors.Wrap(err, "lease: decode")
 	}
 	return v, nil
 }
 
-// addMissingConfig appends a zero ConfigVersion to the encoding of a Value that
-// lacks it. It returns other data unchanged. The first byte of a short CBOR
-// array holds its length.
-func addMissingConfig(data []byte) []byte {
-	const array, zero = 0x80, 0x00
-	if len(data) == 0 || data[0] != array|fieldCountWithoutConfig {
-		return data
-	}
-	return append([]byte{array | fieldCount}, append(data[1:len(data):len(data)], zero)...)
-}
-
 // SameGeneration reports whether both values are of the same generation of the
 // same process.
 func (v Value) SameGeneration(other Value) bool {
--- a/stage/mirror/set.go
+++ b/stage/mirror/set.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthstage/stage/relay"
+	"jacinthstage/stage/wire"
 )
 
 // maxPageSize is the size in bytes of the largest page that is decoded, measured
@@ -162,7 +163,9 @@
 
 func decode(data []byte) (Page, error) {
 	var p Page
-	r := flate.NewReader(bytes.NewReader(data))
-	err := cbor.NewDecoder(io.LimitReader(r, maxPageSize)).Decode(&p)
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxPageSize))
+	if err == nil {
+		err = wire.Unmarshal(text, &p)
+	}
 	return p, errors.Wrap(err, "mirror: decode page")
 }
--- a/stage/notice/brittle.go
+++ b/stage/notice/brittle.go
@@ -69,8 +69,11 @@
 	return changed
 }
 
-// learnBrittle records what another host reported.
+// learnBrittle records what another host reported, if its build knows of brittle targets.
 func (s *State) learnBrittle(now time.Time, r Report) (changed bool) {
+	if r.Heard == 0 {
+		return false
+	}
 	at := now.Add(-time.Duration(r.Heard) * time.Millisecond)
 	if !at.After(s.brittleAt) {
 		return false
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -217,11 +217,13 @@
 	Age     uint64   // milliseconds since the target said so
 	Leaving bool
 	Quiet   uint64 // milliseconds for which the target wants no requests yet
-	Brittle bool
+	Brittle bool   `wire:"later"`
 	// Tolerated is the number of rejections in a second that a brittle target bears.
-	Tolerated uint64
-	Heard     uint64 // milliseconds since the target said whether it is brittle
-	Full      uint64 // milliseconds for which a brittle target counts as full yet
+	Tolerated uint64 `wire:"later"`
+	// Heard is the number of milliseconds since the target said whether it is brittle. It is 0
+	// in reports of builds that don't know of brittle targets.
+	Heard uint64 `wire:"later"`
+	Full  uint64 `wire:"later"` // milliseconds for which a brittle target counts as full yet
 }
 
 // IsNews reports whether what is known of the target has changed lately.
@@ -232,7 +234,7 @@
 	return Report{
 		Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds())),
 		Leaving: s.leaving, Quiet: uint64(max(0, s.quietUntil.Sub(now).Milliseconds())),
-		Brittle: s.brittle, Tolerated: uint64(s.tolerated), Heard: uint64(max(0, now.Sub(s.brittleAt).Milliseconds())), Full: uint64(max(0, s.fullUntil.Sub(now).Milliseconds())),
+		Brittle: s.brittle, Tolerated: uint64(s.tolerated), Heard: uint64(max(1, now.Sub(s.brittleAt).Milliseconds())), Full: uint64(max(0, s.fullUntil.Sub(now).Milliseconds())),
 	}
 }
 
