--- a/stage/dispatch/brittle_test.go
+++ b/stage/dispatch/brittle_test.go
@@ -29,6 +29,7 @@
 // than tolerated requests in a second.
 type brittleTarget struct {
 	running  int
+	held     int         // slots with requests that no host knows of
 	rejected []time.Time // in the last second
 	falls    int
 	downTill time.Time
@@ -36,7 +37,7 @@
 
 // arrives reports whether the target runs a request that arrives.
 func (b *brittleTarget) arrives(now time.Time) bool {
-	if b.running < brittleSlots {
+	if b.running+b.held < brittleSlots {
 		b.running++
 		return true
 	}
@@ -53,8 +54,9 @@
 // A brittleResult is what callers and targets saw from settleTime on.
 type brittleResult struct{ falls, served, refused int }
 
-// simulateBrittle lets hosts send to brittle targets, with more requests than these can run.
-func simulateBrittle(seed uint64, hosts int, load float64) brittleResult {
+// simulateBrittle lets hosts send to brittle targets, with more requests than these can run. If
+// held, requests of hosts that have ended fill each target for some time.
+func simulateBrittle(seed uint64, hosts int, load float64, held bool) brittleResult {
 	r := rand.New(rand.NewPCG(seed, seed))
 	now := start
 	targets := make(map[string]*brittleTarget)
@@ -110,6 +112,9 @@
 				}
 			}
 		}
+		for i := range brittleTargets {
+			targets[fmt.Sprint("t", i)].held = heldSlots(held, now.Sub(start)+time.Duration(i)*heldTime/brittleTargets)
+		}
 		arriving := load * capacity * brittleStep.Seconds()
 		for n := int(arriving + r.Float64()); n > 0; n-- {
 			request := dispatch.Request{Call: call.Call{ID: "x"}, Service: plain, Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second), Exclude: map[string]bool{}}
@@ -152,6 +157,33 @@
 	return out
 }
 
+// heldTime is how long the requests of ended hosts fill a target, of each heldInterval.
+const (
+	heldTime     = 700 * time.Millisecond
+	heldInterval = 2500 * time.Millisecond
+)
+
+func heldSlots(held bool, at time.Duration) int {
+	if held && at%heldInterval < heldTime {
+		return brittleSlots
+	}
+	return 0
+}
+
+// TestFilledBrittleTargetsAreSpared guards against hosts that send to a brittle target again at
+// once after it has turned a request away, since slots there are theirs (LIMIT).
+func TestFilledBrittleTargetsAreSpared(t *testing.T) {
+	for _, hosts := range []int{1, 4, 9, 40} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			out := simulateBrittle(uint64(hosts), hosts, 1, true)
+			t.Logf("%+v", out)
+			require.LessOrEqual(t, out.falls, 2+brittleTargets/10)
+			require.Positive(t, out.served)
+		})
+	}
+}
+
 // TestBrittleTargetsAreSpared guards against targets that fall over since they have to turn
 // away more requests than they bear, though they have said so (LIMIT): what they have no room
 // for is to be refused by the hosts. They must still be used.
@@ -160,7 +192,7 @@
 		for _, load := range []float64{0.3, 1, 2} {
 			t.Run(fmt.Sprint(hosts, " hosts, load ", load), func(t *testing.T) {
 				t.Parallel()
-				out := simulateBrittle(uint64(hosts), hosts, load)
+				out := simulateBrittle(uint64(hosts), hosts, load, false)
 				t.Logf("%+v", out)
 				require.LessOrEqual(t, out.falls, 2+brittleTargets/10)
 				require.Positive(t, out.served)
--- a/stage/notice/brittle.go
+++ b/stage/notice/brittle.go
@@ -21,12 +21,13 @@
 //
 // So two thirds of its slots belong to the hosts that come first in the order of their rank, an
 // equal number each, which these fill without asking. Any host may use the rest while it seems
-// free, as long as it causes few rejections.
+// free, as long as it causes few rejections. A host whose request was rejected pauses, also in
+// the use of its own slots: others that it doesn't know of are in them.
 func (s *State) HasRoom(now time.Time, share Share, room Room) bool {
 	if !s.brittle {
 		return true
 	}
-	if room.Waiting {
+	if room.Waiting || now.Before(s.pausedUntil) {
 		return false
 	}
 	reserved := max(1, 2*room.Slots/3)
@@ -47,6 +48,7 @@
 func (s *State) Rejected(now time.Time) {
 	if s.brittle {
 		s.fullUntil, s.newsAt = now.Add(fullPause), now
+		s.pausedUntil = s.fullUntil
 	}
 }
 
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -52,6 +52,8 @@
 	tolerated int
 	brittleAt time.Time // when the target last said whether it is brittle
 	fullUntil time.Time // a brittle target has rejected a request for want of room
+	// pausedUntil is the same where it was a request of this host.
+	pausedUntil time.Time
 }
 
 // A Share says which part of a target's limit a host has. The zero value is that of a
