direct, settings: hosts and settings of other builds

A host that is cut off asked hosts of earlier builds to send its requests; they refuse the call as one that they can't read, and the request failed as one that may have run: TestHostThatKnowsNoProxiesIsPassedOver, 502 before. A refusal that says not run is taken as such now, and hosts known to be of such a build aren't asked.

A setting of a later build stopped an earlier one at its start: a key with a question mark behind it is ignored, and named in the start line, where the build doesn't know it (TestOptionalKeys). Others stay errors: most are typing errors.

--- a/jacinthd/internal/direct/builds.go
+++ b/jacinthd/internal/direct/builds.go
@@ -121,9 +121,14 @@
 	}
 }
 
-// digestMessage returns the message that carries a digest to a host.
-func (p *Peers) digestMessage(to string, digest relay.Digest) peer.Digest {
+// isEarlier reports whether a host is of a build before 0c2534b.
+func (p *Peers) isEarlier(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return peer.Digest{Digest: digest, Earlier: p.earlier[to]}
+	return p.earlier[name]
+}
+
+// digestMessage returns the message that carries a digest to a host.
+func (p *Peers) digestMessage(to string, digest relay.Digest) peer.Digest {
+	return peer.Digest{Digest: digest, Earlier: p.isEarlier(to)}
 }
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -174,7 +174,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
-		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()))
+		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()), zap.Strings("ignored", p.settings.Ignored))
 	callers := &http.Server{
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
--- a/jacinthd/internal/direct/indirect.go
+++ b/jacinthd/internal/direct/indirect.go
@@ -189,6 +189,12 @@
 		return nil, nil, failedAt(name, err.Error())
 	}
 	m, err := stream.Recv()
+	var refused *verdict.Error
+	if errors.As(err, &refused) && refused.Verdict == verdict.NotRun {
+		// A host of a build that doesn't know requests of others, or not this one.
+		stream.Close()
+		return nil, unavailable(err), nil
+	}
 	if err != nil {
 		stream.Close()
 		return nil, nil, failedAt(name, err.Error())
@@ -223,7 +229,8 @@
 
 // proxies returns the hosts to ask to send a request, in order: those of this region first,
 // and among them those of other zones, since a whole zone may be partitioned from the targets.
-// Hosts that took no request lately come last.
+// Hosts that took no request lately come last, and those of builds that know no requests of
+// others are left out.
 func (p *Peers) proxies() []string {
 	set := p.peerSet.Load()
 	if set == nil {
@@ -235,7 +242,7 @@
 	}
 	var all []rank
 	for name, m := range set.members {
-		if name == p.Self {
+		if name == p.Self || p.isEarlier(name) {
 			continue
 		}
 		weight := 0
--- a/jacinthd/internal/direct/indirect_test.go
+++ b/jacinthd/internal/direct/indirect_test.go
@@ -169,3 +169,21 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Zero(t, s.runs.Load())
 }
+
+// TestHostThatKnowsNoProxiesIsPassedOver guards against requests that fail while hosts are
+// replaced, since a host of an earlier build, which doesn't know requests of others, was asked to
+// send them.
+func TestHostThatKnowsNoProxiesIsPassedOver(t *testing.T) {
+	s, hosts := newCutSystem(t, 6, 2, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "a") })
+	for _, h := range hosts[1:5] {
+		h.peers.Proxy = nil
+	}
+	for range 20 {
+		response, _, err := s.send(t, http.MethodPost, "/once/x", "body")
+		require.NoError(t, err)
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, response.StatusCode)
+	}
+	response, _, err := s.send(t, http.MethodPost, "/once/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -31,6 +31,7 @@
 	GracePeriod   time.Duration // from the stop signal to the end of the process
 	MemoryLimitMB int           // memory limit of the process in MB; 0 means no limit
 	Level         zapcore.Level // minimum level of log lines
+	Ignored       []string      // keys marked as optional that this build doesn't know, as SECTION.KEY
 }
 
 const (
@@ -46,7 +47,7 @@
 		return Direct{}, errors.Errorf("%s: %v", file, withoutPath(err))
 	}
 	var d Direct
-	if err := parse(file, text, d.fields()); err != nil {
+	if d.Ignored, err = parse(file, text, d.fields()); err != nil {
 		return Direct{}, err
 	}
 	if d.Regions[d.Zone] == "" {
--- a/jacinthd/settings/read.go
+++ b/jacinthd/settings/read.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,7 +35,8 @@
 // Parse parses and validates the settings in text, the content of file.
 func Parse(file string, text []byte) (Settings, error) {
 	var s Settings
-	if err := parse(file, text, s.fields(filepath.Dir(file))); err != nil {
+	var err error
+	if s.Ignored, err = parse(file, text, s.fields(filepath.Dir(file))); err != nil {
 		return Settings{}, err
 	}
 	if err := s.check(); err != nil {
@@ -43,22 +45,59 @@
 	return s, nil
 }
 
-// parse parses text, the content of file, and sets the fields.
-func parse(file string, text []byte, fields []field) error {
+// optionalMark is the end of a key in the file that builds which don't know the key ignore.
+const optionalMark = "?"
+
+// parse parses text, the content of file, and sets the fields. It returns the keys that the file
+// marks as optional and that this build doesn't know.
+func parse(file string, text []byte, fields []field) (ignored []string, err error) {
 	options := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true}
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
-		return errors.Errorf("%s: %s", file, oneLine(err.Error()))
+		return nil, errors.Errorf("%s: %s", file, oneLine(err.Error()))
+	}
+	if ignored, err = resolveOptional(parsed, fields); err != nil {
+		return nil, errors.Errorf("%s: %v", file, err)
 	}
 	if err := checkKeys(parsed, fields); err != nil {
-		return errors.Errorf("%s: %v", file, err)
+		return nil, errors.Errorf("%s: %v", file, err)
 	}
 	for _, f := range fields {
 		if err := f.read(parsed); err != nil {
-			return errors.Errorf("%s: %s.%s: %s", file, f.section, f.key, oneLine(err.Error()))
+			return nil, errors.Errorf("%s: %s.%s: %s", file, f.section, f.key, oneLine(err.Error()))
 		}
 	}
-	return nil
+	return ignored, nil
+}
+
+// resolveOptional takes the mark off the optional keys that this build knows, and removes the
+// others, whose names it returns.
+func resolveOptional(parsed *ini.File, fields []field) (ignored []string, err error) {
+	for _, section := range parsed.Sections() {
+		before := len(ignored)
+		for _, key := range section.Keys() {
+			name, optional := strings.CutSuffix(key.Name(), optionalMark)
+			if !optional {
+				continue
+			}
+			known := slices.ContainsFunc(fields, func(f field) bool { return f.section == section.Name() && f.key == name })
+			switch {
+			case !known:
+				ignored = append(ignored, section.Name()+"."+oneLine(name))
+			case section.HasKey(name):
+				return nil, errors.Errorf("%s.%s: key given twice", section.Name(), name)
+			default:
+				if _, err := section.NewKey(name, key.Value()); err != nil {
+					return nil, errors.Wrapf(err, "%s.%s", section.Name(), name)
+				}
+			}
+			section.DeleteKey(key.Name())
+		}
+		if len(ignored) > before && len(section.Keys()) == 0 && !slices.ContainsFunc(fields, func(f field) bool { return f.section == section.Name() }) {
+			parsed.DeleteSection(section.Name())
+		}
+	}
+	return ignored, nil
 }
 
 // checkKeys rejects unknown and duplicate sections and keys.
--- a/jacinthd/settings/settings.go
+++ b/jacinthd/settings/settings.go
@@ -2,8 +2,10 @@
 // them before the host starts.
 //
 // Each error is a single line, `FILE: section.key: reason`. An unknown section
-// or key is an error, as is a missing key without a default. A relative path in
-// a value is resolved against the folder of the settings file.
+// or key is an error, as is a missing key without a default. A key with a question
+// mark behind it, such as `source? = 10.0.0.1`, is optional: a build that doesn't
+// know it ignores it, so that one file serves builds before and after it came. A
+// relative path in a value is resolved against the folder of the settings file.
 package settings
 
 import (
@@ -25,6 +27,7 @@
 	Load     Load
 	Policy   Policy
 	Log      Log
+	Ignored  []string // keys marked as optional that this build doesn't know, as SECTION.KEY
 }
 
 // Host identifies the host and its location.
--- a/jacinthd/settings/settings_test.go
+++ b/jacinthd/settings/settings_test.go
@@ -72,6 +72,9 @@
 		{"unknown section", minimal + "[extra]\n", "extra: unknown section"},
 		{"unknown key", minimal + "burst = 1\n", "load.burst: unknown key"},
 		{"key outside of any section", "name = x\n" + minimal, "name: outside of any section"},
+		{"optional key given twice", replace("zone = south-a", "zone = south-a\nzone? = south-a"), "host.zone: key given twice"},
+		{"optional key with a bad value", minimal + "[log]\nlevel? = loud\n", `log.level: "loud" is none of debug, info, warn, error`},
+		{"unknown section with another key", minimal + "[extra]\na? = 1\nb = 2\n", "extra: unknown section"},
 		{"key twice", replace("zone = south-a", "zone = south-a\nzone = south-a"), "host.zone: key given twice"},
 		{"section twice", minimal + "[host]\n", "host: section given twice"},
 		{"missing key", replace("zone = south-a\n", ""), "host.zone: missing key"},
@@ -112,6 +115,22 @@
 	}
 }
 
+// TestOptionalKeys guards against a host that ends at its start since its settings hold a key of a
+// later build, as after a rollback.
+func TestOptionalKeys(t *testing.T) {
+	_, file := writeFiles(t, minimal+"burst? = 9\n[log]\nlevel? = debug\n[extra]\na? = 1\n")
+	got, err := settings.Read(file)
+	require.NoError(t, err)
+	require.Equal(t, zapcore.DebugLevel, got.Log.Level)
+	require.ElementsMatch(t, []string{"load.burst", "extra.a"}, got.Ignored)
+
+	direct := "[host]\nname = a\nzone = z\nzones = z=r\nlater? = x\n[listen]\ncaller = 127.0.0.1:1\npeer = 127.0.0.1:2\nready = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n"
+	_, file = writeFiles(t, direct)
+	d, err := settings.ReadDirect(file)
+	require.NoError(t, err)
+	require.Equal(t, []string{"host.later"}, d.Ignored)
+}
+
 func TestReadMissingFile(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "none.ini")
 	_, err := settings.Read(file)
