--- /dev/null
+++ b/jacinthd/internal/direct/upgrade_test.go
@@ -0,0 +1,56 @@
+package direct_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/host"
+	"jacinthstage/stage/mirror"
+)
+
+// TestEarlierBuildIsRecognized checks that a host of the first version of the protocol is asked
+// whether it knows requests of others, and that the builds of hosts are counted.
+func TestEarlierBuildIsRecognized(t *testing.T) {
+	hosts := startHosts(t, 2)
+	hosts[1].peers.Proxy = nil // refuses the call, as builds before 0c2534b do
+	identity, err := peer.EphemeralOf("asker", "b")
+	require.NoError(t, err)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	core, logs := observer.New(zapcore.WarnLevel)
+	registry := prometheus.NewRegistry()
+	suspects := newSuspects()
+	suspects.Metrics = direct.NewMetrics(registry)
+	link := &peer.Link{Identity: identity, Conn: socket}
+	t.Cleanup(func() { _ = link.Close() })
+	p := &direct.Peers{
+		Self: "asker", Zone: "z", Regions: map[string]string{"z": "r"}, Dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}},
+		Copies: new(mirror.Set), Suspects: suspects, Link: link, Log: zap.New(core),
+	}
+	p.SetMembers([]host.Identity{hosts[0].identity, hosts[1].identity})
+	first := peer.Version{Protocol: "jacinthstage/1"}
+	p.OnVersion("host-0", first)
+	p.OnVersion("host-1", first)
+	require.Eventually(t, func() bool { return logs.Len() > 0 }, waitTimeout, 10*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	require.Equal(t, 1, logs.Len())
+	require.Equal(t, "host-1", logs.All()[0].ContextMap()["host"])
+	n, err := testutil.GatherAndCount(registry, "jacinth_peers")
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	p.OnVersion("host-1", peer.Version{Protocol: "jacinthstage/2", Build: "c"})
+	n, err = testutil.GatherAndCount(registry, "jacinth_peers")
+	require.NoError(t, err)
+	require.Equal(t, 2, n)
+}
