--- a/stage/suspect/list.go
+++ b/stage/suspect/list.go
@@ -119,7 +119,7 @@
 		return Allowed{Despite: r.Repeat}
 	}
 	factor := time.Duration(1)
-	if len(refused) > 1 {
+	if r.isAmbiguous(refused) {
 		factor = ambiguousFactor
 	}
 	last := Refuse{}
--- a/stage/suspect/request.go
+++ b/stage/suspect/request.go
@@ -1,5 +1,7 @@
 package suspect
 
+import "slices"
+
 // A Request is what List knows of a request. Traits that are zero are unknown.
 //
 // A request that comes again may do so with other headers and another query, so its repeats
@@ -24,3 +26,12 @@
 	}
 	return append(all, r.Parts...)
 }
+
+// isAmbiguous reports whether several of the request's traits are refused that other requests
+// have by themselves. Its repeats and its content stand for the same request.
+func (r Request) isAmbiguous(refused []Trait) bool {
+	if slices.Contains(refused, r.Repeat) && slices.Contains(refused, r.Content) {
+		return len(refused) > 2
+	}
+	return len(refused) > 1
+}
