--- a/stage/suspect/cause.go
+++ b/stage/suspect/cause.go
@@ -123,3 +123,8 @@
 	}
 	return first
 }
+
+// hasRelapsed reports whether a trait was at several crashes soon after an answer had cleared it.
+func (r *record) hasRelapsed() bool {
+	return len(r.crashes) >= crashLimit && r.firstCrash().Sub(r.acquittedAt) <= relapseTime
+}
--- a/stage/suspect/list.go
+++ b/stage/suspect/list.go
@@ -10,7 +10,7 @@
 //
 // What a caller's repeats have in common is wider than the bytes of each, so an answer speaks
 // for these bytes first. The first answer to bytes that the host doesn't know clears the trait
-// of the repeats, unless it has been cleared before and crashed targets again; further ones
+// of the repeats, unless it has crashed targets again right after it was cleared; further ones
 // clear only the crashes at which the same bytes were in progress. While the trait is refused,
 // the same bytes are let through once they were answered, on all hosts. Otherwise a sound
 // request that a caller sends all the time would hide one that crashes targets beside it. Nor do
@@ -46,6 +46,9 @@
 	suspectRetention = time.Hour
 	refusedRetention = 24 * time.Hour
 	clearedRetention = time.Minute
+	// relapseTime is how soon after an answer has cleared repeats a crash shows that it spoke
+	// for its own bytes only.
+	relapseTime = 10 * time.Second
 	// proofInterval is the time between two messages that the same request was answered.
 	proofInterval = 20 * time.Second
 )
@@ -74,7 +77,8 @@
 	// answeredAt is the time of the last answer that did not clear the trait, which is one of
 	// repeats. Zero if there was none.
 	answeredAt time.Time
-	acquitted  bool // an answer has cleared the trait when it was at several crashes
+	// acquittedAt is when an answer last cleared the trait while it was at several crashes.
+	acquittedAt time.Time
 }
 
 // Empty reports whether nothing is suspected.
@@ -252,7 +256,7 @@
 
 // speaksForRepeats reports whether an answer to a request clears what its repeats share.
 func (l *List) speaksForRepeats(r Request, trial bool) bool {
-	if record := l.records[r.Repeat]; record != nil && record.acquitted && len(record.crashes) >= crashLimit {
+	if record := l.records[r.Repeat]; record != nil && record.hasRelapsed() {
 		return false
 	}
 	return trial || l.answered.last(r.Exact).IsZero()
@@ -338,7 +342,7 @@
 		l.records[t].trials, l.records[t].triedAt = 0, time.Time{}
 	}
 	if dropped >= crashLimit {
-		l.records[t].acquitted = true
+		l.records[t].acquittedAt = at
 	}
 	return dropped
 }
--- a/stage/suspect/repeat_test.go
+++ b/stage/suspect/repeat_test.go
@@ -322,3 +322,19 @@
 	l.Answered(after(5_200), request, true)
 	require.Equal(t, suspect.Allowed{}, l.Check(after(5_300), request))
 }
+
+// TestRepeatsAreClearedAgain guards against a caller whose requests differ in the query each time,
+// and are refused for a day after two pairs of crashes by chance, minutes apart.
+func TestRepeatsAreClearedAgain(t *testing.T) {
+	var l suspect.List
+	for round := range 3 {
+		at := 30_000 * round
+		for i := range 2 {
+			l.Crashed(after(at+i), after(at+i), sent(0, "/a", query(10*round+i), ""), crash(10*round+i))
+		}
+		require.IsType(t, suspect.Refuse{}, l.Check(after(at+10), sent(0, "/a", query(10*round+2), "")))
+		require.IsType(t, suspect.Trial{}, l.Check(after(at+5_100), sent(0, "/a", query(10*round+3), "")))
+		l.Answered(after(at+5_200), sent(0, "/a", query(10*round+3), ""), true)
+		require.Equal(t, suspect.Allowed{}, l.Check(after(at+5_300), sent(0, "/a", query(10*round+4), "")))
+	}
+}
