--- a/jacinthd/internal/peer/digest_bench_test.go
+++ b/jacinthd/internal/peer/digest_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -37,33 +38,29 @@
 // BenchmarkDigest measures the size of a digest and the time to encode it, to decode it, and to
 // decode that of a later build.
 func BenchmarkDigest(b *testing.B) {
-	d := busyDigest(100)
-	frame := frameOf(b, d)
-	b.Run("encode", func(b *testing.B) {
-		b.ReportMetric(float64(len(frame)), "bytes")
-		for range b.N {
-			_ = frameOf(b, d)
-		}
-	})
-	b.Run("decode", func(b *testing.B) {
-		for range b.N {
-			_, err := peer.Read(bytes.NewReader(frame))
-			require.NoError(b, err)
-		}
-	})
-	later := grownFrame(b, reflect.TypeOf(d), frame)
-	b.Run("later", func(b *testing.B) {
-		b.ReportMetric(float64(len(later)), "bytes")
-		for range b.N {
-			_, err := peer.Read(bytes.NewReader(later))
-			require.NoError(b, err)
-		}
-	})
-	b.Run("earlier", func(b *testing.B) {
+	for _, targets := range []int{23, 100, 300, 600} {
+		d := busyDigest(targets)
+		frame := frameOf(b, d)
+		later := grownFrame(b, reflect.TypeOf(d), frame)
+		b.Run(fmt.Sprint("encode/", targets), func(b *testing.B) { benchmarkWrite(b, d) })
+		b.Run(fmt.Sprint("decode/", targets), func(b *testing.B) { benchmarkRead(b, frame) })
+		b.Run(fmt.Sprint("later/", targets), func(b *testing.B) { benchmarkRead(b, later) })
 		d.Earlier = true
-		b.ReportMetric(float64(len(frameOf(b, d))), "bytes")
-		for range b.N {
-			_ = frameOf(b, d)
-		}
-	})
+		b.Run(fmt.Sprint("earlier/", targets), func(b *testing.B) { benchmarkWrite(b, d) })
+	}
+}
+
+func benchmarkWrite(b *testing.B, d peer.Digest) {
+	b.ReportMetric(float64(len(frameOf(b, d))), "bytes")
+	for range b.N {
+		_ = frameOf(b, d)
+	}
+}
+
+func benchmarkRead(b *testing.B, frame []byte) {
+	b.ReportMetric(float64(len(frame)), "bytes")
+	for range b.N {
+		_, err := peer.Read(bytes.NewReader(frame))
+		require.NoError(b, err)
+	}
 }
