--- a/stage/notice/brittle.go
+++ b/stage/notice/brittle.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	reserved := max(1, 2*room.Slots/3)
-	senders := min(share.Hosts, reserved, max(1, s.tolerated/2))
+	senders := min(share.Hosts, reserved)
 	if share.Rank < senders && room.Own < reserved/senders {
 		return true
 	}
