--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -47,10 +47,15 @@
 
 // startHosts starts n hosts of one region that know each other.
 func startHosts(t testing.TB, n int) []*testHost {
+	return startHostsWith(t, n, func(int, *testHost) {})
+}
+
+// startHostsWith is startHosts with a change of each host before it serves others.
+func startHostsWith(t testing.TB, n int, adjust func(i int, h *testHost)) []*testHost {
 	var all []*testHost
 	var identities []host.Identity
 	for i := range n {
-		h := startHost(t, fmt.Sprint("host-", i))
+		h := startHostWith(t, fmt.Sprint("host-", i), func(h *testHost) { adjust(i, h) })
 		all = append(all, h)
 		identities = append(identities, h.identity)
 	}
@@ -62,6 +67,11 @@
 
 // startHost starts a host that knows one runner and no other host yet.
 func startHost(t testing.TB, name string) *testHost {
+	return startHostWith(t, name, func(*testHost) {})
+}
+
+// startHostWith is startHost with a change of the host before it serves others.
+func startHostWith(t testing.TB, name string, adjust func(*testHost)) *testHost {
 	identity, err := peer.Ephemeral(name)
 	require.NoError(t, err)
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
@@ -89,6 +99,7 @@
 	reach := &direct.Reach{Pool: suspects.Pool, Dispatcher: h.dispatcher, Suspects: suspects, Metrics: suspects.Metrics, Log: zap.NewNop()}
 	h.peers.Proxy = &direct.Proxy{Headers: testHeaders{}, Reach: reach, Stopping: h.stopping.Load}
 	h.identity = host.Identity{Name: name, Zone: "z", Peer: netip.MustParseAddrPort(socket.LocalAddr().String())}
+	adjust(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	var loops sync.WaitGroup
--- a/jacinthd/internal/direct/indirect_test.go
+++ b/jacinthd/internal/direct/indirect_test.go
@@ -19,11 +19,15 @@
 // found out.
 func newCutSystem(t *testing.T, hosts, targets int, handle targetFunc) (*testSystem, []*testHost) {
 	all := startHosts(t, hosts)
+	return cutFirst(t, all, targets, handle), all
+}
+
+// cutFirst returns a system of hosts, the first of which reaches no target.
+func cutFirst(t *testing.T, all []*testHost, targets int, handle targetFunc) *testSystem {
 	c := &cut{dial: isRefused}
 	c.apply(all[0])
 	c.active.Store(true)
-	s := newLinkedSystem(t, all, targets, handle)
-	return s, all
+	return newLinkedSystem(t, all, targets, handle)
 }
 
 // TestProxiedStreamArrivesAsItIsMade checks that events come through another host one by one,
@@ -174,10 +178,8 @@
 // replaced, since a host of an earlier build, which doesn't know requests of others, was asked to
 // send them.
 func TestHostThatKnowsNoProxiesIsPassedOver(t *testing.T) {
-	s, hosts := newCutSystem(t, 6, 2, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "a") })
-	for _, h := range hosts[1:5] {
-		h.peers.Proxy = nil
-	}
+	hosts := startHostsWith(t, 6, knowsNoProxies(1, 5))
+	s := cutFirst(t, hosts, 2, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "a") })
 	for range 20 {
 		response, _, err := s.send(t, http.MethodPost, "/once/x", "body")
 		require.NoError(t, err)
--- a/jacinthd/internal/direct/upgrade_test.go
+++ b/jacinthd/internal/direct/upgrade_test.go
@@ -19,11 +19,20 @@
 	"jacinthstage/stage/mirror"
 )
 
+// knowsNoProxies lets some hosts refuse requests of others as a call that they don't know, as
+// builds before 0c2534b do.
+func knowsNoProxies(first, end int) func(i int, h *testHost) {
+	return func(i int, h *testHost) {
+		if i >= first && i < end {
+			h.peers.Proxy = nil
+		}
+	}
+}
+
 // TestEarlierBuildIsRecognized checks that a host of the first version of the protocol is asked
 // whether it knows requests of others, and that the builds of hosts are counted.
 func TestEarlierBuildIsRecognized(t *testing.T) {
-	hosts := startHosts(t, 2)
-	hosts[1].peers.Proxy = nil // refuses the call, as builds before 0c2534b do
+	hosts := startHostsWith(t, 2, knowsNoProxies(1, 2))
 	identity, err := peer.EphemeralOf("asker", "b")
 	require.NoError(t, err)
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
