peer, direct: a log line that was lost, and state that could be derived

Since unreadable calls are reported to OnUnreadable, a link without one, that of jacinthd run, logged them no more: the line is back beside it, as it was. Whether the traits of a request are worked out follows from its exact trait, which is never zero, so that the flag beside it goes. No other change of behaviour.

--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -54,18 +54,17 @@
 // A callerRequest is one request of a caller, with the state of its attempts.
 type callerRequest struct {
 	*Handler
-	w          http.ResponseWriter
-	r          *http.Request
-	call       call.Call
-	config     uint64 // version of the configuration that route is from
-	route      catalog.Route
-	service    string
-	body       []byte
-	identity   suspect.Request // see suspectRequest
-	identified bool            // identity is set
-	trial      bool            // the request may be sent although a trait of it is refused
-	cleared    bool            // an answer has shown that the request crashes no target
-	arrived    time.Time
+	w        http.ResponseWriter
+	r        *http.Request
+	call     call.Call
+	config   uint64 // version of the configuration that route is from
+	route    catalog.Route
+	service  string
+	body     []byte
+	identity suspect.Request // see suspectRequest; zero until it is needed
+	trial    bool            // the request may be sent although a trait of it is refused
+	cleared  bool            // an answer has shown that the request crashes no target
+	arrived  time.Time
 	// deadline is the earliest of the caller's deadline, the route's and the default.
 	deadline time.Time
 	log      *zap.Logger
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -59,7 +59,7 @@
 
 // suspectRequest returns what the request may share with others that crash targets.
 func (req *callerRequest) suspectRequest() suspect.Request {
-	if req.identified {
+	if req.identity.Exact != 0 {
 		return req.identity
 	}
 	uri, caller := req.r.Host+" "+req.r.RequestURI, callerOf(req.r)
@@ -71,7 +71,6 @@
 	for _, part := range req.call.SharedSegments() {
 		req.identity.Parts = append(req.identity.Parts, suspect.PartTrait(part.ID))
 	}
-	req.identified = true
 	return req.identity
 }
 
--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -158,6 +158,7 @@
 	_ = stream.raw.SetReadDeadline(time.Now().Add(l.livenessTimeout()))
 	first, err := stream.Recv()
 	if err != nil {
+		l.Log.Info("peer: unreadable message from "+name, zap.Error(err))
 		if l.OnUnreadable != nil {
 			l.OnUnreadable(name, err, unreadable.Swap(true))
 		}
