notice: hosts without slots of a brittle target use the rest of it seldom

Cause: until a rejection is known, some 0.1 s, each host risked one at each target, beside those of the hosts with slots there: with 40 hosts and 10 targets up to eight at a target that bears six, and again by all at once when it seemed free. Now hosts with slots of their own are at most two thirds of the rejections that a target bears, and all others together send the last third in the time until one is known, each from a time drawn anew when a full target seems free.

--- a/stage/notice/brittle.go
+++ b/stage/notice/brittle.go
@@ -1,6 +1,10 @@
 package notice
 
-import "time"
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+)
 
 // fullPause is how long a brittle target counts as full after it rejected a request.
 const fullPause = time.Second
@@ -19,10 +23,11 @@
 // is spared: a request that it has no room for is to be refused by the hosts, which know of each
 // other's requests some hundred milliseconds late.
 //
-// So two thirds of its slots belong to the hosts that come first in the order of their rank, an
-// equal number each, which these fill without asking. Any host may use the rest while it seems
-// free, as long as it causes few rejections. A host whose request was rejected pauses, also in
-// the use of its own slots: others that it doesn't know of are in them.
+// A host whose request was rejected pauses, also in the use of its own slots: others that it
+// doesn't know of are in them. So each host that sends before it knows that a target is full
+// causes one rejection, and few may do so: two thirds of the target's slots belong to the hosts
+// that come first in the order of their rank, an equal number each, which these fill without
+// asking. Any other host may use the rest while it seems free, seldom.
 func (s *State) HasRoom(now time.Time, share Share, room Room) bool {
 	if !s.brittle {
 		return true
@@ -31,11 +36,38 @@
 		return false
 	}
 	reserved := max(1, 2*room.Slots/3)
-	senders := min(share.Hosts, reserved)
-	if share.Rank < senders && room.Own < reserved/senders {
+	owners := min(share.Hosts, reserved, max(1, 2*s.tolerated/3))
+	if share.Rank < owners && room.Own < reserved/owners {
 		return true
 	}
-	return room.Spare && room.Own == 0 && !now.Before(s.fullUntil) && 2*room.Running < room.Slots
+	interval := restInterval(s.tolerated-owners, cmp.Or(share.Hosts, assumedHosts)-owners)
+	if now.Before(s.fullUntil) || 2*room.Running >= room.Slots {
+		s.delayRest(now, interval)
+		return false
+	}
+	return room.Spare && room.Own == 0 && !now.Before(s.restFrom)
+}
+
+// newsDelay is the usual time until the other hosts know that a target has rejected a request.
+const newsDelay = 150 * time.Millisecond
+
+// restInterval returns the time between two uses of a brittle target by one of the hosts without
+// slots of their own there, so that all of these send as many requests in newsDelay as the target
+// may reject. It is 0 if each of them may send one at once.
+func restInterval(rejections, hosts int) time.Duration {
+	if hosts <= rejections {
+		return 0
+	}
+	return newsDelay * time.Duration(hosts) / time.Duration(max(1, rejections))
+}
+
+// delayRest draws the time from which this host may use what seems free at a brittle target, so that
+// not all hosts do at once when a target that was full seems free again.
+func (s *State) delayRest(now time.Time, interval time.Duration) {
+	s.restInterval, s.restFrom = interval, now
+	if interval > 0 {
+		s.restFrom = now.Add(rand.N(interval))
+	}
 }
 
 // Tolerated returns the number of rejections in a second beyond which a brittle target ends.
--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -54,6 +54,10 @@
 	fullUntil time.Time // a brittle target has rejected a request for want of room
 	// pausedUntil is the same where it was a request of this host.
 	pausedUntil time.Time
+	// restFrom is when this host may use the slots of a brittle target that are no host's own,
+	// and restInterval the time in which it is drawn.
+	restFrom     time.Time
+	restInterval time.Duration
 }
 
 // A Share says which part of a target's limit a host has. The zero value is that of a
@@ -106,6 +110,9 @@
 	if s.limit > 0 && s.requests != nil {
 		s.requests.AllowN(now, 1)
 	}
+	if s.brittle {
+		s.delayRest(now, s.restInterval)
+	}
 }
 
 // adjust sets the rate at which this host may send. The burst is that of one second.
