settings: fractions, large numbers and missing values of the platform

Cause: slack and memory were read as whole numbers; ranges were those of one deployment (share up to 1, a turn of 5 min, a grace of 0.1 s to 1 h); a bound that is missing or null left 'turn = ms' or an empty value, which ended the process too. Now what can be computed with is taken, a missing value is the default, and a zone without a region is a region of its own.

--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -69,6 +69,7 @@
 	// memoryLimitShare is the share of the process's memory that is set as the Go
 	// memory limit, above which the garbage collector runs more often.
 	memoryLimitShare = 0.5
+	bytesPerMB       = 1 << 20
 )
 
 // Dependencies are the components that a Process uses to reach the platform, and
@@ -169,7 +170,7 @@
 // an error if the host cannot listen.
 func (p *Process) Run(ctx context.Context) error {
 	if p.settings.MemoryLimitMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(p.settings.MemoryLimitMB<<20)))
+		debug.SetMemoryLimit(int64(memoryLimitShare * p.settings.MemoryLimitMB * bytesPerMB))
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -282,7 +283,7 @@
 			p.pool.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.reach.Links.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.pool.SetMaxIdle(p.connectionShare())
-			p.handler.Budgets.SetHosts(now, float64(p.settings.BaseRetries), p.dispatcher.ListedHosts())
+			p.handler.Budgets.SetHosts(now, p.settings.BaseRetries, p.dispatcher.ListedHosts())
 			p.handler.Metrics.targets.Set(float64(len(inUse)))
 			p.handler.Metrics.storeEra.Set(float64(p.deps.Store.Era()))
 			p.handler.Metrics.suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -27,20 +27,25 @@
 	Fenced        bool          // whether runners refuse orders with an outdated fencing number
 	OrderInterval time.Duration // minimum time between the orders of two successive owners to one runner; doubled unless Fenced
 	RetryRatio    float64       // retries allowed per request to a service
-	BaseRetries   int           // retries allowed per window beyond RetryRatio, over all hosts
+	BaseRetries   float64       // retries allowed per window beyond RetryRatio, over all hosts
 	GracePeriod   time.Duration // from the stop signal to the end of the process
-	MemoryLimitMB int           // memory limit of the process in MB; 0 means no limit
+	MemoryLimitMB float64       // memory limit of the process in MB; 0 means no limit
 	Level         zapcore.Level // minimum level of log lines
 	Ignored       []string      // keys marked as optional that this build doesn't know, as SECTION.KEY
 }
 
+// The limits of what the platform sets for a host. They only exclude values that can't be
+// computed with.
 const (
-	maxRetries = 1 << 20 // retries per window
-	maxMemory  = 1 << 20 // MB
+	maxRetryRatio = 1e6 // retries per request
+	maxRetries    = 1e9 // retries per window
+	maxMemory     = 1e9 // MB
+	maxBound      = 365 * 24 * time.Hour
 )
 
 // ReadDirect reads and validates the settings in file. Its error is a single
-// line that names the file, the section and the key.
+// line that names the file, the section and the key. A host whose availability zone has no
+// region is in a region of its own, named like the zone.
 func ReadDirect(file string) (Direct, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -50,8 +55,11 @@
 	if d.Ignored, err = parse(file, text, d.fields()); err != nil {
 		return Direct{}, err
 	}
+	if d.Regions == nil {
+		d.Regions = make(map[string]string)
+	}
 	if d.Regions[d.Zone] == "" {
-		return Direct{}, errors.Errorf("%s: host.zone: %q has no region", file, d.Zone)
+		d.Regions[d.Zone] = d.Zone
 	}
 	return d, nil
 }
@@ -61,8 +69,8 @@
 	return []field{
 		{section: "host", key: "name", set: platformName(&d.Name)},
 		{section: "host", key: "zone", set: platformName(&d.Zone)},
-		{section: "host", key: "zones", set: zoneRegions(&d.Regions)},
-		{section: "host", key: "memory", fallback: "0", set: integer(&d.MemoryLimitMB, 0, maxMemory)},
+		{section: "host", key: "zones", optional: true, set: zoneRegions(&d.Regions)},
+		{section: "host", key: "memory", fallback: "0", set: decimal(&d.MemoryLimitMB, 0, maxMemory)},
 		{section: "host", key: "source", optional: true, set: ip(&d.Source)},
 		{section: "listen", key: "caller", set: address(&d.Caller)},
 		{section: "listen", key: "peer", set: address(&d.Peer)},
@@ -70,10 +78,10 @@
 		{section: "listen", key: "admin", optional: true, set: address(&d.Admin)},
 		{section: "platform", key: "address", set: address(&d.Store)},
 		{section: "orders", key: "fenced", fallback: "false", set: boolean(&d.Fenced)},
-		{section: "orders", key: "turn", fallback: "3s", set: duration(&d.OrderInterval, 0, maxLease)},
-		{section: "retries", key: "share", fallback: "0.1", set: decimal(&d.RetryRatio, 0, 1)},
-		{section: "retries", key: "slack", fallback: "10", set: integer(&d.BaseRetries, 0, maxRetries)},
-		{section: "stop", key: "grace", fallback: "8s", set: duration(&d.GracePeriod, minDuration, maxDuration)},
+		{section: "orders", key: "turn", fallback: "3s", set: duration(&d.OrderInterval, 0, maxBound)},
+		{section: "retries", key: "share", fallback: "0.1", set: decimal(&d.RetryRatio, 0, maxRetryRatio)},
+		{section: "retries", key: "slack", fallback: "10", set: decimal(&d.BaseRetries, 0, maxRetries)},
+		{section: "stop", key: "grace", fallback: "8s", set: duration(&d.GracePeriod, 0, maxBound)},
 		{section: "log", key: "level", fallback: "info", set: level(&d.Level)},
 	}
 }
--- a/jacinthd/settings/read.go
+++ b/jacinthd/settings/read.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -15,7 +16,7 @@
 // A field is one key of the file and the function that validates and stores its value.
 type field struct {
 	section, key string
-	fallback     string // default for a missing key; the key is required if this is empty and optional is false
+	fallback     string // default for a missing key or an empty value; the key is required if this is empty and optional is false
 	optional     bool
 	set          func(text string) error
 }
@@ -141,10 +142,11 @@
 func (f field) read(parsed *ini.File) error {
 	text := f.fallback
 	if section, err := parsed.GetSection(f.section); err == nil && section.HasKey(f.key) {
-		text = strings.TrimSpace(section.Key(f.key).Value())
-		if text == "" && !f.optional {
+		given := strings.TrimSpace(section.Key(f.key).Value())
+		if given == "" && !f.optional && f.fallback == "" {
 			return errors.New("empty")
 		}
+		text = cmp.Or(given, f.fallback)
 	}
 	if text == "" && f.optional {
 		return nil
