direct, origin: streams aren't joined after the end of all hosts

Cause: a host that has just started took the only build that it saw listed for the one that began the stream, without asking for how long. TestStreamOfUnknownOrigin expected just that; it expects 503 now until the host has watched for as long as a stream lasts. And nothing outlived the hosts: with Resumes every take-up was refused for that time, also where one build alone ever served. Now the store holds the builds of the last minute of each service, one object, written when a build comes or has been gone for a minute, by one of three hosts that a hash names. A host that starts reads it: only that build, taken up at once; several, refused. Weighed: origins of single streams in batches while two builds are listed (a write a host and second: 370 a second at 370 hosts, of 400 on a small site; this: none, but for 2 a release). It would let streams with Resumes go on in those seconds; the pages of the kit know Last-Event-Id alone, which no record helps.

TestBuildsAreWrittenOnce: 12 hosts, one write a change.

--- /dev/null
+++ b/jacinthd/internal/direct/buildrecord_test.go
@@ -0,0 +1,158 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/store/memory"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/origin"
+)
+
+// startEmptyHosts starts hosts that know no target yet.
+func startEmptyHosts(t *testing.T, n int) []*testHost {
+	return startHostsWith(t, n, func(_ int, h *testHost) {
+		h.dispatcher = &dispatch.Dispatcher{Holder: h.identity.Name, Zone: "z", Regions: map[string]string{"z": "r"}}
+		h.peers.Dispatcher = h.dispatcher
+	})
+}
+
+// keepBuilds lets all hosts keep the builds in a store until the test ends, or stop is called.
+func keepBuilds(t *testing.T, s *memory.Store, hosts []*testHost) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, h := range hosts {
+		r := &direct.BuildRecord{Store: s, Dispatcher: h.dispatcher, Rank: h.peers.Rank, Log: zap.NewNop()}
+		go r.Run(ctx)
+	}
+	return cancel
+}
+
+func storedBuilds(t *testing.T, s *memory.Store) origin.Builds {
+	o, err := s.Get(t.Context(), origin.BuildsKey)
+	if err != nil {
+		return nil
+	}
+	builds, err := origin.DecodeBuilds(o.Value)
+	require.NoError(t, err)
+	return builds
+}
+
+// TestStreamAfterTheEndOfAllHosts guards against streams that are joined from two builds since all
+// hosts ended and came back, and none remembers where a stream began (ORDER): two builds serve, or
+// the last target of the first one leaves meanwhile. Where one build alone has served, the streams
+// go on at once (LOST).
+func TestStreamAfterTheEndOfAllHosts(t *testing.T) {
+	targets := startBuilds(t, false, "one", "one", "two")
+	cases := []struct {
+		name          string
+		before, after []catalog.Target
+		status        int
+	}{
+		{"two builds", targets, targets, http.StatusServiceUnavailable},
+		{"the first build has left", targets, targets[2:], http.StatusServiceUnavailable},
+		{"the first build leaves as all hosts are away", targets[:2], targets[2:], http.StatusServiceUnavailable},
+		{"the second build has left", targets, targets[:2], http.StatusServiceUnavailable},
+		{"one build", targets[:2], targets[:2], http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var s memory.Store
+			ids := make(map[string]string)
+			generation := func(listed []catalog.Target, serve func(hosts []*testHost, systems []*testSystem)) {
+				hosts := startEmptyHosts(t, 3)
+				var systems []*testSystem
+				for _, h := range hosts {
+					system := newTestSystemOn(t, h)
+					system.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 2, Targets: listed})
+					systems = append(systems, system)
+				}
+				stop := keepBuilds(t, &s, hosts)
+				serve(hosts, systems)
+				stop()
+				for _, h := range hosts {
+					h.stop()
+				}
+			}
+			generation(c.before, func(hosts []*testHost, systems []*testSystem) {
+				want := hosts[0].dispatcher.RecentBuilds(time.Now())
+				require.Eventually(t, func() bool { return storedBuilds(t, &s).Equal(want) }, waitTimeout, 20*time.Millisecond)
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				for i := range 12 {
+					id, build := systems[i%3].begin(ctx, t, "/resumed/")
+					ids[id] = build
+				}
+			})
+			generation(c.after, func(_ []*testHost, systems []*testSystem) {
+				require.Eventually(t, func() bool {
+					status, _ := systems[0].takeUp(t, "/resumed/", "")
+					return status == c.status
+				}, time.Second, 20*time.Millisecond)
+				i := 0
+				for id, build := range ids {
+					for _, resumes := range []string{"", id} {
+						status, text := systems[i%3].takeUp(t, "/resumed/", resumes)
+						i++
+						require.Equal(t, c.status, status)
+						if status == http.StatusOK {
+							require.Equal(t, "id: 2\ndata: "+build+"\n\n", text)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestBuildsAreWrittenOnce guards against hosts that all write a change of the builds: each call to
+// the store is priced.
+func TestBuildsAreWrittenOnce(t *testing.T) {
+	const n = 12
+	var s memory.Store
+	hosts := startEmptyHosts(t, n)
+	list := func(revision uint64, builds ...string) {
+		var all []catalog.Target
+		for i, b := range builds {
+			all = append(all, catalog.Target{Name: fmt.Sprint("t", i), Service: "s", Zone: "z", Slots: 8, Build: b})
+		}
+		for _, h := range hosts {
+			h.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: revision, Targets: all})
+		}
+	}
+	list(2, "one")
+	keepBuilds(t, &s, hosts)
+	wantStored := func(builds ...string) {
+		require.Eventually(t, func() bool { return slices.Equal(storedBuilds(t, &s)["s"], builds) }, waitTimeout, 100*time.Millisecond)
+		time.Sleep(4 * time.Second) // the others' turns
+	}
+	wantStored("one")
+	require.Equal(t, 1, s.Counts().Writes)
+	list(3, "one", "two")
+	wantStored("one", "two")
+	require.Equal(t, 2, s.Counts().Writes)
+}
+
+// TestBuildsOfOtherHostsAreKept guards against a host that overwrites builds that it hasn't seen
+// itself.
+func TestBuildsOfOtherHostsAreKept(t *testing.T) {
+	var s memory.Store
+	_, err := s.Create(t.Context(), origin.BuildsKey, origin.Builds{"s": {"gone"}, "other": {"x"}}.Encode())
+	require.NoError(t, err)
+	hosts := startEmptyHosts(t, 1)
+	hosts[0].dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 2, Targets: []catalog.Target{{Name: "t", Service: "s", Zone: "z", Slots: 8, Build: "one"}}})
+	keepBuilds(t, &s, hosts)
+	want := origin.Builds{"s": {"gone", "one"}, "other": {"x"}}
+	require.Eventually(t, func() bool { return storedBuilds(t, &s).Equal(want) }, waitTimeout, 50*time.Millisecond)
+	_, _, only := hosts[0].dispatcher.OnlyBuild(time.Now(), "s")
+	require.False(t, only)
+}
--- a/jacinthd/internal/direct/builds_test.go
+++ b/jacinthd/internal/direct/builds_test.go
@@ -145,8 +145,7 @@
 
 // TestStreamOfUnknownOrigin checks what becomes of a stream that no host remembers: among
 // several builds it doesn't go on (ORDER). Where a service has had one build only, it goes
-// on (LOST), unless the caller names where it began and no host has watched the service for
-// as long as the stream may have lasted.
+// on (LOST), unless no host has watched the service for as long as the stream may have lasted.
 func TestStreamOfUnknownOrigin(t *testing.T) {
 	s := newTestSystem(t, 0, nil)
 	var now atomic.Int64
@@ -156,16 +155,18 @@
 	}
 	targets := startBuilds(t, false, "one", "one", "two")
 	list(targets[:2])
-	status, _ := s.takeUp(t, "/resumed/", "")
-	require.Equal(t, http.StatusOK, status)
-	status, _ = s.takeUp(t, "/resumed/", "elsewhere")
-	require.Equal(t, http.StatusServiceUnavailable, status, "the host has just started")
+	for _, resumes := range []string{"", "elsewhere"} {
+		status, _ := s.takeUp(t, "/resumed/", resumes)
+		require.Equal(t, http.StatusServiceUnavailable, status, "the host has just started")
+	}
 	time.Sleep(2100 * time.Millisecond) // the timeout of the route
-	status, _ = s.takeUp(t, "/resumed/", "elsewhere")
-	require.Equal(t, http.StatusOK, status)
+	for _, resumes := range []string{"", "elsewhere"} {
+		status, _ := s.takeUp(t, "/resumed/", resumes)
+		require.Equal(t, http.StatusOK, status)
+	}
 
 	list(targets)
-	status, _ = s.takeUp(t, "/read/", "")
+	status, _ := s.takeUp(t, "/read/", "")
 	require.Equal(t, http.StatusOK, status, "no stream")
 	for _, resumes := range []string{"", "elsewhere"} {
 		status, _ = s.takeUp(t, "/resumed/", resumes)
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -98,6 +98,7 @@
 	controller *ownership.Controller
 	peers      *Peers
 	handler    *Handler
+	builds     *BuildRecord
 	lifecycle  *lifecycle
 }
 
@@ -134,7 +135,11 @@
 	}
 	p.peers.Proxy = &Proxy{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
 	p.peers.Era = deps.Store.Era
-	p.controller.OnRestored = suspects.WriteAgain
+	p.builds = &BuildRecord{Store: deps.Store, Dispatcher: p.dispatcher, Rank: p.peers.Rank, Log: log}
+	p.controller.OnRestored = func() {
+		suspects.WriteAgain()
+		p.builds.ReadAgain()
+	}
 	p.controller.Client.Valid = p.controller.Valid
 	p.controller.Init()
 	p.peers.Wake = p.controller.Wake
@@ -199,6 +204,7 @@
 	go p.deps.Follower.Follow(runCtx, p.apply, p.peers.ReaderInfo)
 	go p.controller.Run(runCtx)
 	go p.handler.Suspects.Restore(runCtx)
+	go p.builds.Run(runCtx)
 	go p.reach.Probe(runCtx)
 	go p.sweep(runCtx)
 	select {
--- a/jacinthd/internal/direct/stream.go
+++ b/jacinthd/internal/direct/stream.go
@@ -30,7 +30,7 @@
 // The sources of a stream's origin.
 const (
 	fromRecord    originSource = "record"     // this host or another one remembers the stream
-	fromOnlyBuild originSource = "only build" // the service has had no other build as long as the stream may have lasted
+	fromOnlyBuild originSource = "only build" // no other build has served for as long as the stream may have lasted
 	fromNowhere   originSource = "unknown"
 )
 
@@ -56,29 +56,27 @@
 	return true
 }
 
-// findOrigin finds out where the stream began that the request takes up.
+// findOrigin finds out where the stream began that the request takes up. Where no host remembers
+// it, or the request doesn't name it, it began at the service's only build if no other has served
+// for as long as the stream may have lasted.
 func (req *callerRequest) findOrigin(ctx context.Context) (origin.Origin, originSource) {
 	longest := req.route.Timeout
 	if longest == 0 {
 		longest = defaultStreamTime
 	}
 	build, since, only := req.Dispatcher.OnlyBuild(time.Now(), req.service)
-	assumed := origin.Origin{Service: req.service, Build: build}
-	if req.call.Resumes == "" {
-		if only {
-			return assumed, fromOnlyBuild
+	watched := time.Since(since)
+	if req.call.Resumes != "" || only && watched < longest {
+		found, elsewhere, known := req.Peers.FindOrigin(ctx, origin.NewStream(req.call.Resumes), req.service, build)
+		if known {
+			return found, fromRecord
 		}
-		return origin.Origin{}, fromNowhere
+		watched = max(watched, elsewhere)
 	}
-	found, watched, known := req.Peers.FindOrigin(ctx, origin.NewStream(req.call.Resumes), req.service, build)
-	switch {
-	case known:
-		return found, fromRecord
-	case only && max(watched, time.Since(since)) >= longest:
-		return assumed, fromOnlyBuild
-	default:
-		return origin.Origin{}, fromNowhere
+	if only && watched >= longest {
+		return origin.Origin{Service: req.service, Build: build}, fromOnlyBuild
 	}
+	return origin.Origin{}, fromNowhere
 }
 
 // streamBegan binds the request to the build of the target that sent the first event of its
--- a/stage/dispatch/builds_test.go
+++ b/stage/dispatch/builds_test.go
@@ -8,6 +8,7 @@
 
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/origin"
 )
 
 // TestOnlyBuild checks that a service counts as one of several builds as long as streams of
@@ -38,3 +39,27 @@
 	require.Empty(t, only(start.Add(150*time.Second)))
 	require.Equal(t, "two", only(start.Add(161*time.Second)))
 }
+
+// TestBuildsLearned checks that the store's builds count for a minute, and are not brought back by
+// a record that still names them.
+func TestBuildsLearned(t *testing.T) {
+	var d dispatch.Dispatcher
+	listed := []catalog.Target{{Name: "runner", Service: "s", Build: "two"}}
+	d.Apply(start, catalog.TargetsListed{Targets: listed})
+	d.LearnBuilds(start, origin.Builds{"s": {"one", "two"}, "idle": {"x"}})
+	require.Equal(t, origin.Builds{"s": {"one", "two"}, "idle": {"x"}}, d.RecentBuilds(start.Add(time.Minute)))
+	_, _, ok := d.OnlyBuild(start.Add(time.Minute), "s")
+	require.False(t, ok)
+
+	later := start.Add(61 * time.Second)
+	d.LearnBuilds(later, origin.Builds{"s": {"one", "two"}})
+	require.Equal(t, origin.Builds{"s": {"two"}}, d.RecentBuilds(later))
+
+	var started dispatch.Dispatcher
+	started.Apply(start, catalog.TargetsListed{Targets: listed})
+	started.LearnBuilds(start, origin.Builds{"s": {"two"}})
+	build, since, ok := started.OnlyBuild(start, "s")
+	require.True(t, ok)
+	require.Equal(t, "two", build)
+	require.Equal(t, start.Add(-time.Minute), since, "no other build has served")
+}
