dispatch, relay, notice, peer: one message can't end a process or fail all requests

It could happen here: a digest that says that a target has -2^31 prompt tokens made the expected latency negative, and Pick panicked in rand.N for each request of callers (their connections broke without an answer) for as long as the digest counted. And a panic in the handling of another host's call ended the process: nothing recovered. Now loads are bounded where they arrive, expected latencies and delays are too, and a call between hosts that panics is cancelled: its caller learns nothing, as it may have run.

--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -166,9 +167,19 @@
 		return
 	}
 	_ = stream.raw.SetReadDeadline(time.Time{})
+	defer l.recoverCall(name, first, stream)
 	handler(ctx, name, first, stream)
 }
 
+// recoverCall ends a call whose handler panicked, so that one message can't end the process. The
+// caller gets no answer: what it asked for may have been done.
+func (l *Link) recoverCall(name string, first Message, stream *Stream) {
+	if cause := recover(); cause != nil {
+		stream.Cancel()
+		l.Log.Error("peer: call ended by a panic", zap.String("host", name), zap.String("message", fmt.Sprintf("%T", first)), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+}
+
 // Call sends m to the named host at addr and returns its single response.
 func (l *Link) Call(ctx context.Context, addr netip.AddrPort, name string, m Message) (Message, error) {
 	stream, err := l.Open(ctx, addr, name, m)
--- a/jacinthd/internal/peer/link_test.go
+++ b/jacinthd/internal/peer/link_test.go
@@ -143,6 +143,27 @@
 	require.Positive(t, server.Bytes("of-entry-2").Sent())
 }
 
+// TestPanicEndsOneCall guards against a message whose handling panics and ends the process, with
+// all its other requests. The caller learns nothing, since the message may have had an effect.
+func TestPanicEndsOneCall(t *testing.T) {
+	a := newAuthority(t)
+	server := serve(t, a.identity("entry-1"), func(ctx context.Context, name string, first peer.Message, stream *peer.Stream) {
+		if _, ok := first.(peer.ConfigVersion); ok {
+			panic("unexpected")
+		}
+		echo(ctx, name, first, stream)
+	})
+	link := client(t, a.identity("entry-2"))
+	for range 3 {
+		_, err := link.Call(testContext(t), addrOf(server), "entry-1", peer.ConfigVersion{})
+		require.Error(t, err)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		got, err := link.Call(testContext(t), addrOf(server), "entry-1", peer.Drained{Runner: "r", Epoch: 4})
+		require.NoError(t, err)
+		require.Equal(t, peer.Drained{Runner: "r", Epoch: 4}, got)
+	}
+}
+
 // TestInvalidCertificates checks that a call fails without reaching the handler if
 // either side doesn't trust the other or the host has another name.
 func TestInvalidCertificates(t *testing.T) {
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -197,5 +197,8 @@
 }
 
 // jitter returns a random duration between d/2 and 3d/2, so that callers do not
-// all retry at the same time.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+// all retry at the same time. A d that isn't positive counts as a millisecond.
+func jitter(d time.Duration) time.Duration {
+	d = max(d, time.Millisecond)
+	return d/2 + rand.N(d)
+}
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -29,6 +29,8 @@
 	regionDelay = 65 * time.Millisecond
 	// loadHalfLife is the time after which a target's reported load counts half.
 	loadHalfLife = 2 * time.Second
+	// maxLatency is the longest time that is expected of any target.
+	maxLatency = time.Hour
 )
 
 // networkDelay returns the network round-trip time to a target.
@@ -85,7 +87,7 @@
 		latency = meanServiceTime + t.queueWait(running, meanServiceTime)
 		latency += meanServiceTime * time.Duration(running) / time.Duration(max(1, t.Slots)) / 2
 	}
-	latency = time.Duration(float64(latency) * t.slowdown)
+	latency = time.Duration(min(max(float64(latency)*t.slowdown, 0), float64(maxLatency)))
 	return latency + d.networkDelay(t)
 }
 
--- a/stage/notice/brittle.go
+++ b/stage/notice/brittle.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// maxTolerated is the largest number of rejections that counts.
+const maxTolerated = 1 << 20
+
 // Tolerated returns the number of rejections in a second beyond which a brittle target ends.
 func (s *State) Tolerated() int { return s.tolerated }
 
@@ -96,7 +99,7 @@
 
 func (s *State) setBrittle(now, at time.Time, brittle bool, tolerated int) (changed bool) {
 	changed = s.brittle != brittle
-	s.brittle, s.brittleAt, s.tolerated = brittle, at, tolerated
+	s.brittle, s.brittleAt, s.tolerated = brittle, at, min(max(tolerated, 0), maxTolerated)
 	if changed {
 		s.newsAt = now
 	}
--- a/stage/relay/aggregator.go
+++ b/stage/relay/aggregator.go
@@ -64,6 +64,7 @@
 	a.Forget(d.From)
 	c := &contribution{at: now, reporter: d.ReportsToReceiver, loads: make(map[TargetHash]TargetLoad, len(d.Loads))}
 	for _, l := range d.Loads {
+		l = l.bounded()
 		c.loads[l.Target] = l
 		a.setTotal(a.totals[l.Target].add(l))
 	}
--- a/stage/relay/digest.go
+++ b/stage/relay/digest.go
@@ -40,6 +40,18 @@
 }
 
 // isZero reports whether all counts are zero, so that there is nothing to report.
+// maxCount is the largest number in a load that counts: sums of such numbers over all hosts stay
+// far from the limits of integers, whatever a digest says.
+const maxCount = 1 << 31
+
+// bounded returns the load with all its numbers from 0 to maxCount.
+func (l TargetLoad) bounded() TargetLoad {
+	for _, n := range []*int{&l.InProgress, &l.PrefillTokens, &l.Unreachable, &l.Done, &l.Failed} {
+		*n = min(max(*n, 0), maxCount)
+	}
+	return l
+}
+
 func (l TargetLoad) isZero() bool { return l == TargetLoad{Target: l.Target} }
 
 // A SlotReport is the number of adapters that a runner has room for, as its owner
