direct, origin: streams go on after the end of all hosts while two builds serve

Cause: with two builds listed only the origin of a stream tells where it may go on, and that ended with the hosts. Now, while a service has several builds, the hosts that read the store for their region write what they know of the streams of the last 30 s, each one object a second; a host that starts and reads of several builds reads these first. Weighed: a write by every host, 370 a second at 370 hosts; here 4 in two regions.

--- a/jacinthd/internal/direct/buildrecord.go
+++ b/jacinthd/internal/direct/buildrecord.go
@@ -28,14 +28,16 @@
 // A BuildRecord keeps the recent builds of all services in the store, for hosts that start
 // while no other runs: the stream that a caller takes up there may have begun at a build whose
 // last target has left. It is written only when a build comes or has been gone for a minute. All
-// exported fields must be set.
+// exported fields but OnSeveral must be set.
 type BuildRecord struct {
 	Store      store.Objects
 	Dispatcher *dispatch.Dispatcher
 	// Rank returns the place of this host among those that write, from 0. It returns false if
 	// the hosts are unknown.
 	Rank func() (int, bool)
-	Log  *zap.Logger
+	// OnSeveral, if set, is called if a service has several builds when they are first read.
+	OnSeveral func(ctx context.Context)
+	Log       *zap.Logger
 
 	restored    atomic.Bool   // the store may hold an older object than the one that is known
 	known       origin.Builds // in the store, as far as this host knows
@@ -47,21 +49,37 @@
 func (r *BuildRecord) Run(ctx context.Context) {
 	ticker := time.NewTicker(buildRecordInterval)
 	defer ticker.Stop()
-	read := r.read(ctx)
+	read := r.readFirst(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if !read || r.restored.Swap(false) {
-				read = r.read(ctx)
-				continue
+			switch {
+			case !read:
+				read = r.readFirst(ctx)
+			case r.restored.Swap(false):
+				if !r.read(ctx) {
+					r.ReadAgain()
+				}
+			default:
+				r.update(ctx, now)
 			}
-			r.update(ctx, now)
 		}
 	}
 }
 
+// readFirst reads the builds as the process starts. It reports whether it could.
+func (r *BuildRecord) readFirst(ctx context.Context) bool {
+	if !r.read(ctx) {
+		return false
+	}
+	if r.known.Several() && r.OnSeveral != nil {
+		go r.OnSeveral(ctx)
+	}
+	return true
+}
+
 // ReadAgain lets Run read the builds once more, since the store may have lost what it held.
 func (r *BuildRecord) ReadAgain() { r.restored.Store(true) }
 
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -99,6 +99,7 @@
 	peers      *Peers
 	handler    *Handler
 	builds     *BuildRecord
+	origins    *OriginRecord
 	lifecycle  *lifecycle
 }
 
@@ -135,7 +136,8 @@
 	}
 	p.peers.Proxy = &Proxy{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
 	p.peers.Era = deps.Store.Era
-	p.builds = &BuildRecord{Store: deps.Store, Dispatcher: p.dispatcher, Rank: p.peers.Rank, Log: log}
+	p.origins = &OriginRecord{Self: s.Name, Store: deps.Store, Dispatcher: p.dispatcher, Peers: p.peers, Log: log}
+	p.builds = &BuildRecord{Store: deps.Store, Dispatcher: p.dispatcher, Rank: p.peers.Rank, OnSeveral: p.origins.Restore, Log: log}
 	p.controller.OnRestored = func() {
 		suspects.WriteAgain()
 		p.builds.ReadAgain()
@@ -205,6 +207,7 @@
 	go p.controller.Run(runCtx)
 	go p.handler.Suspects.Restore(runCtx)
 	go p.builds.Run(runCtx)
+	go p.origins.Run(runCtx)
 	go p.reach.Probe(runCtx)
 	go p.sweep(runCtx)
 	select {
--- a/jacinthd/internal/direct/stream.go
+++ b/jacinthd/internal/direct/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,7 +92,8 @@
 	}
 }
 
-// StreamBegan records where a stream began, here and on other hosts.
+// StreamBegan records where a stream began, here and on other hosts: on its keepers and, while the
+// service has several builds, on one that writes it to the store.
 func (p *Peers) StreamBegan(o origin.Origin) {
 	p.origins.Add(time.Now(), o)
 	set := p.peerSet.Load()
@@ -99,7 +101,13 @@
 		return
 	}
 	self := relay.Host{Name: p.Self, Region: p.Regions[p.Zone]}
-	for _, name := range origin.Keepers(o.Stream, self, set.hosts) {
+	told := origin.Keepers(o.Stream, self, set.hosts)
+	if _, _, only := p.Dispatcher.OnlyBuild(time.Now(), o.Service); !only {
+		if writer := p.originWriter(o.Stream, set); writer != "" && !slices.Contains(told, writer) {
+			told = append(told, writer)
+		}
+	}
+	for _, name := range told {
 		go p.tellKeeper(set, name, o)
 	}
 }
--- a/stage/origin/builds.go
+++ b/stage/origin/builds.go
@@ -39,3 +39,13 @@
 
 // Equal reports whether both name the same builds of the same services.
 func (b Builds) Equal(other Builds) bool { return maps.EqualFunc(b, other, slices.Equal) }
+
+// Several reports whether a service has several builds.
+func (b Builds) Several() bool {
+	for _, names := range b {
+		if len(names) > 1 {
+			return true
+		}
+	}
+	return false
+}
--- a/stage/origin/origin.go
+++ b/stage/origin/origin.go
@@ -46,7 +46,13 @@
 // is safe for concurrent use.
 type Memory struct {
 	mu      sync.Mutex
-	origins recent.Map[Stream, Origin]
+	origins recent.Map[Stream, addedOrigin]
+}
+
+// An addedOrigin is an origin with the time at which it was added.
+type addedOrigin struct {
+	Origin
+	at time.Time
 }
 
 // Add records the origin of a stream. The first one counts.
@@ -54,7 +60,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.origins.Get(o.Stream); !known {
-		m.origins.Put(now, o.Stream, o)
+		m.origins.Put(now, o.Stream, addedOrigin{o, now})
 	}
 }
 
@@ -62,7 +68,22 @@
 func (m *Memory) Find(s Stream) (Origin, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.origins.Get(s)
+	o, known := m.origins.Get(s)
+	return o.Origin, known
+}
+
+// Since returns the origins that were added at or after a time, in the order of the streams.
+func (m *Memory) Since(from time.Time) []Origin {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Origin
+	for _, o := range m.origins.All() {
+		if !o.at.Before(from) {
+			out = append(out, o.Origin)
+		}
+	}
+	slices.SortFunc(out, func(a, b Origin) int { return cmp.Compare(a.Stream, b.Stream) })
+	return out
 }
 
 // Keepers returns the hosts that the host self tells of a stream: hosts of its region, or of
--- a/stage/recent/map.go
+++ b/stage/recent/map.go
@@ -1,7 +1,10 @@
 // Package recent remembers a bounded number of recent values by key.
 package recent
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	// retention is how long at least a value is remembered, if there is room.
@@ -33,3 +36,19 @@
 	value, ok := m.previous[key]
 	return value, ok
 }
+
+// All returns all values that are remembered, in no order.
+func (m *Map[K, V]) All() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for key, value := range m.current {
+			if !yield(key, value) {
+				return
+			}
+		}
+		for key, value := range m.previous {
+			if _, newer := m.current[key]; !newer && !yield(key, value) {
+				return
+			}
+		}
+	}
+}
