direct: a planned stop under load cuts no request (a test)

A report of other operators: during a planned stop under load, requests that had just been accepted were cut off without an answer.

--- /dev/null
+++ b/jacinthd/internal/direct/stop_test.go
@@ -0,0 +1,164 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/settings"
+	"jacinthstage/jacinthd/store/memory"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/mirror"
+	"jacinthstage/stage/store"
+)
+
+// A processStore is a store whose objects nobody else changes.
+type processStore struct{ *memory.Store }
+
+func (s processStore) GetStale(ctx context.Context, key string) (store.Object, error) {
+	return s.Get(ctx, key)
+}
+
+func (processStore) ListAndWatch(ctx context.Context, _ string, _ func(store.Event)) { <-ctx.Done() }
+
+func (processStore) Era() uint64 { return 0 }
+
+// A fixedFollower reports a configuration and targets once.
+type fixedFollower []catalog.Event
+
+func (f fixedFollower) Follow(ctx context.Context, sink func(catalog.Event), _ func() mirror.ReaderInfo) {
+	for _, e := range f {
+		sink(e)
+	}
+	<-ctx.Done()
+}
+
+func (fixedFollower) Refresh() {}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// startProcess starts a process that sends to the target, and returns the address for callers and
+// a function that begins its planned stop and waits for its end.
+func startProcess(t *testing.T, target catalog.Target, grace time.Duration) (caller netip.AddrPort, stop func()) {
+	route := catalog.Route{
+		Name: "once", Host: "one.example", Prefix: "/once/", Kind: catalog.AtMostOnce{}, MaxAttempts: 1,
+		Timeout: 5 * time.Second, LatencyObjective: time.Second, Split: []catalog.TrafficShare{{Service: "s", Weight: 1}},
+	}
+	follower := fixedFollower{
+		catalog.ConfigUpdated{Config: catalog.NewConfig(1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})},
+		catalog.TargetsListed{Revision: 1, Targets: []catalog.Target{target}},
+	}
+	d := settings.Direct{
+		Name: "host", Zone: "z", Regions: map[string]string{"z": "r"}, GracePeriod: grace, RetryRatio: 0.1,
+		Caller: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Store: freeAddress(t),
+	}
+	sink := direct.NewSink(io.Discard)
+	p, err := direct.New(d, direct.Dependencies{
+		Store: processStore{new(memory.Store)}, Follower: follower, Copies: new(mirror.Set), Registry: prometheus.NewRegistry(),
+		Headers: testHeaders{}, ReadyPath: "/ready",
+	}, zap.NewNop(), sink)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	t.Cleanup(sink.Close)
+	require.Eventually(t, func() bool {
+		answer, err := http.Get(fmt.Sprintf("http://%s/ready", d.Ready))
+		return err == nil && answer.Body.Close() == nil && answer.StatusCode == http.StatusOK
+	}, waitTimeout, 20*time.Millisecond)
+	return d.Caller, func() {
+		cancel()
+		require.NoError(t, <-ended)
+	}
+}
+
+// TestPlannedStopUnderLoad guards against requests that are cut off without an answer since their
+// host stops while callers go on sending, over kept and over new connections (a report of another
+// system): each request that reached the target is answered whole, and each on a new connection
+// that the host took.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	const (
+		callers = 40
+		grace   = 6 * time.Second
+		work    = 150 * time.Millisecond
+	)
+	var ran sync.Map
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("Id"), true)
+		time.Sleep(work)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		succeed(w, "whole")
+	}))
+	defer server.Close()
+	target := catalog.Target{Name: "t", Service: "s", Zone: "z", Slots: callers, Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	address, stop := startProcess(t, target, grace)
+
+	var done atomic.Bool
+	var answered, cutRunning, cutNew atomic.Int32
+	var loops sync.WaitGroup
+	for i := range callers {
+		transport := &http.Transport{DisableKeepAlives: i%2 == 0}
+		client := &http.Client{Transport: transport}
+		loops.Go(func() {
+			defer transport.CloseIdleConnections()
+			for n := 0; !done.Load(); n++ {
+				id := fmt.Sprint(i, "-", n)
+				r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/once/", address), strings.NewReader("x"))
+				if err != nil {
+					panic(err)
+				}
+				r.GetBody = nil // keeps the client from sending it again
+				r.Host = "one.example"
+				r.Header.Set("Id", id)
+				answer, err := client.Do(r)
+				if err == nil {
+					var text []byte
+					text, err = io.ReadAll(answer.Body)
+					_ = answer.Body.Close()
+					if err == nil && answer.StatusCode == http.StatusOK && string(text) == "whole" {
+						answered.Add(1)
+						continue
+					}
+				}
+				var dial *net.OpError
+				refused := errors.As(err, &dial) && dial.Op == "dial"
+				if _, reached := ran.Load(id); reached {
+					cutRunning.Add(1)
+				} else if err != nil && !refused && transport.DisableKeepAlives {
+					cutNew.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	before := answered.Load()
+	stop()
+	done.Store(true)
+	loops.Wait()
+	require.Positive(t, before)
+	require.Greater(t, answered.Load(), before, "requests are served while the host stops")
+	require.Zero(t, cutRunning.Load(), "requests that reached the target")
+	require.Zero(t, cutNew.Load(), "requests on new connections")
+}
