--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -511,3 +511,50 @@
 	}
 	return s
 }
+
+// TestTricklingStreamEnds guards against a stalled stream that never ends since its target sends a
+// byte now and then, before its first event or after it: it ends at the timeout of its route (a
+// report of another system).
+func TestTricklingStreamEnds(t *testing.T) {
+	for _, begin := range []string{"", "id: 1\ndata: a\n\n"} {
+		t.Run(fmt.Sprintf("after %q", begin), func(t *testing.T) {
+			t.Parallel()
+			s := newTestSystem(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) {
+				succeed(w, begin)
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, ":")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+			began := time.Now()
+			_, text, err := s.sendWithin(t, time.Minute, http.MethodPost, "/stream/", "")
+			took := time.Since(began)
+			if begin != "" {
+				require.Error(t, err, "the answer must not look complete")
+				require.Equal(t, begin, text)
+			}
+			require.Greater(t, took, 1900*time.Millisecond, "the timeout of the route is 2 s")
+			require.Less(t, took, 2500*time.Millisecond)
+		})
+	}
+}
+
+// TestSlowStreamIsWhole guards against a sound stream that is cut since it is slow: its events are
+// far apart, and each arrives in pieces.
+func TestSlowStreamIsWhole(t *testing.T) {
+	event := "id: 1\ndata: a\n\n"
+	s := newTestSystem(t, 2, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Signed", "s")
+		for _, part := range []string{event[:5], event[5:], strings.Replace(event, "1", "2", 1), strings.Replace(event, "1", "3", 1)} {
+			time.Sleep(400 * time.Millisecond)
+			_, _ = io.WriteString(w, part)
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	response, text, err := s.sendWithin(t, time.Minute, http.MethodPost, "/stream/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, 3, strings.Count(text, "data: a\n\n"))
+	require.EqualValues(t, 1, s.runs.Load())
+}
