outbound, reach: files by concept; no list of targets where nothing is in doubt

Links.Probes asks for the list of targets only if there is a doubt, where each host built it ten times a second. No change of behaviour.

--- a/jacinthd/internal/direct/reach.go
+++ b/jacinthd/internal/direct/reach.go
@@ -70,7 +70,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, target := range r.Links.Probes(now, r.Dispatcher.ReadyAddresses(now)) {
+			ready := func() []netip.AddrPort { return r.Dispatcher.ReadyAddresses(now) }
+			for _, target := range r.Links.Probes(now, ready) {
 				go r.probe(ctx, target)
 			}
 		}
--- /dev/null
+++ b/jacinthd/internal/outbound/conn.go
@@ -0,0 +1,83 @@
+package outbound
+
+import (
+	"bufio"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// A poolConn is one connection of a Pool.
+type poolConn struct {
+	net.Conn
+	source    *limitedReader // reads from Conn
+	reader    *bufio.Reader  // reads from source
+	idleSince time.Time      // start of the current idle period
+	expires   time.Time      // time after which an idle connection isn't reused
+	carried   []string       // IDs of the last requests, at most rememberedIDs
+}
+
+// readHead reads the status line and the header of a response.
+func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
+	c.source.remaining = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.source.remaining = math.MaxInt64
+	return response, err
+}
+
+// A limitedReader reads from a connection and fails after a number of bytes, unlike
+// io.LimitReader, which ends as if the connection were closed.
+type limitedReader struct {
+	conn      net.Conn
+	remaining int64
+	address   netip.AddrPort
+	watcher   Watcher // may be nil
+	heard     bool    // bytes have arrived
+	inBody    bool    // fails once the connection is lost, before the system does
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errors.Errorf("header larger than %d bytes", maxHeadBytes)
+	}
+	n, err := r.readConn(p[:min(int64(len(p)), r.remaining)])
+	r.remaining -= int64(n)
+	if n > 0 && r.watcher != nil {
+		if !r.heard {
+			r.watcher.Connected(r.address)
+		}
+		r.watcher.Heard()
+	}
+	r.heard = r.heard || n > 0
+	return n, err
+}
+
+func (r *limitedReader) readConn(p []byte) (int, error) {
+	if !r.inBody {
+		return r.conn.Read(p)
+	}
+	for {
+		if err := r.conn.SetReadDeadline(time.Now().Add(bodySilence)); err != nil {
+			return 0, err
+		}
+		n, err := r.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if isLost(r.conn, bodySilence-probeMargin) {
+			return 0, errors.Errorf("nothing arrived for %v", bodySilence)
+		}
+	}
+}
+
+// noteCarried records that a request is sent on the connection.
+func (c *poolConn) noteCarried(id string) {
+	c.carried = append(c.carried, id)
+	c.carried = c.carried[max(0, len(c.carried)-rememberedIDs):]
+}
--- /dev/null
+++ b/jacinthd/internal/outbound/exchange.go
@@ -0,0 +1,126 @@
+package outbound
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// An Exchange is a request whose response header has been read. The caller must
+// call Close.
+type Exchange struct {
+	Response *http.Response
+	// First reports whether the request is the first one on its connection, so that
+	// the response can't belong to another request even if it has no ID.
+	First bool
+
+	pool      *Pool
+	address   netip.AddrPort
+	conn      *poolConn
+	written   chan error  // result of writing the request
+	stopWatch func() bool // stops closing the connection at the end of the context
+	complete  bool        // the body was read to its end
+}
+
+// readResponse reads responses until one belongs to the request.
+func (x *Exchange) readResponse(request *http.Request, filter ResponseFilter) error {
+	for range maxStrayResponses + 1 {
+		response, err := x.conn.readHead(request)
+		if err != nil {
+			return errors.Wrap(err, "answer")
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		if filter == nil || filter(response.Header) {
+			x.Response = response
+			x.conn.source.inBody = true
+			return nil
+		}
+		if err := discardStray(response.Body); err != nil {
+			return errors.Wrap(err, "answer to another request")
+		}
+	}
+	return errors.New("answers to other requests")
+}
+
+// discardStray reads the body of a response to another request to its end.
+func discardStray(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBody))
+	if err == nil && n == maxStrayBody {
+		return errors.New("body too large")
+	}
+	return err
+}
+
+// Discard reads the rest of the response body, so that the connection can carry other
+// requests. It gives up after limit bytes or at the time until; Close then closes the
+// connection.
+func (x *Exchange) Discard(limit int64, until time.Time) error {
+	x.conn.source.inBody = false
+	if err := x.conn.SetReadDeadline(until); err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, limit)); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(x.conn.SetReadDeadline(time.Time{}))
+}
+
+// Read reads the response body. It returns io.EOF only after a complete body.
+func (x *Exchange) Read(p []byte) (int, error) {
+	n, err := x.Response.Body.Read(p)
+	if err == io.EOF {
+		x.complete = true
+	}
+	return n, err
+}
+
+// EndsWithConnection reports whether the response body has neither a length nor chunks, so
+// that only the end of the connection ends it. A target's process that ends closes its
+// connections as well.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
+// Close ends the exchange. It returns the connection to the pool if it can carry
+// another request, and closes it otherwise.
+func (x *Exchange) Close() {
+	if !x.complete || x.Response.Close || x.conn.reader.Buffered() > 0 {
+		x.discard()
+		return
+	}
+	if !x.requestWritten() || !x.stopWatch() {
+		x.discard()
+		return
+	}
+	x.conn.source.inBody = false
+	if x.conn.SetReadDeadline(time.Time{}) != nil {
+		x.discard()
+		return
+	}
+	x.pool.put(x.address, x.conn, idleTimeout(x.Response.Header))
+}
+
+// requestWritten reports whether the request was written completely. It waits
+// for up to writeGrace, because the response may arrive shortly before the
+// writing goroutine has returned.
+func (x *Exchange) requestWritten() bool {
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-x.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+// discard closes the connection.
+func (x *Exchange) discard() {
+	x.stopWatch()
+	_ = x.conn.Conn.Close()
+}
--- a/stage/reach/reach.go
+++ b/stage/reach/reach.go
@@ -156,9 +156,9 @@
 	return l.cut || k != nil && now.Before(k.indirectUntil)
 }
 
-// Probes returns the targets, out of all, to which to open a connection now to find out
-// whether this host reaches them.
-func (l *Links) Probes(now time.Time, all []netip.AddrPort) []netip.AddrPort {
+// Probes returns the targets, out of those that all returns, to which to open a connection now to
+// find out whether this host reaches them. It calls all only if there is a doubt.
+func (l *Links) Probes(now time.Time, all func() []netip.AddrPort) []netip.AddrPort {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []netip.AddrPort
@@ -170,14 +170,18 @@
 	}
 	evidence := l.evidence(now)
 	suspicious := evidence > 0 && now.Sub(l.evidenceAt) >= minSilence || !l.waitingSince.IsZero() && now.Sub(l.waitingSince) >= silence
-	if len(all) == 0 || now.Sub(l.probedAt) < probeInterval || !l.cut && !suspicious {
+	if now.Sub(l.probedAt) < probeInterval || !l.cut && !suspicious {
+		return out
+	}
+	targets := all()
+	if len(targets) == 0 {
 		return out
 	}
 	l.probedAt = now
 	if l.cut || evidence == 0 {
-		return append(out, all[rand.IntN(len(all))])
+		return append(out, targets[rand.IntN(len(targets))])
 	}
-	return append(out, l.unproven(now, all)...)
+	return append(out, l.unproven(now, targets)...)
 }
 
 // unproven returns targets whose failure would complete the evidence that this host is cut
--- a/stage/reach/reach_test.go
+++ b/stage/reach/reach_test.go
@@ -19,6 +19,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
 }
 
+// listed returns a function that returns all.
+func listed(all []netip.AddrPort) func() []netip.AddrPort {
+	return func() []netip.AddrPort { return all }
+}
+
 func addresses(n int) []netip.AddrPort {
 	var out []netip.AddrPort
 	for i := range n {
@@ -61,8 +66,8 @@
 	l.Confirmed(at(10), address(0))
 	require.True(t, l.Indirect(at(1900), address(0)))
 	l.Heard(at(1899))
-	require.Equal(t, addresses(1), l.Probes(at(1900), addresses(5)))
-	require.Empty(t, l.Probes(at(1901), addresses(5)), "not at once again")
+	require.Equal(t, addresses(1), l.Probes(at(1900), listed(addresses(5))))
+	require.Empty(t, l.Probes(at(1901), listed(addresses(5))), "not at once again")
 	l.Failed(at(1950), address(0))
 	require.True(t, l.Indirect(at(3000), address(0)))
 	l.Connected(at(3001), address(0))
@@ -83,17 +88,17 @@
 	all := addresses(20)
 	l.Heard(at(0))
 	l.Sent(at(10))
-	require.Empty(t, l.Probes(at(400), all))
+	require.Empty(t, l.Probes(at(400), listed(all)))
 	ms := 500
 	for ; !l.Cut() && ms < 5000; ms += 100 {
-		for _, target := range l.Probes(at(ms), all) {
+		for _, target := range l.Probes(at(ms), listed(all)) {
 			l.Failed(at(ms+50), target)
 		}
 	}
 	require.Less(t, ms, 1500)
 	probes := 0
 	for ; ms < 11500; ms += 100 {
-		probes += len(l.Probes(at(ms), all))
+		probes += len(l.Probes(at(ms), listed(all)))
 	}
 	require.LessOrEqual(t, probes, 26, "one each 400 ms")
 }
@@ -105,12 +110,12 @@
 	all := addresses(20)
 	probes := 0
 	for ms := 0; ms < 10000; ms += 100 {
-		probes += len(l.Probes(at(ms), all))
+		probes += len(l.Probes(at(ms), listed(all)))
 	}
 	require.Zero(t, probes)
 	l.Sent(at(10000))
 	for ms := 10000; ms < 20000; ms += 100 {
-		for _, target := range l.Probes(at(ms), all) {
+		for _, target := range l.Probes(at(ms), listed(all)) {
 			l.Connected(at(ms+1), target)
 			probes++
 			l.Sent(at(ms + 2))
@@ -151,7 +156,7 @@
 		firstMs := end // when the first request met the partition
 		sound := 0     // for how long the host has taken itself for cut off, and isn't
 		for ms := 0; ms < end; ms += step {
-			for _, target := range l.Probes(at(ms), all) {
+			for _, target := range l.Probes(at(ms), listed(all)) {
 				try(target, ms)
 			}
 			if target := all[r.IntN(len(all))]; r.IntN(1000) < perSecond*step && !l.Indirect(at(ms), target) {
