--- a/jacinthd/internal/direct/originrecord.go
+++ b/jacinthd/internal/direct/originrecord.go
@@ -165,8 +165,12 @@
 		}
 		return 0
 	}
+	add := r.Peers.origins.Restore
+	if o.Key == origin.BatchKey(r.Self) {
+		add = r.Peers.origins.Add // the next write replaces this object
+	}
 	for _, began := range b.Origins {
-		r.Peers.origins.Add(now, began)
+		add(now, began)
 	}
 	return len(b.Origins)
 }
--- a/stage/origin/origin.go
+++ b/stage/origin/origin.go
@@ -49,18 +49,23 @@
 	origins recent.Map[Stream, addedOrigin]
 }
 
-// An addedOrigin is an origin with the time at which it was added.
+// An addedOrigin is an origin with the time at which it was added, zero if it was restored.
 type addedOrigin struct {
 	Origin
 	at time.Time
 }
 
 // Add records the origin of a stream. The first one counts.
-func (m *Memory) Add(now time.Time, o Origin) {
+func (m *Memory) Add(now time.Time, o Origin) { m.add(now, o, now) }
+
+// Restore records an origin that another host keeps, which Since doesn't return.
+func (m *Memory) Restore(now time.Time, o Origin) { m.add(now, o, time.Time{}) }
+
+func (m *Memory) add(now time.Time, o Origin, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.origins.Get(o.Stream); !known {
-		m.origins.Put(now, o.Stream, addedOrigin{o, now})
+		m.origins.Put(now, o.Stream, addedOrigin{o, at})
 	}
 }
 
--- a/stage/origin/origin_test.go
+++ b/stage/origin/origin_test.go
@@ -61,3 +61,17 @@
 	_, known = m.Find(many - 10_000)
 	require.True(t, known)
 }
+
+// TestSinceLeavesOutWhatIsKeptElsewhere guards against hosts that each write the origins that they
+// have read from the others' objects.
+func TestSinceLeavesOutWhatIsKeptElsewhere(t *testing.T) {
+	var m origin.Memory
+	now := time.Unix(1000, 0)
+	m.Add(now, origin.Origin{Stream: 3})
+	m.Restore(now, origin.Origin{Stream: 1})
+	m.Add(now.Add(time.Second), origin.Origin{Stream: 2})
+	require.Equal(t, []origin.Origin{{Stream: 2}, {Stream: 3}}, m.Since(now))
+	require.Equal(t, []origin.Origin{{Stream: 2}}, m.Since(now.Add(time.Second)))
+	_, known := m.Find(1)
+	require.True(t, known)
+}
