direct: reading all objects of a prefix stands once

Origins of streams and refused traits were read from the store by two copies of one loop over pages; originWriter asked for its region's readers twice. No change of behaviour. Run: vet, staticcheck, revive, the build of the module by itself, and go test ./internal/direct -run 'Refused|Suspect|Crash|StreamAfter|Builds|Restor'.

--- a/jacinthd/internal/direct/originrecord.go
+++ b/jacinthd/internal/direct/originrecord.go
@@ -127,26 +127,8 @@
 }
 
 func (r *OriginRecord) readAll(ctx context.Context) (streams int, err error) {
-	after := ""
-	for {
-		page, err := r.list(ctx, after)
-		if err != nil {
-			return streams, err
-		}
-		for _, o := range page.Objects {
-			after = o.Key
-			streams += r.restore(ctx, o)
-		}
-		if !page.More || len(page.Objects) == 0 {
-			return streams, nil
-		}
-	}
-}
-
-func (r *OriginRecord) list(ctx context.Context, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
-	defer cancel()
-	return r.Store.List(ctx, origin.BatchPrefix, after)
+	err = eachObject(ctx, r.Store, origin.BatchPrefix, originCallTimeout, func(o store.Object) { streams += r.restore(ctx, o) })
+	return streams, err
 }
 
 // restore takes over one batch and returns the number of its streams. It deletes a stale one.
@@ -185,11 +167,8 @@
 // originWriter returns the host of this region that writes the origin of a stream, empty if this
 // one does.
 func (p *Peers) originWriter(s origin.Stream, set *peerSet) string {
-	if p.isReader(set) {
-		return ""
-	}
 	readers := set.roster.Readers(p.Regions[p.Zone], p.unreachable)
-	if len(readers) == 0 {
+	if len(readers) == 0 || slices.Contains(readers, p.Self) {
 		return ""
 	}
 	return readers[uint64(s)%uint64(len(readers))]
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -308,28 +308,37 @@
 }
 
 func (s *Suspects) readAll(ctx context.Context) (n int, err error) {
+	err = eachObject(ctx, s.Store, suspect.KeyPrefix, suspectCallTimeout, func(o store.Object) {
+		if s.restore(ctx, o) {
+			n++
+		}
+	})
+	return n, err
+}
+
+// eachObject calls handle for each object whose key begins with prefix. timeout limits each call
+// to the store.
+func eachObject(ctx context.Context, from store.Objects, prefix string, timeout time.Duration, handle func(store.Object)) error {
 	after := ""
 	for {
-		page, err := s.list(ctx, after)
+		page, err := listPage(ctx, from, prefix, after, timeout)
 		if err != nil {
-			return n, err
+			return err
 		}
 		for _, o := range page.Objects {
 			after = o.Key
-			if s.restore(ctx, o) {
-				n++
-			}
+			handle(o)
 		}
 		if !page.More || len(page.Objects) == 0 {
-			return n, nil
+			return nil
 		}
 	}
 }
 
-func (s *Suspects) list(ctx context.Context, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, suspectCallTimeout)
+func listPage(ctx context.Context, from store.Objects, prefix, after string, timeout time.Duration) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return s.Store.List(ctx, suspect.KeyPrefix, after)
+	return from.List(ctx, prefix, after)
 }
 
 // restore adds a refused trait from the store, or deletes its object if it has
