--- a/review/standin/long.go
+++ b/review/standin/long.go
@@ -33,9 +33,9 @@
 	var ended []answer
 	stop := make(chan struct{})
 	var clientsDone sync.WaitGroup
-	for i := range 6 {
+	for i := range 12 {
 		clientsDone.Go(func() {
-			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 80 * time.Millisecond)
 			s.loop(stop, nil, pause(20*time.Millisecond), func() call {
 				return call{id: newID(), method: "GET", path: "/lookup/x", budget: 6 * time.Second}
 			}, func(a answer) {
