--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,8 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 does the same without the disruption.
+# TROUBLE=term plays the SIGTERM alone, TROUBLE=hup the SIGHUP alone.
+TROUBLE=${TROUBLE:-1}
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jacinthd ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin stop -program target/jacinthd -record review/1/record.txt
+exec target/review/standin stop -program target/jacinthd -record review/1/record.txt -trouble "$TROUBLE"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,11 +1,11 @@
 // Command standin plays the cases of the review: it starts hosts of `jacinthd serve` and
 // runners as separate processes on loopback addresses, with a store and clients of its own.
 //
-//	standin stop|leaving|versions|long -program FILE -record FILE
+//	standin stop|leaving|versions|long -program FILE -record FILE [-trouble 0]
 //	standin runner ...
 //
 // It exits with 0 if the rule held, 1 if it was broken and 2 if the case couldn't run. With
-// TROUBLE=0 in its environment it does the same without the disruption.
+// -trouble 0 it does the same without the disruption.
 package main
 
 import (
@@ -35,12 +35,13 @@
 	f := flag.NewFlagSet("standin", flag.ExitOnError)
 	program := f.String("program", "", "program file of jacinthd")
 	record := f.String("record", "", "file for the record")
+	trouble := f.String("trouble", "1", "0 leaves the disruption out; a case may know parts of it")
 	_ = f.Parse(os.Args[2:])
-	os.Exit(run(play, *program, *record))
+	os.Exit(run(play, *program, *record, *trouble))
 }
 
-func run(play func(*site) error, program, record string) int {
-	s, err := newSite(program, record)
+func run(play func(*site) error, program, record, trouble string) int {
+	s, err := newSite(program, record, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -22,7 +22,7 @@
 // A site is what a case starts: the store, hosts and runners.
 type site struct {
 	program   string
-	trouble   string // of the environment; "0" for none
+	trouble   string // what of the disruption is played; "0" for nothing
 	dir       string // temporary
 	started   time.Time
 	store     *store
@@ -45,8 +45,8 @@
 	times        int
 }
 
-func newSite(program, record string) (*site, error) {
-	s := &site{program: program, trouble: os.Getenv("TROUBLE"), started: time.Now(), runs: make(map[string]*ranRequest)}
+func newSite(program, record, trouble string) (*site, error) {
+	s := &site{program: program, trouble: trouble, started: time.Now(), runs: make(map[string]*ranRequest)}
 	var err error
 	if s.record, err = os.Create(record); err != nil {
 		return nil, err
@@ -62,6 +62,7 @@
 		return nil, err
 	}
 	go s.store.expire()
+	s.note("disruption: %s", map[bool]string{true: "left out", false: "played (" + trouble + ")"}[trouble == "0"])
 	s.store.set("config", "main", configText)
 	s.note("configuration 7 is acknowledged")
 	return s, nil
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -9,7 +9,7 @@
 )
 
 // stopCase stops a host as planned. A second later its settings change, which the platform
-// tells it with SIGHUP. TROUBLE=term leaves the SIGHUP out, TROUBLE=hup the SIGTERM.
+// tells it with SIGHUP. The trouble "term" leaves the SIGHUP out, "hup" the SIGTERM.
 func stopCase(s *site) error {
 	const (
 		work       = 400 * time.Millisecond
