--- a/jacinthd/internal/direct/apply.go
+++ b/jacinthd/internal/direct/apply.go
@@ -49,7 +49,7 @@
 		return
 	}
 	p.lifecycle.fire(configured)
-	p.handler.Metrics.version.Set(float64(after.Version))
+	p.handler.Metrics.ConfigVersion.Set(float64(after.Version))
 	p.log.Info("config: applied", zap.Uint64("version", after.Version), zap.Int("services", len(after.Services)))
 }
 
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -145,7 +145,7 @@
 	head := req.Headers.ParseAnswer(x.Response().StatusCode, x.Response().Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load, Indirect: req.via != ""})
 	if attempt.Heard(time.Now(), head.Notice, sourceOf(head)) {
-		req.Metrics.targetSpoke(head.Notice)
+		req.Metrics.TargetSpoke(head.Notice)
 		logNotice(req.log, attempt.Target, head.Notice)
 	}
 	return req.forwardAnswer(ctx, attempt, x, head)
--- a/jacinthd/internal/direct/builds.go
+++ b/jacinthd/internal/direct/builds.go
@@ -43,7 +43,7 @@
 
 // OnUnreadable records that a call of another host can't be read.
 func (p *Peers) OnUnreadable(name string, cause error, again bool) {
-	p.Suspects.Metrics.unreadable.Inc()
+	p.Suspects.Metrics.Unreadable.Inc()
 	if !again {
 		p.Log.Warn("peer: call not understood", zap.String("host", name), zap.String("build", p.Link.Version(name).Build), zap.Error(cause))
 	}
@@ -51,9 +51,9 @@
 
 // countVersions updates the metric of versions. p.mu must be held.
 func (p *Peers) countVersions() {
-	p.Suspects.Metrics.peers.Reset()
+	p.Suspects.Metrics.Peers.Reset()
 	for _, v := range p.versions {
-		p.Suspects.Metrics.peers.WithLabelValues(v.Build, v.Protocol).Inc()
+		p.Suspects.Metrics.Peers.WithLabelValues(v.Build, v.Protocol).Inc()
 	}
 }
 
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -32,6 +32,7 @@
 
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/ownership"
 	"jacinthstage/jacinthd/internal/peer"
@@ -112,12 +113,12 @@
 	}
 	registry := deps.Registry
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	metrics := NewMetrics(registry)
+	counters := metrics.New(registry)
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
-	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: metrics.opened.Inc}
-	suspects := &Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: metrics, Log: log}
-	p.reach = &Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: metrics, Log: log}
+	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: counters.Opened.Inc}
+	suspects := &Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
+	p.reach = &Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
 	p.pool.Watcher = p.reach
 	p.peers = &Peers{
 		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
@@ -129,9 +130,9 @@
 		Regions:    s.Regions,
 		Store:      deps.Store,
 		Dispatcher: p.dispatcher,
-		Client:     &ownership.RunnerClient{Dispatcher: p.dispatcher, Codec: deps.RunnerCodec, Pool: p.pool, Log: log, OnReply: metrics.countOrder},
+		Client:     &ownership.RunnerClient{Dispatcher: p.dispatcher, Codec: deps.RunnerCodec, Pool: p.pool, Log: log, OnReply: counters.CountOrder},
 		Log:        log, Fenced: s.Fenced, OrderGap: s.OrderInterval,
-		OnMembers: p.peers.SetMembers, OnOwned: metrics.setOwned,
+		OnMembers: p.peers.SetMembers, OnOwned: counters.SetOwned,
 		LeaseTiming: lease.Timing{Duration: leaseDuration, RenewInterval: leaseRenewInterval, ClockMargin: leaseClockMargin},
 	}
 	p.peers.Proxy = &Proxy{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
@@ -148,7 +149,7 @@
 	p.peers.OnNewerConfig = deps.Follower.Refresh
 	p.handler = &Handler{
 		Peers: p.peers, Suspects: suspects, Reach: p.reach,
-		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: metrics, Log: log,
+		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
 		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
 	}
@@ -293,9 +294,9 @@
 			p.reach.Links.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.pool.SetMaxIdle(p.connectionShare())
 			p.handler.Budgets.SetHosts(now, p.settings.BaseRetries, p.dispatcher.ListedHosts())
-			p.handler.Metrics.targets.Set(float64(len(inUse)))
-			p.handler.Metrics.storeEra.Set(float64(p.deps.Store.Era()))
-			p.handler.Metrics.suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
+			p.handler.Metrics.Targets.Set(float64(len(inUse)))
+			p.handler.Metrics.StoreEra.Set(float64(p.deps.Store.Era()))
+			p.handler.Metrics.Suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
 			for name, u := range p.dispatcher.SlotUsage(now) {
 				p.log.Info("residency: slots", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
 					zap.Int("coming", u.Loading), zap.Int("leaving", u.Unloading), zap.Int("doubt", u.Uncertain))
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/call"
@@ -139,7 +140,7 @@
 func newSuspects() *direct.Suspects {
 	return &direct.Suspects{
 		Pool: &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext}, Store: new(memory.Store),
-		Metrics: direct.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Metrics: metrics.New(prometheus.NewRegistry()), Log: zap.NewNop(),
 	}
 }
 
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
@@ -44,7 +45,7 @@
 	Budgets    *retry.Budgets
 	Suspects   *Suspects
 	Reach      *Reach
-	Metrics    *Metrics
+	Metrics    *metrics.Host
 	Log        *zap.Logger
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
@@ -97,7 +98,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &callerRequest{Handler: h, w: w, r: r, arrived: time.Now(), log: h.Log}
-	defer h.Metrics.requestStarted()()
+	defer h.Metrics.RequestStarted()()
 	if h.Stopping() || len(r.TransferEncoding) > 0 {
 		// A request with a chunked body may also have a Content-Length header, so
 		// an intermediary may place the start of the next request elsewhere.
@@ -212,7 +213,7 @@
 // finish logs the end of the request and records it in the metrics.
 func (req *callerRequest) finish(message string, status int, fields ...zap.Field) {
 	duration := time.Since(req.arrived)
-	req.Metrics.requestEnded(req.service, status, duration)
+	req.Metrics.RequestEnded(req.service, status, duration)
 	fields = append(fields, zap.Int("status", status), zap.Duration("took", duration), zap.Uint64("config", req.config),
 		zap.String("route", req.route.Name), zap.Int("sends", req.sends), zap.Int("dials", req.dialFailures), zap.Int("runs", req.runs))
 	if req.via != "" {
--- a/jacinthd/internal/direct/indirect.go
+++ b/jacinthd/internal/direct/indirect.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		outcome = "failed"
 	}
-	req.Metrics.indirect.WithLabelValues(outcome).Inc()
+	req.Metrics.Indirect.WithLabelValues(outcome).Inc()
 	if err == nil {
 		req.Reach.Links.Confirmed(time.Now(), t.Address)
 	}
--- a/jacinthd/internal/direct/reach.go
+++ b/jacinthd/internal/direct/reach.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -23,7 +24,7 @@
 	Pool       *outbound.Pool
 	Dispatcher *dispatch.Dispatcher
 	Suspects   *Suspects
-	Metrics    *Metrics
+	Metrics    *metrics.Host
 	Log        *zap.Logger
 }
 
@@ -33,7 +34,7 @@
 func (r *Reach) Connected(target netip.AddrPort) {
 	if r.Links.Connected(time.Now(), target) {
 		r.Dispatcher.SetCut(time.Now(), false)
-		r.Metrics.cut.Set(0)
+		r.Metrics.Cut.Set(0)
 		r.Log.Warn("reach: targets are reached again", zap.Stringer("address", target))
 	}
 }
@@ -44,7 +45,7 @@
 		// What failed lately says something of this host's links, not of the targets. Attempts
 		// without an answer are kept: a target that turns out to have ended did so anyway.
 		r.Dispatcher.SetCut(time.Now(), true)
-		r.Metrics.cut.Set(1)
+		r.Metrics.Cut.Set(1)
 		r.Log.Warn("reach: no target is reached, requests go through other hosts", zap.Stringer("address", target), zap.Error(cause))
 	}
 }
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -191,7 +191,7 @@
 		loaded = req.requestLoad(ctx, attempt)
 	}
 	now := time.Now()
-	req.Metrics.observeStall(now.Sub(start))
+	req.Metrics.ObserveStall(now.Sub(start))
 	req.stall += now.Sub(start)
 	attempt.ResetClock(now)
 	return loaded
--- a/jacinthd/internal/direct/stream.go
+++ b/jacinthd/internal/direct/stream.go
@@ -36,7 +36,7 @@
 		return true
 	}
 	began, source := req.findOrigin(ctx)
-	req.Metrics.streamsTakenUp.WithLabelValues(string(source)).Inc()
+	req.Metrics.StreamsTakenUp.WithLabelValues(string(source)).Inc()
 	req.log.Info("request: takes up a stream", zap.String("resumes", req.call.Resumes), zap.String("after", req.call.LastEventID),
 		zap.String("build", began.Build), zap.String("service", began.Service), zap.String("source", string(source)))
 	if source == fromNowhere {
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/store"
@@ -47,7 +48,7 @@
 	List    suspect.List
 	Pool    *outbound.Pool
 	Store   store.Objects
-	Metrics *Metrics
+	Metrics *metrics.Host
 	Log     *zap.Logger
 	// Ready, if set, returns the addresses of the targets that should accept connections.
 	Ready func(now time.Time) []netip.AddrPort
@@ -99,11 +100,11 @@
 		return false
 	case suspect.Trial:
 		req.trial = true
-		req.Metrics.suspectTrials.Inc()
+		req.Metrics.SuspectTrials.Inc()
 		req.log.Warn("suspect: request is sent as a trial", zap.Stringer("trait", d.Trait), zap.Int("crashes", req.Suspects.List.Crashes(d.Trait)))
 		return false
 	case suspect.Refuse:
-		req.Metrics.suspectsRefused.Inc()
+		req.Metrics.SuspectsRefused.Inc()
 		req.log.Info("suspect: request is not sent", zap.Stringer("trait", d.Trait), zap.Stringers("traits", req.identity.Traits()),
 			zap.Stringers("parts", req.call.SharedSegments()), zap.Int("crashes", req.Suspects.List.Crashes(d.Trait)), zap.Time("until", d.Until))
 		req.fail("crashed targets", time.Until(d.Until))
@@ -150,7 +151,7 @@
 }
 
 func (s *Suspects) crashed(a suspect.Attempt, target catalog.Target) {
-	s.Metrics.crashes.Inc()
+	s.Metrics.Crashes.Inc()
 	refused := s.List.Crashed(time.Now(), a.At, a.Request, crashOf(target))
 	traits := a.Request.Traits()
 	counts := make([]int, len(traits))
--- a/jacinthd/internal/direct/upgrade_test.go
+++ b/jacinthd/internal/direct/upgrade_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
@@ -40,7 +41,7 @@
 	core, logs := observer.New(zapcore.WarnLevel)
 	registry := prometheus.NewRegistry()
 	suspects := newSuspects()
-	suspects.Metrics = direct.NewMetrics(registry)
+	suspects.Metrics = metrics.New(registry)
 	link := &peer.Link{Identity: identity, Conn: socket}
 	t.Cleanup(func() { _ = link.Close() })
 	p := &direct.Peers{
