--- a/jacinthd/internal/direct/reach.go
+++ b/jacinthd/internal/contact/reach.go
@@ -1,4 +1,7 @@
-package direct
+// Package contact observes the contact of a host with targets: which it reaches, and which
+// ended while requests were in progress there. It keeps requests that crash targets from
+// being sent to further ones.
+package contact
 
 import (
 	"context"
@@ -56,9 +59,9 @@
 // Heard implements outbound.Watcher.
 func (r *Reach) Heard() { r.Links.Heard(time.Now()) }
 
-// endedUnannounced reports whether a target's process has ended without having announced it.
-func (r *Reach) endedUnannounced(ctx context.Context, target catalog.Target) bool {
-	return !r.Dispatcher.IsLeaving(target) && r.Suspects.hasEnded(ctx, target)
+// EndedUnannounced reports whether a target's process has ended without having announced it.
+func (r *Reach) EndedUnannounced(ctx context.Context, target catalog.Target) bool {
+	return !r.Dispatcher.IsLeaving(target) && r.Suspects.HasEnded(ctx, target)
 }
 
 // Probe opens connections to targets that are in doubt until ctx ends. The connections are
--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -115,7 +115,7 @@
 // target's process, which looks like the end of an answer that has neither a length nor
 // chunks.
 func (req *callerRequest) endedWithTarget(ctx context.Context, attempt *dispatch.Attempt, x exchange) bool {
-	return x.EndsWithConnection() && req.Reach.endedUnannounced(ctx, attempt.Target)
+	return x.EndsWithConnection() && req.Reach.EndedUnannounced(ctx, attempt.Target)
 }
 
 // mayRetry reports whether a request that its target answered with an error may run
--- a/jacinthd/internal/direct/crash_test.go
+++ b/jacinthd/internal/direct/crash_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/suspect"
@@ -86,7 +86,7 @@
 }
 
 // startWithStore starts a host whose store others share.
-func startWithStore(t *testing.T, suspects *direct.Suspects, shared *memory.Store, targets []catalog.Target) *testSystem {
+func startWithStore(t *testing.T, suspects *contact.Suspects, shared *memory.Store, targets []catalog.Target) *testSystem {
 	suspects.Store = shared
 	s := newTestSystemWith(t, suspects, 0, nil)
 	s.dispatcher.Apply(time.Now(), catalog.TargetsListed{Revision: 2, Targets: targets})
@@ -127,7 +127,7 @@
 	hosts := startHosts(t, 3)
 	all, runs := crashingTargets(t, 8)
 	shared := new(memory.Store)
-	start := func(suspects *direct.Suspects) *testSystem { return startWithStore(t, suspects, shared, all) }
+	start := func(suspects *contact.Suspects) *testSystem { return startWithStore(t, suspects, shared, all) }
 	systems := []*testSystem{start(hosts[0].peers.Suspects), start(hosts[1].peers.Suspects), start(hosts[2].peers.Suspects)}
 	crash := func(s *testSystem) int {
 		response, _, err := s.send(t, http.MethodPost, "/once/", crashBody)
@@ -205,7 +205,7 @@
 	hosts := startHosts(t, 3)
 	all, runs := crashingTargets(t, 16)
 	shared := new(memory.Store)
-	start := func(suspects *direct.Suspects) *testSystem { return startWithStore(t, suspects, shared, all) }
+	start := func(suspects *contact.Suspects) *testSystem { return startWithStore(t, suspects, shared, all) }
 	var systems []*testSystem
 	for _, h := range hosts {
 		systems = append(systems, start(h.peers.Suspects))
--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/call"
@@ -96,7 +97,7 @@
 		Suspects: newSuspects(), Wake: func() {}, OnNewerConfig: func() {}, Link: &peer.Link{Identity: identity, Conn: socket},
 	}
 	suspects := h.peers.Suspects
-	reach := &direct.Reach{Pool: suspects.Pool, Dispatcher: h.dispatcher, Suspects: suspects, Metrics: suspects.Metrics, Log: zap.NewNop()}
+	reach := &contact.Reach{Pool: suspects.Pool, Dispatcher: h.dispatcher, Suspects: suspects, Metrics: suspects.Metrics, Log: zap.NewNop()}
 	h.peers.Proxy = &direct.Proxy{Headers: testHeaders{}, Reach: reach, Stopping: h.stopping.Load}
 	h.identity = host.Identity{Name: name, Zone: "z", Peer: netip.MustParseAddrPort(socket.LocalAddr().String())}
 	adjust(h)
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/direct/direct.go
@@ -32,6 +32,7 @@
 
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/ownership"
@@ -95,7 +96,7 @@
 	registry   *prometheus.Registry
 	dispatcher *dispatch.Dispatcher
 	pool       *outbound.Pool
-	reach      *Reach
+	reach      *contact.Reach
 	controller *ownership.Controller
 	peers      *Peers
 	handler    *Handler
@@ -117,8 +118,8 @@
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: counters.Opened.Inc}
-	suspects := &Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
-	p.reach = &Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
+	suspects := &contact.Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
+	p.reach = &contact.Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
 	p.pool.Watcher = p.reach
 	p.peers = &Peers{
 		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
@@ -92,9 +93,9 @@
 type testSystem struct {
 	url        string
 	dispatcher *dispatch.Dispatcher
-	suspects   *direct.Suspects
+	suspects   *contact.Suspects
 	peers      *direct.Peers
-	reach      *direct.Reach
+	reach      *contact.Reach
 	sent       atomic.Int32 // requests of callers
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
@@ -137,15 +138,15 @@
 }
 
 // newSuspects returns Suspects with a store and connections of their own.
-func newSuspects() *direct.Suspects {
-	return &direct.Suspects{
+func newSuspects() *contact.Suspects {
+	return &contact.Suspects{
 		Pool: &outbound.Pool{Dial: outbound.Dialer(netip.Addr{}).DialContext}, Store: new(memory.Store),
 		Metrics: metrics.New(prometheus.NewRegistry()), Log: zap.NewNop(),
 	}
 }
 
 // newTestSystemWith is newTestSystem with Suspects that other hosts may share.
-func newTestSystemWith(t *testing.T, suspects *direct.Suspects, targets int, handle targetFunc) *testSystem {
+func newTestSystemWith(t *testing.T, suspects *contact.Suspects, targets int, handle targetFunc) *testSystem {
 	s := &testSystem{suspects: suspects, dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}}}
 	s.start(t, targets, handle)
 	return s
@@ -188,7 +189,7 @@
 	if s.peers == nil {
 		s.peers = &direct.Peers{Self: "alone", Zone: "z", Dispatcher: s.dispatcher, Suspects: s.suspects, Log: zap.NewNop()}
 	}
-	reach := &direct.Reach{Pool: s.suspects.Pool, Dispatcher: s.dispatcher, Suspects: s.suspects, Metrics: s.suspects.Metrics, Log: zap.NewNop()}
+	reach := &contact.Reach{Pool: s.suspects.Pool, Dispatcher: s.dispatcher, Suspects: s.suspects, Metrics: s.suspects.Metrics, Log: zap.NewNop()}
 	s.suspects.Pool.Watcher = reach
 	s.reach = reach
 	handler := &direct.Handler{
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/call"
@@ -43,8 +44,8 @@
 	Pool       *outbound.Pool
 	Peers      *Peers
 	Budgets    *retry.Budgets
-	Suspects   *Suspects
-	Reach      *Reach
+	Suspects   *contact.Suspects
+	Reach      *contact.Reach
 	Metrics    *metrics.Host
 	Log        *zap.Logger
 	// Stopping reports whether a planned stop has begun.
--- a/jacinthd/internal/direct/originrecord.go
+++ b/jacinthd/internal/direct/originrecord.go
@@ -127,7 +127,7 @@
 }
 
 func (r *OriginRecord) readAll(ctx context.Context) (streams int, err error) {
-	err = eachObject(ctx, r.Store, origin.BatchPrefix, originCallTimeout, func(o store.Object) { streams += r.restore(ctx, o) })
+	err = store.Each(ctx, r.Store, origin.BatchPrefix, originCallTimeout, func(o store.Object) { streams += r.restore(ctx, o) })
 	return streams, err
 }
 
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/direct/peers.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/mirror"
@@ -39,7 +40,7 @@
 	Link       *peer.Link
 	Dispatcher *dispatch.Dispatcher
 	Copies     *mirror.Set
-	Suspects   *Suspects
+	Suspects   *contact.Suspects
 	// Proxy sends requests of other hosts. If it is nil, this host sends none.
 	Proxy *Proxy
 	// Wake is called when a runner may need an order.
@@ -120,7 +121,7 @@
 // A host that reports to a relay gets all loads in the answers; what a host sends it that
 // takes it for a relay would count twice.
 func (p *Peers) applyDigest(d relay.Digest, loads bool) {
-	p.Suspects.merge(d.From, d.Suspects)
+	p.Suspects.Merge(d.From, d.Suspects)
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
 		merge = p.Dispatcher.MergeDigestWithoutLoads
--- a/jacinthd/internal/direct/proxy.go
+++ b/jacinthd/internal/direct/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/catalog"
@@ -33,7 +34,7 @@
 // other host has selected the target, and does all counting. All exported fields must be set.
 type Proxy struct {
 	Headers  HeaderCodec
-	Reach    *Reach
+	Reach    *contact.Reach
 	Stopping func() bool
 
 	active atomic.Int32
@@ -135,7 +136,7 @@
 		}
 		switch {
 		case err == io.EOF && x.EndsWithConnection():
-			if p.Reach.endedUnannounced(ctx, target) {
+			if p.Reach.EndedUnannounced(ctx, target) {
 				return peer.ProxyEnd{Broken: "body may be cut off, its target has ended", Ended: true}, nil
 			}
 			return peer.ProxyEnd{}, nil
@@ -149,7 +150,7 @@
 
 // broken returns the end of an answer that broke off, or never began.
 func (p *Proxy) broken(ctx context.Context, target catalog.Target, cause error) peer.ProxyEnd {
-	ended := ctx.Err() == nil && p.Reach.endedUnannounced(ctx, target)
+	ended := ctx.Err() == nil && p.Reach.EndedUnannounced(ctx, target)
 	return peer.ProxyEnd{Broken: cause.Error(), Ended: ended}
 }
 
