--- a/jacinthd/internal/contact/reach.go
+++ b/jacinthd/internal/contact/reach.go
@@ -14,6 +14,7 @@
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/notice"
 	"jacinthstage/stage/reach"
 )
 
@@ -87,3 +88,9 @@
 		r.Log.Debug("reach: probe failed", zap.Stringer("address", target), zap.Error(err))
 	}
 }
+
+// LogNotice logs what a target says of itself.
+func LogNotice(log *zap.Logger, target catalog.Target, n notice.Notice) {
+	log.Info("target: says of itself", zap.String("target", target.Name), zap.Float64("limit", n.Limit),
+		zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Bool("brittle", n.Brittle), zap.Int("tolerated", n.Tolerated))
+}
--- a/jacinthd/internal/direct/direct.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -1,18 +1,11 @@
-// Package direct serves callers on a host by sending their requests directly to
-// targets.
+// Package daemon is the process that serves callers on a host: it connects the parts
+// that handle requests, talk to other hosts and follow the platform, and starts and
+// stops them.
 //
-// Each request is handled by its own goroutine, which matches the route, asks the
-// dispatch.Dispatcher for a target, sends the request and forwards the answer as it
-// arrives. One control goroutine maintains this host's membership, which assigns
-// each runner one owner; only the owner may send load and unload orders to the
-// runner. A follower passes changes of the platform to the Dispatcher.
-//
-// The verdict on a failed attempt decides whether the request is sent again. A
-// request that certainly did not run may go to another target. A request that
-// may have run is sent again only if its route allows repeats. No request is
-// sent again after its deadline or beyond the retry budget. A request that did
-// not run and cannot be served is refused immediately.
-package direct
+// One control goroutine maintains this host's membership, which assigns each runner
+// one owner; only the owner may send load and unload orders to the runner. A follower
+// passes changes of the platform to the Dispatcher.
+package daemon
 
 import (
 	"context"
@@ -33,10 +26,14 @@
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
 	"jacinthstage/jacinthd/internal/contact"
+	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/metrics"
+	"jacinthstage/jacinthd/internal/origins"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/ownership"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
@@ -81,7 +78,7 @@
 	Follower    Follower
 	Copies      *mirror.Set // local copies of the objects that the follower reads
 	Registry    *prometheus.Registry
-	Headers     HeaderCodec
+	Headers     outbound.HeaderCodec
 	RunnerCodec ownership.RunnerCodec
 	// ReadyPath is the URL path of the readiness endpoint.
 	ReadyPath string
@@ -98,10 +95,11 @@
 	pool       *outbound.Pool
 	reach      *contact.Reach
 	controller *ownership.Controller
-	peers      *Peers
-	handler    *Handler
-	builds     *BuildRecord
-	origins    *OriginRecord
+	peers      *peers.Group
+	proxy      *proxy.Server
+	handler    *direct.Handler
+	builds     *origins.Builds
+	origins    *origins.Streams
 	lifecycle  *lifecycle
 }
 
@@ -121,7 +119,7 @@
 	suspects := &contact.Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
 	p.reach = &contact.Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
 	p.pool.Watcher = p.reach
-	p.peers = &Peers{
+	p.peers = &peers.Group{
 		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
 		Link: &peer.Link{Identity: identity, LivenessTimeout: peerIdleTimeout, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
@@ -136,10 +134,11 @@
 		OnMembers: p.peers.SetMembers, OnOwned: counters.SetOwned,
 		LeaseTiming: lease.Timing{Duration: leaseDuration, RenewInterval: leaseRenewInterval, ClockMargin: leaseClockMargin},
 	}
-	p.peers.Proxy = &Proxy{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
+	p.proxy = &proxy.Server{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
+	p.peers.Proxy = p.proxy
 	p.peers.Era = deps.Store.Era
-	p.origins = &OriginRecord{Self: s.Name, Store: deps.Store, Dispatcher: p.dispatcher, Peers: p.peers, Log: log}
-	p.builds = &BuildRecord{Store: deps.Store, Dispatcher: p.dispatcher, Rank: p.peers.Rank, OnSeveral: p.origins.Restore, Log: log}
+	p.origins = &origins.Streams{Self: s.Name, Store: deps.Store, Dispatcher: p.dispatcher, Peers: p.peers, Log: log}
+	p.builds = &origins.Builds{Store: deps.Store, Dispatcher: p.dispatcher, Rank: p.peers.Rank, OnSeveral: p.origins.Restore, Log: log}
 	p.controller.OnRestored = func() {
 		suspects.WriteAgain()
 		p.builds.ReadAgain()
@@ -148,7 +147,7 @@
 	p.controller.Init()
 	p.peers.Wake = p.controller.Wake
 	p.peers.OnNewerConfig = deps.Follower.Refresh
-	p.handler = &Handler{
+	p.handler = &direct.Handler{
 		Peers: p.peers, Suspects: suspects, Reach: p.reach,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
@@ -349,7 +348,7 @@
 	case <-ctx.Done():
 	}
 	err := callers.Shutdown(ctx)
-	p.peers.Proxy.wait(ctx)
+	p.proxy.Wait(ctx)
 	p.lifecycle.fire(ended)
 	p.log.Info("host: process ends", zap.Duration("took", boottime.Now().Sub(start)), zap.Error(err))
 	return nil
--- a/jacinthd/internal/direct/lifecycle.go
+++ b/jacinthd/internal/daemon/lifecycle.go
@@ -1,4 +1,4 @@
-package direct
+package daemon
 
 import (
 	"github.com/pkg/errors"
--- a/jacinthd/internal/direct/sink_test.go
+++ b/jacinthd/internal/daemon/sink_test.go
@@ -1,4 +1,4 @@
-package direct_test
+package daemon_test
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/daemon"
 )
 
 // A slowWriter blocks until it is released.
@@ -25,7 +25,7 @@
 // full. A Sink that blocks would hang the test before its writer is released.
 func TestSinkNeverBlocks(t *testing.T) {
 	w := &slowWriter{release: make(chan struct{})}
-	s := direct.NewSink(w)
+	s := daemon.NewSink(w)
 	for range 10000 {
 		_, err := s.Write([]byte("line\n"))
 		require.NoError(t, err)
--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -37,7 +38,7 @@
 )
 
 // forwardAnswer sends a target's answer to the caller if it is usable.
-func (req *callerRequest) forwardAnswer(ctx context.Context, attempt *dispatch.Attempt, x exchange, head call.Response) outcome {
+func (req *callerRequest) forwardAnswer(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange, head call.Response) outcome {
 	now := time.Now()
 	status := x.Response().StatusCode
 	switch {
@@ -66,7 +67,7 @@
 
 // discardBody reads the rest of an answer, so that its connection can be reused. It
 // doesn't wait long, since the request has to go elsewhere.
-func (req *callerRequest) discardBody(x exchange) {
+func (req *callerRequest) discardBody(x proxy.Exchange) {
 	if err := x.Discard(maxDiscardedBody, time.Now().Add(discardTimeout)); err != nil {
 		req.log.Debug("request: reading the rest of an answer failed", zap.Error(err))
 	}
@@ -74,7 +75,7 @@
 
 // forwardBody sends an answer that is not a stream to the caller, once it is read
 // completely or up to maxBufferedBody.
-func (req *callerRequest) forwardBody(ctx context.Context, attempt *dispatch.Attempt, x exchange) outcome {
+func (req *callerRequest) forwardBody(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) outcome {
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
 	if err != nil {
 		return req.classifyError(ctx, attempt, errors.Wrap(err, "body"))
@@ -114,7 +115,7 @@
 // endedWithTarget reports whether an answer may have been cut off by the end of its
 // target's process, which looks like the end of an answer that has neither a length nor
 // chunks.
-func (req *callerRequest) endedWithTarget(ctx context.Context, attempt *dispatch.Attempt, x exchange) bool {
+func (req *callerRequest) endedWithTarget(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) bool {
 	return x.EndsWithConnection() && req.Reach.EndedUnannounced(ctx, attempt.Target)
 }
 
@@ -157,7 +158,7 @@
 
 // forwardStream sends the events of a stream to the caller as they arrive. It
 // sends only complete events.
-func (req *callerRequest) forwardStream(ctx context.Context, attempt *dispatch.Attempt, x exchange) outcome {
+func (req *callerRequest) forwardStream(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) outcome {
 	reader := bufio.NewReaderSize(x, 4<<10)
 	for {
 		event, err := readEvent(reader)
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
-	"jacinthstage/stage/notice"
 	"jacinthstage/stage/verdict"
 )
 
@@ -144,42 +143,20 @@
 	}
 	head := req.Headers.ParseAnswer(x.Response().StatusCode, x.Response().Header)
 	attempt.Report(time.Now(), dispatch.Head{Load: head.Load, Indirect: req.via != ""})
-	if attempt.Heard(time.Now(), head.Notice, sourceOf(head)) {
+	if attempt.Heard(time.Now(), head.Notice, head.Source()) {
 		req.Metrics.TargetSpoke(head.Notice)
-		logNotice(req.log, attempt.Target, head.Notice)
+		contact.LogNotice(req.log, attempt.Target, head.Notice)
 	}
 	return req.forwardAnswer(ctx, attempt, x, head)
 }
 
-func logNotice(log *zap.Logger, target catalog.Target, n notice.Notice) {
-	log.Info("target: says of itself", zap.String("target", target.Name), zap.Float64("limit", n.Limit),
-		zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Bool("brittle", n.Brittle), zap.Int("tolerated", n.Tolerated))
-}
-
-// sourceOf returns the kind of answer that a target gave.
-func sourceOf(head call.Response) notice.Source {
-	if head.Verdict == verdict.Ran {
-		return notice.Run
-	}
-	return notice.Other
-}
-
-// answersOf returns the filter of the answers that can belong to a request: they have its ID
-// or none.
-func answersOf(headers HeaderCodec, id string) outbound.ResponseFilter {
-	return func(h http.Header) bool {
-		got := headers.ParseAnswer(0, h).ID
-		return got == "" || got == id
-	}
-}
-
 // classifyError returns the outcome of an attempt that failed with err, and reports
 // it to the dispatcher.
 func (req *callerRequest) classifyError(ctx context.Context, attempt *dispatch.Attempt, err error) outcome {
 	now := time.Now()
 	var fault *outbound.Error
 	if errors.As(err, &fault) && fault.Verdict == verdict.NotRun && ctx.Err() == nil {
-		attempt.Report(now, dispatch.Failed{OwnLink: errors.Is(err, errNoProxy)})
+		attempt.Report(now, dispatch.Failed{OwnLink: errors.Is(err, proxy.ErrNoProxy)})
 		return connectFailed{cause: err}
 	}
 	switch {
--- a/jacinthd/internal/direct/buildrecord_test.go
+++ b/jacinthd/internal/direct/buildrecord_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/origins"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -31,8 +31,8 @@
 func keepBuilds(t *testing.T, s *memory.Store, hosts []*testHost) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	for _, h := range hosts {
-		o := &direct.OriginRecord{Self: h.identity.Name, Store: s, Dispatcher: h.dispatcher, Peers: h.peers, Log: zap.NewNop()}
-		r := &direct.BuildRecord{Store: s, Dispatcher: h.dispatcher, Rank: h.peers.Rank, OnSeveral: o.Restore, Log: zap.NewNop()}
+		o := &origins.Streams{Self: h.identity.Name, Store: s, Dispatcher: h.dispatcher, Peers: h.peers, Log: zap.NewNop()}
+		r := &origins.Builds{Store: s, Dispatcher: h.dispatcher, Rank: h.peers.Rank, OnSeveral: o.Restore, Log: zap.NewNop()}
 		go r.Run(ctx)
 		go o.Run(ctx)
 	}
@@ -161,7 +161,7 @@
 				for rank := range 40 {
 					d := &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}}
 					all = append(all, d)
-					r := &direct.BuildRecord{Store: &s, Dispatcher: d, Rank: func() (int, bool) { return rank, rank >= silent }, Log: zap.NewNop()}
+					r := &origins.Builds{Store: &s, Dispatcher: d, Rank: func() (int, bool) { return rank, rank >= silent }, Log: zap.NewNop()}
 					go r.Run(ctx)
 				}
 				for i, builds := range [][]string{{"one"}, {"one", "two"}} {
--- a/jacinthd/internal/direct/digest_test.go
+++ b/jacinthd/internal/direct/digest_test.go
@@ -14,8 +14,9 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/contact"
-	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -26,7 +27,7 @@
 // A testHost is a host with a link to the others.
 type testHost struct {
 	identity   host.Identity
-	peers      *direct.Peers
+	peers      *peers.Group
 	dispatcher *dispatch.Dispatcher
 	copies     *mirror.Set
 	copy       *mirror.Copy
@@ -92,13 +93,13 @@
 			h.objects[o.Name] = string(o.Body)
 		}
 	})
-	h.peers = &direct.Peers{
+	h.peers = &peers.Group{
 		Self: name, Zone: "z", Regions: map[string]string{"z": "r"}, Dispatcher: h.dispatcher, Copies: h.copies, Log: zap.NewNop(),
 		Suspects: newSuspects(), Wake: func() {}, OnNewerConfig: func() {}, Link: &peer.Link{Identity: identity, Conn: socket},
 	}
 	suspects := h.peers.Suspects
 	reach := &contact.Reach{Pool: suspects.Pool, Dispatcher: h.dispatcher, Suspects: suspects, Metrics: suspects.Metrics, Log: zap.NewNop()}
-	h.peers.Proxy = &direct.Proxy{Headers: testHeaders{}, Reach: reach, Stopping: h.stopping.Load}
+	h.peers.Proxy = &proxy.Server{Headers: testHeaders{}, Reach: reach, Stopping: h.stopping.Load}
 	h.identity = host.Identity{Name: name, Zone: "z", Peer: netip.MustParseAddrPort(socket.LocalAddr().String())}
 	adjust(h)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -24,6 +24,7 @@
 	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
@@ -35,7 +36,7 @@
 // waitTimeout limits each wait of a test.
 const waitTimeout = 10 * time.Second
 
-// testHeaders implements direct.HeaderCodec with header names of its own.
+// testHeaders implements outbound.HeaderCodec with header names of its own.
 type testHeaders struct{}
 
 func (testHeaders) ParseCall(h http.Header) (call.Call, error) {
@@ -94,7 +95,7 @@
 	url        string
 	dispatcher *dispatch.Dispatcher
 	suspects   *contact.Suspects
-	peers      *direct.Peers
+	peers      *peers.Group
 	reach      *contact.Reach
 	sent       atomic.Int32 // requests of callers
 	runs       atomic.Int32 // requests that reached a target
@@ -187,7 +188,7 @@
 
 func (s *testSystem) startHandler(t testing.TB) {
 	if s.peers == nil {
-		s.peers = &direct.Peers{Self: "alone", Zone: "z", Dispatcher: s.dispatcher, Suspects: s.suspects, Log: zap.NewNop()}
+		s.peers = &peers.Group{Self: "alone", Zone: "z", Dispatcher: s.dispatcher, Suspects: s.suspects, Log: zap.NewNop()}
 	}
 	reach := &contact.Reach{Pool: s.suspects.Pool, Dispatcher: s.dispatcher, Suspects: s.suspects, Metrics: s.suspects.Metrics, Log: zap.NewNop()}
 	s.suspects.Pool.Watcher = reach
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -1,3 +1,14 @@
+// Package direct serves callers by sending their requests directly to targets.
+//
+// Each request is handled by its own goroutine, which matches the route, asks the
+// dispatch.Dispatcher for a target, sends the request and forwards the answer as it
+// arrives.
+//
+// The verdict on a failed attempt decides whether the request is sent again. A
+// request that certainly did not run may go to another target. A request that
+// may have run is sent again only if its route allows repeats. No request is
+// sent again after its deadline or beyond the retry budget. A request that did
+// not run and cannot be served is refused immediately.
 package direct
 
 import (
@@ -15,6 +26,7 @@
 	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -40,9 +52,9 @@
 // A Handler serves the requests of callers. All fields must be set.
 type Handler struct {
 	Dispatcher *dispatch.Dispatcher
-	Headers    HeaderCodec
+	Headers    outbound.HeaderCodec
 	Pool       *outbound.Pool
-	Peers      *Peers
+	Peers      *peers.Group
 	Budgets    *retry.Budgets
 	Suspects   *contact.Suspects
 	Reach      *contact.Reach
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/residency"
 )
@@ -202,9 +203,9 @@
 // request.
 func (req *callerRequest) requestLoad(ctx context.Context, attempt *dispatch.Attempt) bool {
 	start := time.Now()
-	timeout := loadRequestTimeout
+	timeout := peers.LoadRequestTimeout
 	if attempt.Confirm {
-		timeout = confirmTimeout
+		timeout = peers.ConfirmTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/jacinthd/internal/direct/stop_test.go
+++ b/jacinthd/internal/direct/stop_test.go
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/daemon"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/jacinthd/store/memory"
 	"jacinthstage/stage/catalog"
@@ -74,8 +74,8 @@
 		Name: "host", Zone: "z", Regions: map[string]string{"z": "r"}, GracePeriod: grace, RetryRatio: 0.1,
 		Caller: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Store: freeAddress(t),
 	}
-	sink := direct.NewSink(io.Discard)
-	p, err := direct.New(d, direct.Dependencies{
+	sink := daemon.NewSink(io.Discard)
+	p, err := daemon.New(d, daemon.Dependencies{
 		Store: processStore{new(memory.Store)}, Follower: follower, Copies: new(mirror.Set), Registry: prometheus.NewRegistry(),
 		Headers: testHeaders{}, ReadyPath: "/ready",
 	}, zap.NewNop(), sink)
--- a/jacinthd/internal/direct/stream.go
+++ b/jacinthd/internal/direct/stream.go
@@ -6,17 +6,13 @@
 
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/origin"
 )
 
-const (
-	// catchUpTimeout limits the time in which the store tells which targets have changed.
-	catchUpTimeout = 500 * time.Millisecond
-	// defaultStreamTime is the longest time that a stream is assumed to last if its route
-	// sets none.
-	defaultStreamTime = 30 * time.Second
-)
+// catchUpTimeout limits the time in which the store tells which targets have changed.
+const catchUpTimeout = 500 * time.Millisecond
 
 // An originSource is where a host learned which build began a stream.
 type originSource string
@@ -56,10 +52,10 @@
 func (req *callerRequest) findOrigin(ctx context.Context) (origin.Origin, originSource) {
 	longest := req.route.Timeout
 	if longest == 0 {
-		longest = defaultStreamTime
+		longest = origin.MaxStreamTime
 	}
 	_, since, _ := req.Dispatcher.OnlyBuild(time.Now(), req.service)
-	var others SeenBuilds
+	var others peers.SeenBuilds
 	if req.call.Resumes != "" || time.Since(since) < longest {
 		found, seen, known := req.Peers.FindOrigin(ctx, origin.NewStream(req.call.Resumes), req.service)
 		if known {
@@ -71,8 +67,8 @@
 		return origin.Origin{}, fromNowhere
 	}
 	build, since, only := req.Dispatcher.OnlyBuild(time.Now(), req.service)
-	watched := max(time.Since(since), others.watched[build])
-	if !only || others.contradict(build) || watched < longest {
+	watched := max(time.Since(since), others.Watched(build))
+	if !only || others.Contradict(build) || watched < longest {
 		return origin.Origin{}, fromNowhere
 	}
 	return origin.Origin{Service: req.service, Build: build}, fromOnlyBuild
--- a/jacinthd/internal/direct/suspect.go
+++ b/jacinthd/internal/direct/suspect.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/suspect"
 )
@@ -77,8 +78,8 @@
 	if req.cleared || req.Dispatcher.IsLeaving(target) {
 		return
 	}
-	var atProxy *proxyError
-	ended := errors.As(cause, &atProxy) && atProxy.ended
+	var atProxy *proxy.Error
+	ended := errors.As(cause, &atProxy) && atProxy.Ended
 	if atProxy == nil {
 		ended = req.Suspects.HasEnded(ctx, target)
 	}
--- a/jacinthd/internal/direct/upgrade_test.go
+++ b/jacinthd/internal/direct/upgrade_test.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
-	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/mirror"
@@ -44,7 +44,7 @@
 	suspects.Metrics = metrics.New(registry)
 	link := &peer.Link{Identity: identity, Conn: socket}
 	t.Cleanup(func() { _ = link.Close() })
-	p := &direct.Peers{
+	p := &peers.Group{
 		Self: "asker", Zone: "z", Regions: map[string]string{"z": "r"}, Dispatcher: &dispatch.Dispatcher{Zone: "z", Regions: map[string]string{"z": "r"}},
 		Copies: new(mirror.Set), Suspects: suspects, Link: link, Log: zap.New(core),
 	}
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -86,11 +86,13 @@
 	return m.active.Dec
 }
 
+// RequestEnded counts the end of a request, with the status that its caller got.
 func (m *Host) RequestEnded(service string, status int, duration time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status)).Inc()
 	m.latency.WithLabelValues(service).Observe(duration.Seconds())
 }
 
+// ObserveStall records how long a request waited for its adapter.
 func (m *Host) ObserveStall(wait time.Duration) { m.stalls.Observe(wait.Seconds()) }
 
 // TargetSpoke counts what a target said of itself.
--- a/jacinthd/internal/direct/buildrecord.go
+++ b/jacinthd/internal/origins/builds.go
@@ -1,11 +1,12 @@
-package direct
+// Package origins keeps in the store which builds of targets serve, and which of them began recent
+// streams, so that a stream goes on at its build after the end of all hosts.
+package origins
 
 import (
 	"context"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -25,11 +26,11 @@
 	buildWriterDelay = time.Second
 )
 
-// A BuildRecord keeps the recent builds of all services in the store, for hosts that start
+// A Builds keeps the recent builds of all services in the store, for hosts that start
 // while no other runs: the stream that a caller takes up there may have begun at a build whose
 // last target has left. It is written only when a build comes or has been gone for a minute. All
 // exported fields but OnSeveral must be set.
-type BuildRecord struct {
+type Builds struct {
 	Store      store.Objects
 	Dispatcher *dispatch.Dispatcher
 	// Rank returns the place of this host among those that write, from 0. It returns false if
@@ -46,7 +47,7 @@
 }
 
 // Run reads the builds, and writes those that change, until ctx ends.
-func (r *BuildRecord) Run(ctx context.Context) {
+func (r *Builds) Run(ctx context.Context) {
 	ticker := time.NewTicker(buildRecordInterval)
 	defer ticker.Stop()
 	read := r.readFirst(ctx)
@@ -70,7 +71,7 @@
 }
 
 // readFirst reads the builds as the process starts. It reports whether it could.
-func (r *BuildRecord) readFirst(ctx context.Context) bool {
+func (r *Builds) readFirst(ctx context.Context) bool {
 	if !r.read(ctx) {
 		return false
 	}
@@ -81,10 +82,10 @@
 }
 
 // ReadAgain lets Run read the builds once more, since the store may have lost what it held.
-func (r *BuildRecord) ReadAgain() { r.restored.Store(true) }
+func (r *Builds) ReadAgain() { r.restored.Store(true) }
 
 // read takes over what the store holds. It reports whether it could.
-func (r *BuildRecord) read(ctx context.Context) bool {
+func (r *Builds) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, buildCallTimeout)
 	defer cancel()
 	o, err := r.Store.Get(ctx, origin.BuildsKey)
@@ -108,7 +109,7 @@
 }
 
 // update writes the builds if they differ from those in the store, and it is this host's turn.
-func (r *BuildRecord) update(ctx context.Context, now time.Time) {
+func (r *Builds) update(ctx context.Context, now time.Time) {
 	if r.Dispatcher.RecentBuilds(now).Equal(r.known) {
 		r.differsFrom = time.Time{}
 		return
@@ -128,7 +129,7 @@
 	}
 }
 
-func (r *BuildRecord) write(ctx context.Context, builds origin.Builds) {
+func (r *Builds) write(ctx context.Context, builds origin.Builds) {
 	ctx, cancel := context.WithTimeout(ctx, buildCallTimeout)
 	defer cancel()
 	var o store.Object
@@ -145,22 +146,3 @@
 	r.known, r.version = builds, o.Version
 	r.Log.Info("builds: written to the store", zap.Any("services", builds))
 }
-
-// Rank returns the place of this host in an order of all hosts that each of them determines by
-// itself. It returns false if the hosts are unknown, or this one isn't among them yet.
-func (p *Peers) Rank() (int, bool) {
-	set := p.peerSet.Load()
-	if set == nil {
-		return 0, false
-	}
-	if _, listed := set.members[p.Self]; !listed {
-		return 0, false
-	}
-	own, rank := xxhash.Sum64String(p.Self), 0
-	for _, h := range set.hosts {
-		if xxhash.Sum64String(h.Name) < own {
-			rank++
-		}
-	}
-	return rank, true
-}
--- a/jacinthd/internal/direct/originrecord.go
+++ b/jacinthd/internal/origins/origins.go
@@ -1,4 +1,4 @@
-package direct
+package origins
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/origin"
 	"jacinthstage/stage/store"
@@ -20,20 +21,20 @@
 	originWriteInterval = time.Second
 	// originAge is the age up to which the origin of a stream is written: streams end within
 	// that time.
-	originAge = defaultStreamTime
+	originAge = origin.MaxStreamTime
 	// staleBatchAge is the age of a batch that is deleted: its host has not written for long.
 	staleBatchAge = 10 * time.Minute
 )
 
-// An OriginRecord keeps the origins of recent streams in the store while a service has targets of
+// An Streams keeps the origins of recent streams in the store while a service has targets of
 // several builds, so that the streams go on after the end of all hosts. The hosts that read the
 // store for the others of their region write what they know, each into one object. All exported
 // fields must be set.
-type OriginRecord struct {
+type Streams struct {
 	Self       string
 	Store      store.Objects
 	Dispatcher *dispatch.Dispatcher
-	Peers      *Peers
+	Peers      *peers.Group
 	Log        *zap.Logger
 
 	version uint64 // of this host's object; 0 if there is none, as far as this host knows
@@ -41,7 +42,7 @@
 }
 
 // Run writes the origins until ctx ends.
-func (r *OriginRecord) Run(ctx context.Context) {
+func (r *Streams) Run(ctx context.Context) {
 	ticker := time.NewTicker(originWriteInterval)
 	defer ticker.Stop()
 	for {
@@ -54,15 +55,15 @@
 	}
 }
 
-func (r *OriginRecord) update(ctx context.Context, now time.Time) {
+func (r *Streams) update(ctx context.Context, now time.Time) {
 	if !r.Dispatcher.RecentBuilds(now).Several() {
 		r.written = nil
 		return
 	}
-	if !r.Peers.keepsOrigins() {
+	if !r.Peers.KeepsOrigins() {
 		return
 	}
-	origins := r.Peers.origins.Since(now.Add(-originAge))
+	origins := r.Peers.Origins.Since(now.Add(-originAge))
 	if len(origins) == 0 || sameStreams(origins, r.written) {
 		return
 	}
@@ -84,7 +85,7 @@
 }
 
 // write replaces this host's object, whatever an earlier process of the host left there.
-func (r *OriginRecord) write(ctx context.Context, b origin.Batch) error {
+func (r *Streams) write(ctx context.Context, b origin.Batch) error {
 	key, data := origin.BatchKey(r.Self), b.Encode()
 	var o store.Object
 	var err error
@@ -110,7 +111,7 @@
 
 // Restore takes over the origins that the store holds. It tries again until it succeeds or ctx
 // ends.
-func (r *OriginRecord) Restore(ctx context.Context) {
+func (r *Streams) Restore(ctx context.Context) {
 	for {
 		streams, err := r.readAll(ctx)
 		if err == nil {
@@ -126,13 +127,13 @@
 	}
 }
 
-func (r *OriginRecord) readAll(ctx context.Context) (streams int, err error) {
+func (r *Streams) readAll(ctx context.Context) (streams int, err error) {
 	err = store.Each(ctx, r.Store, origin.BatchPrefix, originCallTimeout, func(o store.Object) { streams += r.restore(ctx, o) })
 	return streams, err
 }
 
 // restore takes over one batch and returns the number of its streams. It deletes a stale one.
-func (r *OriginRecord) restore(ctx context.Context, o store.Object) int {
+func (r *Streams) restore(ctx context.Context, o store.Object) int {
 	b, err := origin.DecodeBatch(o.Value)
 	if err != nil {
 		r.Log.Warn("origins: object can't be read", zap.String("key", o.Key), zap.Error(err))
@@ -147,29 +148,12 @@
 		}
 		return 0
 	}
-	add := r.Peers.origins.Restore
+	add := r.Peers.Origins.Restore
 	if o.Key == origin.BatchKey(r.Self) {
-		add = r.Peers.origins.Add // the next write replaces this object
+		add = r.Peers.Origins.Add // the next write replaces this object
 	}
 	for _, began := range b.Origins {
 		add(now, began)
 	}
 	return len(b.Origins)
 }
-
-// keepsOrigins reports whether this host writes origins: it is one of its region that read the
-// store for the others.
-func (p *Peers) keepsOrigins() bool {
-	set := p.peerSet.Load()
-	return set != nil && p.isReader(set)
-}
-
-// originWriter returns the host of this region that writes the origin of a stream, empty if this
-// one does.
-func (p *Peers) originWriter(s origin.Stream, set *peerSet) string {
-	readers := set.roster.Readers(p.Regions[p.Zone], p.unreachable)
-	if len(readers) == 0 || slices.Contains(readers, p.Self) {
-		return ""
-	}
-	return readers[uint64(s)%uint64(len(readers))]
-}
--- a/jacinthd/internal/direct/platform.go
+++ b/jacinthd/internal/outbound/headers.go
@@ -1,13 +1,10 @@
-package direct
+package outbound
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"jacinthstage/stage/call"
-	"jacinthstage/stage/catalog"
-	"jacinthstage/stage/mirror"
 )
 
 // A HeaderCodec decodes the headers of requests and answers, and encodes those that
@@ -25,15 +22,11 @@
 	SetRefusal(h http.Header, id string, after time.Duration)
 }
 
-// A Follower watches the platform for changes.
-type Follower interface {
-	// Follow passes each change to sink until ctx ends. It calls sink from several
-	// goroutines. info returns the values that determine how often Follow reads
-	// the store.
-	Follow(ctx context.Context, sink func(catalog.Event), info func() mirror.ReaderInfo)
-	// Refresh triggers an immediate read of the configuration.
-	Refresh()
-	// CatchUp returns once all changes of targets that were acknowledged before the call have
-	// been passed to the sink of Follow. It fails if the platform doesn't tell by the end of ctx.
-	CatchUp(ctx context.Context) error
+// AnswersTo returns the filter of the answers that can belong to a request: they have its ID
+// or none.
+func AnswersTo(headers HeaderCodec, id string) ResponseFilter {
+	return func(h http.Header) bool {
+		got := headers.ParseAnswer(0, h).ID
+		return got == "" || got == id
+	}
 }
--- a/jacinthd/internal/direct/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -1,4 +1,4 @@
-package direct
+package peers
 
 import (
 	"context"
@@ -54,7 +54,7 @@
 }
 
 // SetMembers sets the hosts of the system.
-func (p *Peers) SetMembers(all []host.Identity) {
+func (p *Group) SetMembers(all []host.Identity) {
 	set := &peerSet{members: make(map[string]host.Identity, len(all))}
 	hosts := make([]relay.Host, 0, len(all))
 	names := make([]string, 0, len(all))
@@ -75,7 +75,7 @@
 
 // SendDigests sends digests until ctx ends: to this host's relay or, if this host is
 // a relay itself, to the relays of all regions.
-func (p *Peers) SendDigests(ctx context.Context) {
+func (p *Group) SendDigests(ctx context.Context) {
 	timer := time.NewTimer(minDigestInterval)
 	defer timer.Stop()
 	for round := 0; ; round++ {
@@ -106,7 +106,7 @@
 }
 
 // setRelay sets the relay to which this host reports, empty if this host is a relay.
-func (p *Peers) setRelay(to string) {
+func (p *Group) setRelay(to string) {
 	before := p.relayName()
 	if to == before {
 		return
@@ -122,7 +122,7 @@
 // the other relays report it. What the relay before said is dropped: it counts until
 // then, so that a host doesn't lose sight of the others while it tries a relay that is
 // gone.
-func (p *Peers) setAnsweredBy(name string) {
+func (p *Group) setAnsweredBy(name string) {
 	p.mu.Lock()
 	before := p.answeredBy
 	p.answeredBy = name
@@ -134,7 +134,7 @@
 
 // report sends this host's digest to its relay and applies the digest in the answer.
 // At most one report to a relay is in progress at a time.
-func (p *Peers) report(ctx context.Context, set *peerSet, to string) {
+func (p *Group) report(ctx context.Context, set *peerSet, to string) {
 	if _, busy := p.reporting.LoadOrStore(to, true); busy {
 		return
 	}
@@ -163,7 +163,7 @@
 
 // digest returns what this host tells another one, but for the states of its copies. See
 // dispatch.Dispatcher.Digest.
-func (p *Peers) digest(now time.Time, to string, path relay.Direction, nextHop func(owner string) string) relay.Digest {
+func (p *Group) digest(now time.Time, to string, path relay.Direction, nextHop func(owner string) string) relay.Digest {
 	digest := p.Dispatcher.Digest(now, to, path, nextHop)
 	digest.Suspects = p.Suspects.List.News(now)
 	return digest
@@ -172,7 +172,7 @@
 // catchUp compares this host's copies of the platform's objects with those of
 // another host, whose states it reported at the time at, and fetches the kinds that
 // are behind.
-func (p *Peers) catchUp(ctx context.Context, from host.Identity, states []relay.CopyState, at time.Time) {
+func (p *Group) catchUp(ctx context.Context, from host.Identity, states []relay.CopyState, at time.Time) {
 	for _, s := range states {
 		if after, behind := p.Copies.Observe(at, s); behind {
 			p.fetch(ctx, from, s, after, at)
@@ -183,7 +183,7 @@
 // applyUnsolicitedStates applies the copy states in a digest that does not answer a
 // report. A host that reads the store for others ignores them and reads the store
 // itself.
-func (p *Peers) applyUnsolicitedStates(ctx context.Context, d relay.Digest) {
+func (p *Group) applyUnsolicitedStates(ctx context.Context, d relay.Digest) {
 	set := p.peerSet.Load()
 	if set == nil || len(d.CopyStates) == 0 || p.isReader(set) {
 		return
@@ -194,13 +194,13 @@
 }
 
 // isReader reports whether this host reads the store on behalf of other hosts.
-func (p *Peers) isReader(set *peerSet) bool {
+func (p *Group) isReader(set *peerSet) bool {
 	return slices.Contains(set.roster.Readers(p.Regions[p.Zone], p.unreachable), p.Self)
 }
 
 // reportAnswer returns the answer to the report of a host that uses this one as its
 // relay.
-func (p *Peers) reportAnswer(from string) peer.Message {
+func (p *Group) reportAnswer(from string) peer.Message {
 	now := time.Now()
 	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
 	digest.CopyStates = p.Copies.States(now)
@@ -208,7 +208,7 @@
 }
 
 // ReaderInfo returns the values that determine how often this host reads the store.
-func (p *Peers) ReaderInfo() mirror.ReaderInfo {
+func (p *Group) ReaderInfo() mirror.ReaderInfo {
 	hosts := p.Dispatcher.HostCount()
 	info := mirror.ReaderInfo{Hosts: hosts, Readers: hosts, ServesOthers: p.Dispatcher.Serving()}
 	if set := p.peerSet.Load(); set != nil {
@@ -223,7 +223,7 @@
 // fetch transfers the objects of a kind that changed after the revision after from a
 // relay, which reported the state s of its copy at the time reportedAt. At most one
 // transfer of each kind is in progress at a time.
-func (p *Peers) fetch(ctx context.Context, from host.Identity, s relay.CopyState, after uint64, reportedAt time.Time) {
+func (p *Group) fetch(ctx context.Context, from host.Identity, s relay.CopyState, after uint64, reportedAt time.Time) {
 	if _, busy := p.fetching.LoadOrStore(s.Kind, true); busy {
 		return
 	}
@@ -247,7 +247,7 @@
 
 // sendToRelays sends digests to the relays of all regions, as one of the relays.
 // Those in other regions get one every remoteDigestRounds rounds.
-func (p *Peers) sendToRelays(ctx context.Context, set *peerSet, round int) {
+func (p *Group) sendToRelays(ctx context.Context, set *peerSet, round int) {
 	nextHops := make(map[string]string)
 	nextHop := func(owner string) string {
 		hop, ok := nextHops[owner]
@@ -285,7 +285,7 @@
 
 // sendDigest sends a digest to a relay. The digest includes the copy states if the
 // relay is in this host's region.
-func (p *Peers) sendDigest(ctx context.Context, to host.Identity, nextHop func(string) string, states []relay.CopyState) {
+func (p *Group) sendDigest(ctx context.Context, to host.Identity, nextHop func(string) string, states []relay.CopyState) {
 	digest := p.digest(time.Now(), to.Name, relay.ToRelay, nextHop)
 	if p.Regions[to.Zone] == p.Regions[p.Zone] {
 		digest.CopyStates = states
@@ -301,7 +301,7 @@
 }
 
 // markUnreachable causes a host to be skipped for unreachableDuration.
-func (p *Peers) markUnreachable(name string) {
+func (p *Group) markUnreachable(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.unreachableUntil == nil {
@@ -312,7 +312,7 @@
 	p.unreachableUntil[name] = now.Add(unreachableDuration)
 }
 
-func (p *Peers) unreachable(name string) bool {
+func (p *Group) unreachable(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return time.Now().Before(p.unreachableUntil[name])
--- a/jacinthd/internal/direct/newer.go
+++ b/jacinthd/internal/peers/newer.go
@@ -1,4 +1,4 @@
-package direct
+package peers
 
 import (
 	"context"
@@ -24,14 +24,14 @@
 )
 
 // askStarted asks other hosts once for newer objects if the store may have been restored.
-func (p *Peers) askStarted(set *peerSet) {
+func (p *Group) askStarted(set *peerSet) {
 	if p.Era == nil || p.Era() == 0 || len(set.members) < 2 {
 		return
 	}
 	p.askAtStart.Do(func() { go p.askForNewer(set) })
 }
 
-func (p *Peers) askForNewer(set *peerSet) {
+func (p *Group) askForNewer(set *peerSet) {
 	var others []string
 	for name := range set.members {
 		if name != p.Self {
@@ -52,7 +52,7 @@
 
 // takeNewer fetches from another host the objects that are newer there. It reports whether
 // the host answered.
-func (p *Peers) takeNewer(set *peerSet, name string) bool {
+func (p *Group) takeNewer(set *peerSet, name string) bool {
 	from, ok := set.members[name]
 	answered := false
 	for _, kind := range p.Copies.OrderedKinds() {
@@ -62,7 +62,7 @@
 }
 
 // fetchNewer fetches the objects of a kind from another host, and keeps those that are newer.
-func (p *Peers) fetchNewer(from host.Identity, kind string) (answered bool) {
+func (p *Group) fetchNewer(from host.Identity, kind string) (answered bool) {
 	if _, busy := p.fetching.LoadOrStore(kind, true); busy {
 		return false
 	}
--- a/jacinthd/internal/direct/origins.go
+++ b/jacinthd/internal/peers/origins.go
@@ -1,4 +1,4 @@
-package direct
+package peers
 
 import (
 	"context"
@@ -23,8 +23,8 @@
 
 // StreamBegan records where a stream began, here and on other hosts: on its keepers and, while the
 // service has several builds, on one that writes it to the store.
-func (p *Peers) StreamBegan(o origin.Origin) {
-	p.origins.Add(time.Now(), o)
+func (p *Group) StreamBegan(o origin.Origin) {
+	p.Origins.Add(time.Now(), o)
 	set := p.peerSet.Load()
 	if set == nil {
 		return
@@ -41,7 +41,7 @@
 	}
 }
 
-func (p *Peers) tellKeeper(set *peerSet, name string, o origin.Origin) {
+func (p *Group) tellKeeper(set *peerSet, name string, o origin.Origin) {
 	ctx, cancel := context.WithTimeout(context.Background(), keeperTimeout)
 	defer cancel()
 	if _, err := p.Link.Call(ctx, set.members[name].Peer, name, peer.StreamBegan{Origin: o}); err != nil {
@@ -68,8 +68,11 @@
 	b.watched[answer.OnlyBuild] = max(watched, b.watched[answer.OnlyBuild])
 }
 
-// contradict reports whether one of the hosts has seen another build than the given one.
-func (b *SeenBuilds) contradict(build string) bool {
+// Watched returns how long one of the hosts has seen no other build than the given one.
+func (b *SeenBuilds) Watched(build string) time.Duration { return b.watched[build] }
+
+// Contradict reports whether one of the hosts has seen another build than the given one.
+func (b *SeenBuilds) Contradict(build string) bool {
 	for seen := range b.watched {
 		if seen != build {
 			return true
@@ -80,8 +83,8 @@
 
 // FindOrigin returns where a stream began. If no host that is asked knows it, FindOrigin
 // returns what those that answer have seen of the service's builds.
-func (p *Peers) FindOrigin(ctx context.Context, s origin.Stream, service string) (found origin.Origin, seen SeenBuilds, known bool) {
-	if o, ok := p.origins.Find(s); ok {
+func (p *Group) FindOrigin(ctx context.Context, s origin.Stream, service string) (found origin.Origin, seen SeenBuilds, known bool) {
+	if o, ok := p.Origins.Find(s); ok {
 		return o, seen, true
 	}
 	set := p.peerSet.Load()
@@ -105,7 +108,7 @@
 
 // askOrigin asks hosts for the origin of a stream until one of them knows it. It adds to seen what
 // the others have seen of the service's builds.
-func (p *Peers) askOrigin(ctx context.Context, timeout time.Duration, set *peerSet, hosts []string, request peer.OriginRequest, seen *SeenBuilds) (found origin.Origin, known bool) {
+func (p *Group) askOrigin(ctx context.Context, timeout time.Duration, set *peerSet, hosts []string, request peer.OriginRequest, seen *SeenBuilds) (found origin.Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan peer.OriginResponse, len(hosts))
@@ -133,9 +136,9 @@
 }
 
 // originAnswer answers another host's question where a stream began.
-func (p *Peers) originAnswer(m peer.OriginRequest) peer.Message {
+func (p *Group) originAnswer(m peer.OriginRequest) peer.Message {
 	var answer peer.OriginResponse
-	answer.Origin, answer.Known = p.origins.Find(m.Stream)
+	answer.Origin, answer.Known = p.Origins.Find(m.Stream)
 	if build, since, only := p.Dispatcher.OnlyBuild(time.Now(), m.Service); only {
 		answer.OnlyBuild, answer.Watched = build, uint64(max(1, time.Since(since).Milliseconds()))
 		return answer
@@ -145,3 +148,20 @@
 	}
 	return answer
 }
+
+// KeepsOrigins reports whether this host writes origins: it is one of its region that read the
+// store for the others.
+func (p *Group) KeepsOrigins() bool {
+	set := p.peerSet.Load()
+	return set != nil && p.isReader(set)
+}
+
+// originWriter returns the host of this region that writes the origin of a stream, empty if this
+// one does.
+func (p *Group) originWriter(s origin.Stream, set *peerSet) string {
+	readers := set.roster.Readers(p.Regions[p.Zone], p.unreachable)
+	if len(readers) == 0 || slices.Contains(readers, p.Self) {
+		return ""
+	}
+	return readers[uint64(s)%uint64(len(readers))]
+}
--- a/jacinthd/internal/direct/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -1,4 +1,7 @@
-package direct
+// Package peers exchanges digests, platform objects, load requests and the origins of streams
+// with the other hosts of the system. A Group knows the hosts and their relays; what it learns
+// goes to the dispatcher, the suspects and the copies of the platform's objects, which decide.
+package peers
 
 import (
 	"context"
@@ -6,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -20,20 +24,26 @@
 )
 
 const (
-	// confirmTimeout limits the time in which a runner's owner confirms that an
+	// ConfirmTimeout limits the time in which a runner's owner confirms that an
 	// adapter is loaded.
-	confirmTimeout = 60 * time.Millisecond
-	// loadRequestTimeout limits the time in which a load request is answered.
+	ConfirmTimeout = 60 * time.Millisecond
+	// LoadRequestTimeout limits the time in which a load request is answered.
 	// ownerLoadWait is how long the owner waits for the adapter to be loaded before
 	// it answers with the state of the load; it is shorter, so that the answer
 	// arrives in time.
-	loadRequestTimeout = 800 * time.Millisecond
+	LoadRequestTimeout = 800 * time.Millisecond
 	ownerLoadWait      = 650 * time.Millisecond
 )
 
-// Peers exchanges digests, platform objects and load requests with the other hosts.
+// A Proxy sends requests to targets for hosts that can't reach them.
+type Proxy interface {
+	// Serve sends the request with which a stream began.
+	Serve(ctx context.Context, from string, m peer.ProxyRequest, stream *peer.Stream)
+}
+
+// A Group exchanges digests, platform objects and load requests with the other hosts.
 // All exported fields must be set.
-type Peers struct {
+type Group struct {
 	Self       string
 	Zone       string
 	Regions    map[string]string // region of each zone
@@ -42,7 +52,7 @@
 	Copies     *mirror.Set
 	Suspects   *contact.Suspects
 	// Proxy sends requests of other hosts. If it is nil, this host sends none.
-	Proxy *Proxy
+	Proxy Proxy
 	// Wake is called when a runner may need an order.
 	Wake func()
 	// OnNewerConfig is called when another host has a newer configuration.
@@ -58,21 +68,21 @@
 
 	askAtStart sync.Once
 
-	origins origin.Memory // of streams that began here, or that this host keeps
+	Origins origin.Memory // of streams that began here, or that this host keeps
 
 	mu               sync.Mutex
 	answeredBy       string               // see setAnsweredBy
-	avoidedUntil     map[string]time.Time // see avoidProxy
+	avoidedUntil     map[string]time.Time // see AvoidProxy
 	versions         map[string]peer.Version
 	earlier          map[string]bool      // hosts that get digests in an earlier shape
 	unreachableUntil map[string]time.Time // when hosts that could not be reached are tried again, by name
 }
 
 // Serve answers the calls of other hosts until ctx ends.
-func (p *Peers) Serve(ctx context.Context) error {
+func (p *Group) Serve(ctx context.Context) error {
 	return p.Link.Serve(ctx, func(ctx context.Context, from string, first peer.Message, stream *peer.Stream) {
 		if m, ok := first.(peer.ProxyRequest); ok && p.Proxy != nil {
-			p.Proxy.serve(ctx, from, m, stream)
+			p.Proxy.Serve(ctx, from, m, stream)
 			return
 		}
 		if err := stream.Send(p.answer(ctx, first)); err != nil {
@@ -81,7 +91,7 @@
 	})
 }
 
-func (p *Peers) answer(ctx context.Context, first peer.Message) peer.Message {
+func (p *Group) answer(ctx context.Context, first peer.Message) peer.Message {
 	switch m := first.(type) {
 	case peer.Digest:
 		p.applyDigest(m.Digest, m.Digest.ReportsToReceiver || p.relayName() == "")
@@ -91,7 +101,7 @@
 		}
 		return p.reportAnswer(m.Digest.From)
 	case peer.StreamBegan:
-		p.origins.Add(time.Now(), m.Origin)
+		p.Origins.Add(time.Now(), m.Origin)
 		return peer.Ack{}
 	case peer.OriginRequest:
 		return p.originAnswer(m)
@@ -110,7 +120,7 @@
 
 // relayName returns the relay to which this host reports, or an empty name if this host
 // is a relay itself.
-func (p *Peers) relayName() string {
+func (p *Group) relayName() string {
 	if name := p.currentRelay.Load(); name != nil {
 		return *name
 	}
@@ -120,7 +130,7 @@
 // applyDigest passes another host's digest to the dispatcher, with its loads or without.
 // A host that reports to a relay gets all loads in the answers; what a host sends it that
 // takes it for a relay would count twice.
-func (p *Peers) applyDigest(d relay.Digest, loads bool) {
+func (p *Group) applyDigest(d relay.Digest, loads bool) {
 	p.Suspects.Merge(d.From, d.Suspects)
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
@@ -137,7 +147,7 @@
 
 // loadForPeer requests the load of an adapter onto a runner that this host owns, and
 // waits for it up to ownerLoadWait.
-func (p *Peers) loadForPeer(ctx context.Context, m peer.LoadRequest) peer.LoadResponse {
+func (p *Group) loadForPeer(ctx context.Context, m peer.LoadRequest) peer.LoadResponse {
 	key := residency.Key{Model: m.Model, Adapter: m.Adapter}
 	loaded, reason := p.Dispatcher.RequestLoad(time.Now(), m.Runner, key)
 	if loaded == nil {
@@ -164,7 +174,7 @@
 // RequestLoad asks the owner of a runner to load an adapter onto it, and waits for
 // the answer until ctx ends. If it returns an error, it also sets the Reason of
 // the response.
-func (p *Peers) RequestLoad(ctx context.Context, owner dispatch.Owner, runner string, k residency.Key) (peer.LoadResponse, error) {
+func (p *Group) RequestLoad(ctx context.Context, owner dispatch.Owner, runner string, k residency.Key) (peer.LoadResponse, error) {
 	m, err := p.Link.Call(ctx, owner.Address, owner.Host, peer.LoadRequest{Runner: runner, Model: k.Model, Adapter: k.Adapter})
 	if err != nil {
 		return peer.LoadResponse{Reason: "owner not reached"}, err
@@ -175,3 +185,22 @@
 	}
 	return answer, nil
 }
+
+// Rank returns the place of this host in an order of all hosts that each of them determines by
+// itself. It returns false if the hosts are unknown, or this one isn't among them yet.
+func (p *Group) Rank() (int, bool) {
+	set := p.peerSet.Load()
+	if set == nil {
+		return 0, false
+	}
+	if _, listed := set.members[p.Self]; !listed {
+		return 0, false
+	}
+	own, rank := xxhash.Sum64String(p.Self), 0
+	for _, h := range set.hosts {
+		if xxhash.Sum64String(h.Name) < own {
+			rank++
+		}
+	}
+	return rank, true
+}
--- a/jacinthd/internal/direct/builds.go
+++ b/jacinthd/internal/peers/versions.go
@@ -1,4 +1,4 @@
-package direct
+package peers
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 )
 
 // OnVersion records the version of another host.
-func (p *Peers) OnVersion(name string, v peer.Version) {
+func (p *Group) OnVersion(name string, v peer.Version) {
 	p.mu.Lock()
 	if p.versions == nil {
 		p.versions = make(map[string]peer.Version)
@@ -42,7 +42,7 @@
 }
 
 // OnUnreadable records that a call of another host can't be read.
-func (p *Peers) OnUnreadable(name string, cause error, again bool) {
+func (p *Group) OnUnreadable(name string, cause error, again bool) {
 	p.Suspects.Metrics.Unreadable.Inc()
 	if !again {
 		p.Log.Warn("peer: call not understood", zap.String("host", name), zap.String("build", p.Link.Version(name).Build), zap.Error(cause))
@@ -50,7 +50,7 @@
 }
 
 // countVersions updates the metric of versions. p.mu must be held.
-func (p *Peers) countVersions() {
+func (p *Group) countVersions() {
 	p.Suspects.Metrics.Peers.Reset()
 	for _, v := range p.versions {
 		p.Suspects.Metrics.Peers.WithLabelValues(v.Build, v.Protocol).Inc()
@@ -58,7 +58,7 @@
 }
 
 // forgetVersions forgets the versions of hosts that have left.
-func (p *Peers) forgetVersions(before, after *peerSet) {
+func (p *Group) forgetVersions(before, after *peerSet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name := range before.members {
@@ -72,7 +72,7 @@
 
 // probeBuild finds out whether a host knows of brittle targets, by a call that came with them
 // and does nothing.
-func (p *Peers) probeBuild(name string, v peer.Version) {
+func (p *Group) probeBuild(name string, v peer.Version) {
 	for range maxBuildProbes {
 		earlier, err := p.refusesCall(name)
 		if err == nil {
@@ -85,7 +85,7 @@
 
 // refusesCall reports whether a host refuses a request for a target that doesn't exist as one
 // that it can't read.
-func (p *Peers) refusesCall(name string) (bool, error) {
+func (p *Group) refusesCall(name string) (bool, error) {
 	set := p.peerSet.Load()
 	if set == nil {
 		return false, errors.New("no hosts known")
@@ -106,7 +106,7 @@
 	return false, err
 }
 
-func (p *Peers) setEarlier(name string, v peer.Version, earlier bool) {
+func (p *Group) setEarlier(name string, v peer.Version, earlier bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.versions[name] != v {
@@ -122,13 +122,13 @@
 }
 
 // isEarlier reports whether a host is of a build before 0c2534b.
-func (p *Peers) isEarlier(name string) bool {
+func (p *Group) isEarlier(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.earlier[name]
 }
 
 // digestMessage returns the message that carries a digest to a host.
-func (p *Peers) digestMessage(to string, digest relay.Digest) peer.Digest {
+func (p *Group) digestMessage(to string, digest relay.Digest) peer.Digest {
 	return peer.Digest{Digest: digest, Earlier: p.isEarlier(to)}
 }
--- a/jacinthd/internal/direct/proxy.go
+++ b/jacinthd/internal/proxy/server.go
@@ -1,4 +1,6 @@
-package direct
+// Package proxy carries requests to targets through other hosts: a Client has the requests of
+// this host sent by another one, a Server sends those of others.
+package proxy
 
 import (
 	"bufio"
@@ -30,10 +32,10 @@
 	maxProxiedBody = 64 << 20
 )
 
-// A Proxy sends requests to targets for hosts that can't reach them. It only transports: the
+// A Server sends requests to targets for hosts that can't reach them. It only transports: the
 // other host has selected the target, and does all counting. All exported fields must be set.
-type Proxy struct {
-	Headers  HeaderCodec
+type Server struct {
+	Headers  outbound.HeaderCodec
 	Reach    *contact.Reach
 	Stopping func() bool
 
@@ -41,8 +43,8 @@
 	open   sync.WaitGroup
 }
 
-// serve sends a request for another host and passes the answer on.
-func (p *Proxy) serve(ctx context.Context, from string, m peer.ProxyRequest, stream *peer.Stream) {
+// Serve implements peers.Proxy. It sends a request for another host and passes the answer on.
+func (p *Server) Serve(ctx context.Context, from string, m peer.ProxyRequest, stream *peer.Stream) {
 	p.open.Add(1)
 	defer p.open.Done()
 	defer p.active.Add(-1)
@@ -66,7 +68,7 @@
 }
 
 // refusal returns why this host doesn't send a request, or nil if it does.
-func (p *Proxy) refusal(active int, m peer.ProxyRequest, target catalog.Target) *peer.ProxyRefusal {
+func (p *Server) refusal(active int, m peer.ProxyRequest, target catalog.Target) *peer.ProxyRefusal {
 	switch {
 	case p.Stopping():
 		return &peer.ProxyRefusal{Cause: "the host is stopping"}
@@ -85,7 +87,7 @@
 
 // forward sends the request and passes the answer on. It returns how the answer ended, or an
 // error if the other host needs no end.
-func (p *Proxy) forward(ctx context.Context, m peer.ProxyRequest, target catalog.Target, stream *peer.Stream) (peer.ProxyEnd, error) {
+func (p *Server) forward(ctx context.Context, m peer.ProxyRequest, target catalog.Target, stream *peer.Stream) (peer.ProxyEnd, error) {
 	body, err := receiveBody(stream, m.Size)
 	if err != nil {
 		return peer.ProxyEnd{}, err
@@ -97,7 +99,7 @@
 	sent := time.Now()
 	x, err := p.Reach.Pool.Do(ctx, m.Address, outbound.Request{
 		ID: m.ID, Method: m.Method, RequestURI: m.RequestURI, Host: m.Host, Header: header, Body: body, AtMostOnce: m.AtMostOnce,
-	}, answersOf(p.Headers, m.ID))
+	}, outbound.AnswersTo(p.Headers, m.ID))
 	var fault *outbound.Error
 	if errors.As(err, &fault) && fault.Verdict == verdict.NotRun {
 		_ = stream.Send(peer.ProxyRefusal{Reason: peer.TargetUnreached, Cause: err.Error()})
@@ -112,15 +114,15 @@
 }
 
 // hear records what the answer says of its target, which binds this host as well.
-func (p *Proxy) hear(sent time.Time, target catalog.Target, response *http.Response) {
+func (p *Server) hear(sent time.Time, target catalog.Target, response *http.Response) {
 	head := p.Headers.ParseAnswer(response.StatusCode, response.Header)
-	if p.Reach.Dispatcher.Heard(time.Now(), sent, target, head.Notice, sourceOf(head)) {
-		logNotice(p.Reach.Log, target, head.Notice)
+	if p.Reach.Dispatcher.Heard(time.Now(), sent, target, head.Notice, head.Source()) {
+		contact.LogNotice(p.Reach.Log, target, head.Notice)
 	}
 }
 
 // passOn passes an answer on as it arrives.
-func (p *Proxy) passOn(ctx context.Context, target catalog.Target, x *outbound.Exchange, stream *peer.Stream) (peer.ProxyEnd, error) {
+func (p *Server) passOn(ctx context.Context, target catalog.Target, x *outbound.Exchange, stream *peer.Stream) (peer.ProxyEnd, error) {
 	var header bytes.Buffer
 	_ = x.Response.Header.Write(&header)
 	if err := stream.Send(peer.ProxyHead{Status: x.Response.StatusCode, Header: header.Bytes(), First: x.First}); err != nil {
@@ -149,13 +151,13 @@
 }
 
 // broken returns the end of an answer that broke off, or never began.
-func (p *Proxy) broken(ctx context.Context, target catalog.Target, cause error) peer.ProxyEnd {
+func (p *Server) broken(ctx context.Context, target catalog.Target, cause error) peer.ProxyEnd {
 	ended := ctx.Err() == nil && p.Reach.EndedUnannounced(ctx, target)
 	return peer.ProxyEnd{Broken: cause.Error(), Ended: ended}
 }
 
-// wait waits until the requests of other hosts that are in progress have ended, or ctx ends.
-func (p *Proxy) wait(ctx context.Context) {
+// Wait waits until the requests of other hosts that are in progress have ended, or ctx ends.
+func (p *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		p.open.Wait()
--- a/jacinthd/serve.go
+++ b/jacinthd/serve.go
@@ -16,7 +16,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"jacinthstage/jacinthd/internal/direct"
+	"jacinthstage/jacinthd/internal/daemon"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/settings"
 	"jacinthstage/platform"
@@ -63,7 +63,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	sink := direct.NewSink(os.Stdout)
+	sink := daemon.NewSink(os.Stdout)
 	defer sink.Close()
 	// Without this variable, quic-go writes a warning about the size of its
 	// receive buffers to standard error.
@@ -85,7 +85,7 @@
 	registry := prometheus.NewRegistry()
 	copies := new(mirror.Set)
 	client := platform.New(d.Store, countCalls(registry, transport), copies, log)
-	p, err := direct.New(d, direct.Dependencies{
+	p, err := daemon.New(d, daemon.Dependencies{
 		Store: client, Follower: client, Copies: copies, Registry: registry, Headers: platform.Headers{}, RunnerCodec: platform.Runners{}, ReadyPath: platform.ReadyPath,
 	}, log, sink)
 	if err != nil {
--- a/stage/call/call.go
+++ b/stage/call/call.go
@@ -124,3 +124,11 @@
 	Name    string
 	Version int
 }
+
+// Source returns the kind of answer that the response is.
+func (r Response) Source() notice.Source {
+	if r.Verdict == verdict.Ran {
+		return notice.Run
+	}
+	return notice.Other
+}
--- a/stage/origin/origin.go
+++ b/stage/origin/origin.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// MaxStreamTime is the longest time that a stream is assumed to last if its route sets
+	// none.
+	MaxStreamTime = 30 * time.Second
 	// keepers is the number of hosts that are told of a stream, and asked the number of
 	// hosts of a region that are asked for it: the host where it began may be among the
 	// first, and one of the first may be new.
