--- a/jacinthd/internal/peer/codec.go
+++ b/jacinthd/internal/peer/codec.go
@@ -121,10 +121,17 @@
 
 // bodyOf returns what is encoded of a message.
 func bodyOf(m Message) any {
-	if d, ok := m.(Digest); ok && d.Earlier {
+	d, ok := m.(Digest)
+	switch {
+	case !ok:
+		return m
+	case d.Earlier:
 		return d.earlier()
+	case d.Extra.IsZero():
+		return plainDigest{Digest: d.Digest}
+	default:
+		return m
 	}
-	return m
 }
 
 // Read reads one message. It returns io.EOF if the input ends before the message
@@ -170,6 +177,9 @@
 	if int(number) >= len(kinds) {
 		return nil, &UnknownKindError{Kind: number}
 	}
+	if d, ok := decodePlain(kinds[number], body); ok {
+		return d, nil
+	}
 	value := reflect.New(reflect.TypeOf(kinds[number]))
 	if err := wire.UnmarshalWith(decMode, body, value.Interface()); err != nil {
 		return nil, errors.Wrapf(err, "peer: decode kind %d", number)
--- a/jacinthd/internal/peer/earlier.go
+++ b/jacinthd/internal/peer/earlier.go
@@ -6,6 +6,29 @@
 	"jacinthstage/stage/suspect"
 )
 
+// A plainDigest is a digest without Extra: nearly all of them, and those of builds that know none.
+// It has the shape of version 2 of the protocol and before.
+type plainDigest struct {
+	_      struct{} `cbor:",toarray"`
+	Digest relay.Digest
+}
+
+// arrayOfOne is the first byte of an encoded array with one element.
+const arrayOfOne = 0x81
+
+// decodePlain decodes the body of a Digest without Extra. It returns false if kind is another one
+// or the body doesn't have exactly this build's shape.
+func decodePlain(kind Message, body []byte) (Digest, bool) {
+	if _, ok := kind.(Digest); !ok || len(body) == 0 || body[0] != arrayOfOne {
+		return Digest{}, false
+	}
+	var d plainDigest
+	if decMode.Unmarshal(body, &d) != nil {
+		return Digest{}, false
+	}
+	return Digest{Digest: d.Digest}, true
+}
+
 // Builds before 0c2534b refuse a digest whose notices have fields that they don't know. They get
 // it in the shape that they do know, without what targets say of being brittle.
 
--- a/jacinthd/internal/peer/golden_test.go
+++ b/jacinthd/internal/peer/golden_test.go
@@ -22,6 +22,7 @@
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/notice"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/relay"
 	"jacinthstage/stage/suspect"
 	"jacinthstage/stage/wire"
@@ -227,6 +228,10 @@
 			require.Equal(t, normal(want), normal(got))
 			continue
 		}
+		if d, ok := want.(peer.Digest); ok {
+			d.Extra.Quotas = []quota.Report{{Account: 1}} // else the shape of an earlier build is written
+			want = d
+		}
 		frame := frameOf(t, want.(peer.Message))
 		got, err := peer.Read(bytes.NewReader(grownFrame(t, reflect.TypeOf(want), frame)))
 		require.NoError(t, err, "%T", want)
--- a/jacinthd/internal/peer/message.go
+++ b/jacinthd/internal/peer/message.go
@@ -152,6 +152,7 @@
 type Digest struct {
 	_      struct{} `cbor:",toarray"`
 	Digest relay.Digest
+	Extra  relay.Extra `wire:"later"`
 	// Earlier means that the receiver is of a build before 0c2534b. It is not sent.
 	Earlier bool `cbor:"-"`
 }
--- a/jacinthd/internal/peers/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -138,14 +138,15 @@
 	if _, busy := p.reporting.LoadOrStore(to, true); busy {
 		return
 	}
-	digest := p.digest(time.Now(), to, relay.ToRelay, func(string) string { return to })
-	digest.ReportsToReceiver = true
 	sent := time.Now()
+	digest := p.digest(sent, to, relay.ToRelay, func(string) string { return to })
+	digest.ReportsToReceiver = true
+	message := p.digestMessage(to, digest, p.extra(sent, to, relay.ToRelay))
 	go func() {
 		defer p.reporting.Delete(to)
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		m, err := p.Link.Call(ctx, set.members[to].Peer, to, p.digestMessage(to, digest))
+		m, err := p.Link.Call(ctx, set.members[to].Peer, to, message)
 		answer, ok := m.(peer.Digest)
 		if err != nil || !ok {
 			p.Log.Warn("peer: report to relay failed", zap.String("host", to), zap.Error(err))
@@ -156,7 +157,7 @@
 			return // another relay, or this host itself, counts by now
 		}
 		p.setAnsweredBy(to)
-		p.applyDigest(answer.Digest, true)
+		p.applyDigest(answer, true)
 		p.catchUp(ctx, set.members[to], answer.Digest.CopyStates, sent)
 	}()
 }
@@ -204,7 +205,7 @@
 	now := time.Now()
 	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
 	digest.CopyStates = p.Copies.States(now)
-	return p.digestMessage(from, digest)
+	return p.digestMessage(from, digest, p.extra(now, from, relay.ToReporter))
 }
 
 // ReaderInfo returns the values that determine how often this host reads the store.
@@ -286,14 +287,16 @@
 // sendDigest sends a digest to a relay. The digest includes the copy states if the
 // relay is in this host's region.
 func (p *Group) sendDigest(ctx context.Context, to host.Identity, nextHop func(string) string, states []relay.CopyState) {
-	digest := p.digest(time.Now(), to.Name, relay.ToRelay, nextHop)
+	now := time.Now()
+	digest := p.digest(now, to.Name, relay.ToRelay, nextHop)
 	if p.Regions[to.Zone] == p.Regions[p.Zone] {
 		digest.CopyStates = states
 	}
+	message := p.digestMessage(to.Name, digest, p.extra(now, to.Name, relay.ToRelay))
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 		defer cancel()
-		if _, err := p.Link.Call(ctx, to.Peer, to.Name, p.digestMessage(to.Name, digest)); err != nil {
+		if _, err := p.Link.Call(ctx, to.Peer, to.Name, message); err != nil {
 			p.Log.Debug("peer: digest not sent", zap.String("host", to.Name), zap.Error(err))
 			p.markUnreachable(to.Name)
 		}
--- /dev/null
+++ b/jacinthd/internal/peers/extra.go
@@ -0,0 +1,16 @@
+package peers
+
+import (
+	"time"
+
+	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/relay"
+)
+
+// extra returns what this host tells another one beside the digest.
+func (p *Group) extra(_ time.Time, _ string, _ relay.Direction) relay.Extra {
+	return relay.Extra{}
+}
+
+// mergeExtra takes in what another host has told beside its digest.
+func (p *Group) mergeExtra(_ time.Time, _ peer.Digest) {}
--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -18,7 +18,6 @@
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/mirror"
 	"jacinthstage/stage/origin"
-	"jacinthstage/stage/relay"
 	"jacinthstage/stage/residency"
 	"jacinthstage/stage/verdict"
 )
@@ -94,7 +93,7 @@
 func (p *Group) answer(ctx context.Context, first peer.Message) peer.Message {
 	switch m := first.(type) {
 	case peer.Digest:
-		p.applyDigest(m.Digest, m.Digest.ReportsToReceiver || p.relayName() == "")
+		p.applyDigest(m, m.Digest.ReportsToReceiver || p.relayName() == "")
 		if !m.Digest.ReportsToReceiver {
 			p.applyUnsolicitedStates(ctx, m.Digest)
 			return peer.Ack{}
@@ -130,7 +129,9 @@
 // applyDigest passes another host's digest to the dispatcher, with its loads or without.
 // A host that reports to a relay gets all loads in the answers; what a host sends it that
 // takes it for a relay would count twice.
-func (p *Group) applyDigest(d relay.Digest, loads bool) {
+func (p *Group) applyDigest(m peer.Digest, loads bool) {
+	d := m.Digest
+	p.mergeExtra(time.Now(), m)
 	p.Suspects.Merge(d.From, d.Suspects)
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
--- a/jacinthd/internal/peers/versions.go
+++ b/jacinthd/internal/peers/versions.go
@@ -128,7 +128,11 @@
 	return p.earlier[name]
 }
 
-// digestMessage returns the message that carries a digest to a host.
-func (p *Group) digestMessage(to string, digest relay.Digest) peer.Digest {
-	return peer.Digest{Digest: digest, Earlier: p.isEarlier(to)}
+// digestMessage returns the message that carries a digest to a host. A host that speaks the
+// first version of the protocol refuses what it doesn't know, and gets the digest alone.
+func (p *Group) digestMessage(to string, digest relay.Digest, extra relay.Extra) peer.Digest {
+	if p.Link.Version(to).First() {
+		extra = relay.Extra{}
+	}
+	return peer.Digest{Digest: digest, Extra: extra, Earlier: p.isEarlier(to)}
 }
--- a/stage/call/call.go
+++ b/stage/call/call.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"jacinthstage/stage/account"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/verdict"
 )
@@ -15,6 +16,7 @@
 // A Call is a caller's request.
 type Call struct {
 	ID              string
+	Key             account.Key   // by which the caller proves its client account; empty if it gave none
 	Budget          time.Duration // how long the caller waits; 0 if it did not say
 	Model           string
 	Adapter         string    // empty for the base model itself
@@ -45,6 +47,7 @@
 	Remaining   time.Duration // remaining time of the caller; 0 if unknown
 	Priority    int           // requests of priority 0 are admitted first
 	Version     int           // adapter version that the target must hold; 0 accepts any
+	Account     string        // name of the caller's client account; empty if it has none
 	LastEventID string        // id of the last event that the caller received, to resume a stream
 }
 
--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -91,6 +91,7 @@
 	Priority         int           // 0 is the most urgent
 	MaxAttempts      int           // targets that may run one request
 	Split            []TrafficShare
+	Public           bool // callers need no key
 }
 
 // NewConfig returns a configuration with its routes indexed. A later route
