account: client accounts and their keys

A key is looked up before the body is read, taken off, and replaced by the account's name; 401 without one, 503 where another host has a newer configuration; a key taken away while the request waits stops it. An account's priority goes before the route's. Without accounts in the configuration, headers are as before.

--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -125,7 +125,7 @@
 // roundTrip sends the request and waits for the head of the answer.
 func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w *watchdog) outcome {
 	remaining := time.Until(req.deadline)
-	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.route.Priority, Version: attempt.Version, LastEventID: req.lastEventID}
+	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.priority(), Accounts: req.accounts, Account: req.account.Name, Version: attempt.Version, LastEventID: req.lastEventID}
 	if req.call.Budget > 0 {
 		send.Remaining = remaining
 	}
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -26,6 +26,7 @@
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peers"
 	"jacinthstage/jacinthd/store/memory"
+	"jacinthstage/stage/account"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -49,6 +50,7 @@
 		id, _ := strconv.ParseUint(part, 16, 64)
 		c.Segments = append(c.Segments, call.Segment{ID: id, Tokens: 10})
 	}
+	c.Key = account.Key(h.Get("Key"))
 	return c, nil
 }
 
@@ -57,6 +59,11 @@
 	out.Del("Connection")
 	out.Set("Left", strconv.FormatInt(s.Remaining.Milliseconds(), 10))
 	out.Set("Only", s.Target)
+	if s.Accounts {
+		out.Del("Key")
+		out.Set("Account", s.Account)
+	}
+	out.Set("Priority", strconv.Itoa(s.Priority))
 	if s.LastEventID != "" {
 		out.Set("After", s.LastEventID)
 	}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -27,6 +27,7 @@
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/stage/account"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
@@ -71,17 +72,20 @@
 // A callerRequest is one request of a caller, with the state of its attempts.
 type callerRequest struct {
 	*Handler
-	w        http.ResponseWriter
-	r        *http.Request
-	call     call.Call
-	config   uint64 // version of the configuration that route is from
-	route    catalog.Route
-	service  string
-	body     []byte
-	identity suspect.Request // see suspectRequest; zero until it is needed
-	trial    bool            // the request may be sent although a trait of it is refused
-	cleared  bool            // an answer has shown that the request crashes no target
-	arrived  time.Time
+	w          http.ResponseWriter
+	r          *http.Request
+	call       call.Call
+	config     uint64          // version of the configuration that route is from
+	accounts   bool            // that configuration has client accounts
+	account    account.Account // of the caller; the zero value if it has none
+	authorized uint64          // version of the configuration that the key was last looked up in
+	route      catalog.Route
+	service    string
+	body       []byte
+	identity   suspect.Request // see suspectRequest; zero until it is needed
+	trial      bool            // the request may be sent although a trait of it is refused
+	cleared    bool            // an answer has shown that the request crashes no target
+	arrived    time.Time
 	// deadline is the earliest of the caller's deadline, the route's and the default.
 	deadline time.Time
 	log      *zap.Logger
@@ -139,11 +143,15 @@
 		req.refuse(http.StatusServiceUnavailable, "no configuration yet", unconfiguredRetryAfter)
 		return false
 	}
-	req.config = config.Version
+	req.config, req.authorized = config.Version, config.Version
 	var ok bool
 	req.route, ok = config.Route(hostname(req.r.Host), path(req.r.RequestURI))
 	if !ok {
-		req.refuse(http.StatusNotFound, "no route", 0)
+		req.refuseUnknown(http.StatusNotFound, "no route")
+		return false
+	}
+	if !req.authorize(config) {
+		req.refuseUnknown(http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	req.service = req.route.ChooseService(rand.Float64())
@@ -226,9 +234,12 @@
 // finish logs the end of the request and records it in the metrics.
 func (req *callerRequest) finish(message string, status int, fields ...zap.Field) {
 	duration := time.Since(req.arrived)
-	req.Metrics.RequestEnded(req.service, status, duration)
+	req.Metrics.RequestEnded(req.service, req.account.Name, status, duration)
 	fields = append(fields, zap.Int("status", status), zap.Duration("took", duration), zap.Uint64("config", req.config),
 		zap.String("route", req.route.Name), zap.Int("sends", req.sends), zap.Int("dials", req.dialFailures), zap.Int("runs", req.runs))
+	if req.account.Name != "" {
+		fields = append(fields, zap.String("account", req.account.Name))
+	}
 	if req.via != "" {
 		fields = append(fields, zap.String("via", req.via))
 	}
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -114,7 +114,7 @@
 	if !attempt.Willing(time.Now()) {
 		return req.adapterNotLoaded(ctx, attempt)
 	}
-	if req.refuseSuspect() {
+	if req.refuseSuspect() || req.refuseRevoked() {
 		attempt.Report(time.Now(), dispatch.Canceled{})
 		return false
 	}
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 type Host struct {
 	requests      *prometheus.CounterVec
 	latency       *prometheus.HistogramVec
+	accounts      accountCounter
 	active        prometheus.Gauge
 	stalls        prometheus.Histogram
 	Opened        prometheus.Counter
@@ -63,6 +64,8 @@
 		SuspectsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_suspects_refused_total", Help: "Requests that were refused because of them."}),
 		SuspectTrials:   prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_suspect_trials_total", Help: "Requests that were sent all the same, to find out."}),
 	}
+	m.accounts.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jacinth_account_requests_total", Help: "Requests of callers by client account and class of status; 0xx means that no answer was sent."}, []string{"account", "status"})
 	m.StreamsTakenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_streams_taken_up_total", Help: "Requests that take up a stream, by how it is known which build began it."}, []string{"source"})
 	m.StoreEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_store_era", Help: "Era of the platform's store, which rises when it has come back from an older copy."})
@@ -76,7 +79,7 @@
 	info.WithLabelValues(build.Commit()).Set(1)
 	r.MustRegister(m.StreamsTakenUp, m.StoreEra, m.Cut, m.Indirect, m.Peers, m.Unreadable, info)
 	r.MustRegister(m.notices, m.Crashes, m.Suspects, m.SuspectsRefused, m.SuspectTrials)
-	r.MustRegister(m.requests, m.latency, m.active, m.stalls, m.Opened, m.orders, m.owned, m.ConfigVersion, m.Targets)
+	r.MustRegister(m.accounts.requests, m.requests, m.latency, m.active, m.stalls, m.Opened, m.orders, m.owned, m.ConfigVersion, m.Targets)
 	return m
 }
 
@@ -86,10 +89,14 @@
 	return m.active.Dec
 }
 
-// RequestEnded counts the end of a request, with the status that its caller got.
-func (m *Host) RequestEnded(service string, status int, duration time.Duration) {
+// RequestEnded counts the end of a request, with the status that its caller got. account is the
+// caller's client account, empty if it has none.
+func (m *Host) RequestEnded(service, account string, status int, duration time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status)).Inc()
 	m.latency.WithLabelValues(service).Observe(duration.Seconds())
+	if account != "" {
+		m.accounts.add(account, status)
+	}
 }
 
 // ObserveStall records how long a request waited for its adapter.
--- a/stage/call/call.go
+++ b/stage/call/call.go
@@ -47,6 +47,7 @@
 	Remaining   time.Duration // remaining time of the caller; 0 if unknown
 	Priority    int           // requests of priority 0 are admitted first
 	Version     int           // adapter version that the target must hold; 0 accepts any
+	Accounts    bool          // the configuration has client accounts: the caller's key is taken off
 	Account     string        // name of the caller's client account; empty if it has none
 	LastEventID string        // id of the last event that the caller received, to resume a stream
 }
--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"jacinthstage/stage/account"
 )
 
 // A Config is one numbered version of the configuration.
@@ -18,6 +20,7 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	Accounts *account.Directory // nil if callers need no account
 
 	routes map[string]map[string]Route // by host name, then by path prefix
 }
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -99,6 +99,7 @@
 		}
 	}
 	d.learnNotices(now, digest.Notices)
+	d.hearConfig(now, digest.ConfigVersion)
 	return d.behind(now, digest.ConfigVersion)
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	pendingLoads  map[string]map[residency.Key]time.Time // by removed runner: loads that a new incarnation of the same name may still carry out, and until when
 	newerSince    time.Time                              // when another host was first seen with a newer configuration
 	newerThan     uint64                                 // configuration version of this host at newerSince
+	newerHeard    newerConfig                            // last report of a newer configuration
 	cut           bool                                   // this host reaches no target itself
 	answeredAt    time.Time                              // last answer of any target over a connection of this host
 	aggregator    relay.Aggregator                       // state reported by other hosts
