mirror, platform: changes between the pages of a list are kept

Cause: a list took the revision of its last page, so that what changed behind the reader between two pages was never told. It takes that of the first page, and the next watch tells the rest; a copy passes over changes that it holds already, but keeps them for the copies of other hosts. No further calls: a watch follows each list anyway. TestChangesBetweenPages (drawn) and TestChangeBetweenPages fail without it.

--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -116,7 +116,10 @@
 		c.revision = p.Revision
 		return true
 	default:
-		c.appendChanges(p)
+		p.Objects = c.appendChanges(p)
+		if len(p.Objects) == 0 {
+			return true
+		}
 	}
 	c.apply(p)
 	return true
@@ -153,11 +156,17 @@
 	c.revision, c.lastChange = p.Revision, p.Revision
 }
 
-// appendChanges applies the changes of a page and keeps them as a batch.
-func (c *Copy) appendChanges(p Page) {
+// appendChanges applies the changes of a page and keeps them as a batch. It returns those that are
+// news to this copy; the batch holds them all, since the copies of other hosts may lack them.
+func (c *Copy) appendChanges(p Page) []Object {
 	size := 0
+	news := make([]Object, 0, len(p.Objects))
 	for _, o := range p.Objects {
 		size += len(o.Body) + len(o.Name)
+		if c.isKnown(o) {
+			continue
+		}
+		news = append(news, o)
 		switch {
 		case o.Removed && c.order == nil:
 			delete(c.objects, o.Name)
@@ -173,6 +182,22 @@
 		c.batchBytes -= c.batches[0].size
 		c.batches = c.batches[1:]
 	}
+	return news
+}
+
+// isKnown reports whether the copy holds the state after a change, or a later one. The pages of a
+// list are read one after the other, and its revision is that of the first: the later ones hold
+// changes that are told again after that revision. A removal of unknown revision counts.
+func (c *Copy) isKnown(o Object) bool {
+	known, ok := c.objects[o.Name]
+	switch {
+	case !ok || c.order != nil:
+		return false
+	case o.Removed:
+		return o.Revision > 0 && o.Revision < known.Revision
+	default:
+		return o.Revision <= known.Revision && o.Revision > 0
+	}
 }
 
 // isNewer reports whether an object may replace the one with its name.
