--- a/jacinthd/internal/peers/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -214,6 +214,7 @@
 	info := mirror.ReaderInfo{Hosts: hosts, Readers: hosts, ServesOthers: p.Dispatcher.Serving()}
 	if set := p.peerSet.Load(); set != nil {
 		info.Readers = set.roster.ReaderCount()
+		info.Known = true
 		reader := p.isReader(set)
 		info.ServedByOther = !reader
 		info.ServesOthers = info.ServesOthers || reader && !set.roster.EveryHostRelays(p.Regions[p.Zone])
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -305,4 +305,5 @@
 	Readers       int  // hosts that read the store
 	ServesOthers  bool // other hosts rely on what this one reads
 	ServedByOther bool // another host usually reads for this one
+	Known         bool // all hosts are known; else the numbers are guesses
 }
