peers, mirror: hosts that the store refuses learn from those that read for themselves

By reading: only the two readers of a region push what they read; where the store refuses both, hosts that it serves read for themselves after 2.6 s, but tell nobody, and a host whose relay is refused too learns nothing. Such a host now sends the states of its copies with its reports and digests, and a reader takes them while its own are out of date.

--- a/jacinthd/internal/peers/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -141,6 +141,9 @@
 	sent := time.Now()
 	digest := p.digest(sent, to, relay.ToRelay, func(string) string { return to })
 	digest.ReportsToReceiver = true
+	if p.Copies.ReadsAlone(sent) {
+		digest.CopyStates = p.Copies.States(sent)
+	}
 	message := p.digestMessage(to, digest, p.extra(sent, to, relay.ToRelay))
 	go func() {
 		defer p.reporting.Delete(to)
@@ -183,10 +186,10 @@
 
 // applyUnsolicitedStates applies the copy states in a digest that does not answer a
 // report. A host that reads the store for others ignores them and reads the store
-// itself.
+// itself, unless it can't: then hosts that do without it pass on what they read.
 func (p *Group) applyUnsolicitedStates(ctx context.Context, d relay.Digest) {
 	set := p.peerSet.Load()
-	if set == nil || len(d.CopyStates) == 0 || p.isReader(set) {
+	if set == nil || len(d.CopyStates) == 0 || p.isReader(set) && !p.Copies.IsStale(time.Now()) {
 		return
 	}
 	if from, ok := set.members[d.From]; ok {
@@ -201,10 +204,11 @@
 
 // reportAnswer returns the answer to the report of a host that uses this one as its
 // relay.
-func (p *Group) reportAnswer(from string) peer.Message {
-	now := time.Now()
+func (p *Group) reportAnswer(report relay.Digest) peer.Message {
+	now, from := time.Now(), report.From
 	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
-	digest.CopyStates = p.Copies.States(now)
+	// The reporter may have been the one to tell them.
+	digest.CopyStates = relay.Newer(p.Copies.States(now), report.CopyStates)
 	return p.digestMessage(from, digest, p.extra(now, from, relay.ToReporter))
 }
 
@@ -264,7 +268,7 @@
 	}
 	ownRegion := p.Regions[p.Zone]
 	var states []relay.CopyState
-	if !set.roster.EveryHostRelays(ownRegion) && p.isReader(set) {
+	if !set.roster.EveryHostRelays(ownRegion) && (p.isReader(set) || p.Copies.ReadsAlone(time.Now())) {
 		states = p.Copies.States(time.Now())
 	}
 	for _, region := range set.roster.Regions() {
--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -94,11 +94,11 @@
 	switch m := first.(type) {
 	case peer.Digest:
 		p.applyDigest(m, m.Digest.ReportsToReceiver || p.relayName() == "")
+		p.applyUnsolicitedStates(ctx, m.Digest)
 		if !m.Digest.ReportsToReceiver {
-			p.applyUnsolicitedStates(ctx, m.Digest)
 			return peer.Ack{}
 		}
-		return p.reportAnswer(m.Digest.From)
+		return p.reportAnswer(m.Digest)
 	case peer.StreamBegan:
 		p.Origins.Add(time.Now(), m.Origin)
 		return peer.Ack{}
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// isStale reports whether the copy hasn't been confirmed as the newest state for so long that it has
+// to be read from the store, and hasn't been.
+func (c *Copy) isStale(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.objects != nil && now.Sub(c.currentAt) > maxUnreadAge
+}
+
+// isReadHere reports whether the copy is recent because this host reads it from the store, and no
+// other host has shown that it is.
+func (c *Copy) isReadHere(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.objects != nil && now.Sub(c.currentAt) <= maxUnreadAge && now.Sub(c.peerCurrentAt) > maxUnreadAge
+}
+
 func (p Page) byName() map[string]Object {
 	out := make(map[string]Object, len(p.Objects))
 	for _, o := range p.Objects {
--- a/stage/mirror/set.go
+++ b/stage/mirror/set.go
@@ -74,6 +74,28 @@
 	return out
 }
 
+// IsStale reports whether a copy is out of date, for instance because neither this host nor any that
+// reads the store for it reaches the store.
+func (s *Set) IsStale(now time.Time) bool {
+	return s.any(func(c *Copy) bool { return c.isStale(now) })
+}
+
+// ReadsAlone reports whether this host reads a copy from the store since no other host passes it on.
+func (s *Set) ReadsAlone(now time.Time) bool {
+	return s.any(func(c *Copy) bool { return c.isReadHere(now) })
+}
+
+func (s *Set) any(holds func(*Copy) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.copies {
+		if holds(c) {
+			return true
+		}
+	}
+	return false
+}
+
 // Observe compares this host's copy of a kind with the state of another host's.
 // It reports whether this host is behind, and the revision after which it lacks
 // changes. A state that is at least as recent confirms this host's copy as recent.
--- a/stage/relay/digest.go
+++ b/stage/relay/digest.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthstage/stage/notice"
@@ -100,6 +102,18 @@
 	Age        uint64 // milliseconds since the copy was known to be the newest state
 }
 
+// Newer returns those of the states that are more recent than what is known of the same kind.
+func Newer(states, known []CopyState) []CopyState {
+	ages := make(map[string]uint64, len(known))
+	for _, s := range known {
+		ages[s.Kind] = s.Age
+	}
+	return slices.DeleteFunc(slices.Clone(states), func(s CopyState) bool {
+		age, ok := ages[s.Kind]
+		return ok && s.Age >= age
+	})
+}
+
 // A Direction is the direction in which a digest is sent.
 type Direction uint8
 
