outbound: an answer that ends with its connection is whole if its target outlived it

An orderly end of the connection was then taken for that of a whole answer, also as the target's process ended with it.

The rule is now in Exchange.Read, for short and long answers, streams and those passed on for other hosts: whole only if the target accepts another connection, or another connection to it stays open, docs/decisions/endings.md. What the target has said of itself plays no part, so answers of a leaving target that still serves stay whole. Nothing is told of it to other hosts that they weren't told before.

Ruled out: to compare the end with the time that a target named (it says when the target goes at the latest, not that it has), and to call all answers of leaving targets broken.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -80,9 +80,6 @@
 	if err != nil {
 		return req.classifyError(ctx, attempt, errors.Wrap(err, "body"))
 	}
-	if len(body) < maxBufferedBody && req.endedWithTarget(ctx, attempt, x) {
-		return req.classifyError(ctx, attempt, errors.New("body may be cut off, its target has ended"))
-	}
 	status := x.Response().StatusCode
 	if impliesNotRun(status) {
 		attempt.Report(time.Now(), dispatch.Completed{Failed: true})
@@ -112,13 +109,6 @@
 	return answered{}
 }
 
-// endedWithTarget reports whether an answer may have been cut off by the end of its
-// target's process, which looks like the end of an answer that has neither a length nor
-// chunks.
-func (req *callerRequest) endedWithTarget(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) bool {
-	return x.EndsWithConnection() && req.Reach.EndedUnannounced(ctx, attempt.Target)
-}
-
 // mayRetry reports whether a request that its target answered with an error may run
 // on another target. If so, mayRetry reserves that target and charges the retry
 // budget.
@@ -162,9 +152,6 @@
 	reader := bufio.NewReaderSize(x, 4<<10)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && req.endedWithTarget(ctx, attempt, x) {
-			err = io.ErrUnexpectedEOF
-		}
 		if err == io.EOF {
 			attempt.Report(time.Now(), dispatch.Completed{})
 			req.startStream(x.Response())
--- a/jacinthd/internal/direct/ending_test.go
+++ b/jacinthd/internal/direct/ending_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +94,58 @@
 		})
 	}
 }
+
+// TestLeavingTargetsAnswers checks the answers without a length or chunks of targets that have
+// said that they leave, also through another host: one that is removed with its answer in progress
+// leaves a part of it, which must not look complete (ORDER, MIXED), and one that still serves
+// leaves a whole one (LOST).
+func TestLeavingTargetsAnswers(t *testing.T) {
+	events := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, body := range map[string]string{"/once/": "text", "/once/long": strings.Repeat("x", 3<<20), "/stream/": events} {
+		for _, removed := range []bool{true, false} {
+			for _, indirect := range []bool{true, false} {
+				t.Run(fmt.Sprint(name, ", removed ", removed, ", through another host ", indirect), func(t *testing.T) {
+					s := newLeavingSystem(t, body, removed, indirect)
+					response, text, err := s.send(t, http.MethodPost, name, "body")
+					if !removed {
+						require.NoError(t, err)
+						require.Equal(t, http.StatusOK, response.StatusCode)
+						require.True(t, text == body, "%d of %d bytes", len(text), len(body))
+						return
+					}
+					require.True(t, err != nil || response.StatusCode == http.StatusBadGateway, "%d bytes look complete", len(text))
+				})
+			}
+		}
+	}
+}
+
+// newLeavingSystem returns a system with one target. It says in its answer, which has neither a
+// length nor chunks, that it leaves, and ends after it if it is removed.
+func newLeavingSystem(t *testing.T, body string, removed, indirect bool) *testSystem {
+	hosts := startHosts(t, 2)
+	c := &cut{dial: isRefused}
+	c.apply(hosts[0])
+	c.active.Store(indirect)
+	s := newLinkedSystem(t, hosts, 0, nil)
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nLeaving: 1\r\n\r\n%s", r.Header.Get("Id"), body)
+		if removed {
+			_ = server.Listener.Close()
+			server.CloseClientConnections()
+		}
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	target := catalog.Target{Name: "t0", Service: "s", Zone: "z", Slots: 8, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	for _, h := range hosts {
+		h.dispatcher.Apply(time.Now(), listOf(target))
+	}
+	return s
+}
--- a/jacinthd/internal/outbound/conn.go
+++ b/jacinthd/internal/outbound/conn.go
@@ -17,6 +17,8 @@
 // A poolConn is one connection of a Pool.
 type poolConn struct {
 	net.Conn
+	pool      *Pool
+	address   netip.AddrPort
 	source    *limitedReader // reads from Conn
 	reader    *bufio.Reader  // reads from source
 	idleSince time.Time      // start of the current idle period
@@ -31,6 +33,12 @@
 	at   time.Time
 }
 
+// Close closes the connection.
+func (c *poolConn) Close() error {
+	c.pool.open.remove(c)
+	return c.Conn.Close()
+}
+
 // readHead reads the status line and the header of a response.
 func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -17,12 +18,14 @@
 	// the response can't belong to another request even if it has no ID.
 	First bool
 
+	ctx       context.Context // of the request
 	pool      *Pool
 	address   netip.AddrPort
 	conn      *poolConn
 	written   chan error  // result of writing the request
 	stopWatch func() bool // stops closing the connection at the end of the context
 	complete  bool        // the body was read to its end
+	end       error       // result of all further reads, if not nil
 }
 
 // readResponse reads responses until one belongs to the request.
@@ -58,8 +61,11 @@
 
 // Discard reads the rest of the response body, so that the connection can carry other
 // requests. It gives up after limit bytes or at the time until; Close then closes the
-// connection.
+// connection. A body that ends with its connection isn't read.
 func (x *Exchange) Discard(limit int64, until time.Time) error {
+	if x.endsWithConnection() {
+		return nil
+	}
 	x.conn.source.inBody = false
 	if err := x.conn.SetReadDeadline(until); err != nil {
 		return errors.WithStack(err)
@@ -70,20 +76,34 @@
 	return errors.WithStack(x.conn.SetReadDeadline(time.Time{}))
 }
 
-// Read reads the response body. It returns io.EOF only after a complete body.
+// Read reads the response body. It returns io.EOF only after a complete body: one that
+// ends with its connection is complete if the target's process has outlived it, and
+// fails with ErrCutOff otherwise.
 func (x *Exchange) Read(p []byte) (int, error) {
+	if x.end != nil {
+		return 0, x.end
+	}
 	n, err := x.Response.Body.Read(p)
 	if err == io.EOF {
-		x.complete = true
+		err = x.ended()
 	}
+	x.end = err
 	return n, err
 }
 
-// EndsWithConnection reports whether the response body has neither a length nor chunks, so
-// that only the end of the connection ends it. A target's process that ends closes its
-// connections as well.
-func (x *Exchange) EndsWithConnection() bool {
-	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+// ended returns the error with which the end of the body is reported.
+func (x *Exchange) ended() error {
+	if x.endsWithConnection() && !x.pool.outlives(x.ctx, x.address) {
+		return ErrCutOff
+	}
+	x.complete = true
+	return io.EOF
+}
+
+// endsWithConnection reports whether the response body has neither a length nor chunks, so
+// that only the end of the connection ends it.
+func (x *Exchange) endsWithConnection() bool {
+	return x.Response.Body != http.NoBody && x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
 }
 
 // Close ends the exchange. It returns the connection to the pool if it can carry
@@ -122,5 +142,5 @@
 // discard closes the connection.
 func (x *Exchange) discard() {
 	x.stopWatch()
-	_ = x.conn.Conn.Close()
+	_ = x.conn.Close()
 }
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -10,6 +10,9 @@
 // and its response was read completely, with no bytes left over. A response
 // therefore never reaches a request that it doesn't belong to.
 //
+// A response that ends with its connection is complete only if its target has outlived it
+// (ending.go).
+//
 // A failure is an *Error, which says whether the target may have received the
 // request.
 package outbound
@@ -107,12 +110,12 @@
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, DialFailed: true, Cause: errors.Wrap(err, "connect")}
 	}
-	x := &Exchange{pool: p, address: address, conn: c, written: make(chan error, 1), First: !c.used}
+	x := &Exchange{ctx: ctx, pool: p, address: address, conn: c, written: make(chan error, 1), First: !c.used}
 	c.noteCarried(time.Now(), r.ID)
 	if p.Watcher != nil {
 		p.Watcher.Sent()
 	}
-	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	request, err := r.httpRequest()
 	if err != nil {
 		x.discard()
--- a/jacinthd/internal/outbound/pool.go
+++ b/jacinthd/internal/outbound/pool.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	idle    map[netip.AddrPort][]*poolConn
 	maxIdle int // idle connections kept for each target; 0 means maxIdleConns
+
+	open openConns
 }
 
 // A Watcher observes the connections of a Pool. Its methods are called by many goroutines.
@@ -75,14 +77,14 @@
 	if c := p.takeIdle(address, r); c != nil {
 		return c, nil
 	}
-	return p.open(ctx, address)
+	return p.dial(ctx, address)
 }
 
 // Open opens a connection to address and keeps it for later requests. It fails if the
 // target does not accept one, or resets it at once and does not accept another that lasts.
 func (p *Pool) Open(ctx context.Context, address netip.AddrPort) error {
 	for range 2 {
-		c, err := p.open(ctx, address)
+		c, err := p.dial(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -92,7 +94,7 @@
 			p.put(address, c, defaultIdleTimeout)
 			return nil
 		}
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	p.notConnected(address, errReset)
 	return errReset
@@ -101,7 +103,7 @@
 // errReset means that a target accepts connections and resets them at once.
 var errReset = errors.New("reset at once")
 
-func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*poolConn, error) {
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*poolConn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	conn, err := p.Dial(dialCtx, "tcp", address.String())
@@ -118,8 +120,9 @@
 }
 
 func (p *Pool) newConn(address netip.AddrPort, conn net.Conn) *poolConn {
-	c := &poolConn{Conn: conn, source: &limitedReader{conn: conn, remaining: math.MaxInt64, address: address, watcher: p.Watcher}}
+	c := &poolConn{Conn: conn, pool: p, address: address, source: &limitedReader{conn: conn, remaining: math.MaxInt64, address: address, watcher: p.Watcher}}
 	c.reader = bufio.NewReaderSize(c.source, bufferSize)
+	p.open.add(c)
 	return c
 }
 
@@ -154,7 +157,7 @@
 		if now.Before(c.expires) && reusable(c.Conn) {
 			return c
 		}
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	return nil
 }
@@ -168,7 +171,7 @@
 		p.idle = make(map[netip.AddrPort][]*poolConn)
 	}
 	if timeout <= 0 || len(p.idle[address]) >= p.idleLimit() {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return
 	}
 	c.idleSince = time.Now()
@@ -189,7 +192,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.Conn.Close()
+			_ = c.Close()
 		}
 		if len(kept) == 0 {
 			delete(p.idle, address)
--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -106,6 +106,21 @@
 	return lost
 }
 
+// isEstablished reports whether a connection is open and the remote side hasn't ended it,
+// also while another goroutine reads from it.
+func isEstablished(conn net.Conn) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return false
+	}
+	established := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return established
+}
+
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func reusable(conn net.Conn) bool {
--- a/jacinthd/internal/proxy/client.go
+++ b/jacinthd/internal/proxy/client.go
@@ -37,14 +37,12 @@
 // An Exchange is a request to a target whose answer's head has arrived, sent by this host or
 // by a proxy. The caller must close it.
 type Exchange interface {
+	// Read returns io.EOF only after a complete body.
 	io.Reader
 	// Response returns the answer without its body.
 	Response() *http.Response
 	// First reports whether the answer can't belong to an earlier request.
 	First() bool
-	// EndsWithConnection reports whether only the end of the connection ends the body, and
-	// whether that is the end of a whole body isn't known yet.
-	EndsWithConnection() bool
 	// Discard reads the rest of the body, up to a number of bytes and a time.
 	Discard(limit int64, until time.Time) error
 	Close()
@@ -202,10 +200,8 @@
 // First implements Exchange.
 func (x *proxyExchange) First() bool { return x.first }
 
-// EndsWithConnection implements Exchange. The proxy finds out whether the body is whole.
-func (x *proxyExchange) EndsWithConnection() bool { return false }
-
-// Read implements Exchange. It returns io.EOF only after a complete body.
+// Read implements Exchange. It returns io.EOF only after a complete body; the proxy finds out
+// whether it is one.
 func (x *proxyExchange) Read(p []byte) (int, error) {
 	for len(x.data) == 0 && x.err == nil {
 		m, err := x.stream.Recv()
--- a/jacinthd/internal/proxy/server.go
+++ b/jacinthd/internal/proxy/server.go
@@ -137,11 +137,6 @@
 			}
 		}
 		switch {
-		case err == io.EOF && x.EndsWithConnection():
-			if p.Reach.EndedUnannounced(ctx, target) {
-				return peer.ProxyEnd{Broken: "body may be cut off, its target has ended", Ended: true}, nil
-			}
-			return peer.ProxyEnd{}, nil
 		case err == io.EOF:
 			return peer.ProxyEnd{}, nil
 		case err != nil:
