notice: a new process is spared as its former one was until it has said something

A limit of the former process now holds until the new one has answered a request that ran, for 5 s at most; the four hosts that come first may each send one request at once to find out. That it is brittle holds until an answer says otherwise. Reports to other hosts don't name an inherited limit as the new process's.

Ruled out: to keep the limit outright (a host without a share would send nothing: TestLimitOfFormerProcess failed with it, and holds as it stands). TestNewProcessIsSpared fails before (50 requests in place of 2).

--- a/stage/notice/notice.go
+++ b/stage/notice/notice.go
@@ -4,8 +4,9 @@
 //
 // What a target said binds the host that heard it at once, whatever the store shows. It
 // holds until the answer to a later request that ran says otherwise, or the target's
-// process ends: another process at the same address has said nothing yet. Hosts pass on to each
-// other what they heard, with its age; the newest counts.
+// process ends. A limit, and that the target is brittle, hold for its next process too until
+// that says otherwise (see Follow). Hosts pass on to each other what they heard, with its age; the newest
+// counts.
 //
 // A limit holds for all hosts together, without a message for each request: as many
 // hosts as the limit has requests a second send to the target, each at an equal rate and
@@ -44,6 +45,10 @@
 	limitAt  time.Time     // when a limit, or the end of one, was last said
 	newsAt   time.Time     // when this host learned of the last change
 	requests *rate.Limiter // requests of this host while there is a limit
+	// inheritedUntil is when a limit that the target's former process named ends. It is zero
+	// once this process has said what it takes. tried says that this host has sent it a request.
+	inheritedUntil time.Time
+	tried          bool
 
 	leaving    bool
 	quietUntil time.Time
@@ -93,7 +98,7 @@
 	if now.Before(s.quietUntil) {
 		return s.quietUntil.Sub(now), true
 	}
-	if s.limit == 0 {
+	if !s.isLimited(now) || s.mayTry(share) {
 		return 0, true
 	}
 	perSecond := share.rate(s.limit)
@@ -105,8 +110,20 @@
 	return time.Duration(max(0, missing) / perSecond * float64(time.Second)), true
 }
 
+// isLimited reports whether a limit holds.
+func (s *State) isLimited(now time.Time) bool {
+	return s.limit > 0 && (s.inheritedUntil.IsZero() || now.Before(s.inheritedUntil))
+}
+
+// mayTry reports whether this host may find out with one request whether the former process's
+// limit still holds. Only few hosts may.
+func (s *State) mayTry(share Share) bool {
+	return !s.inheritedUntil.IsZero() && !s.tried && share.Hosts > 0 && share.Rank < tryingHosts
+}
+
 // Sent counts a request to the target.
 func (s *State) Sent(now time.Time) {
+	s.tried = true
 	if s.limit > 0 && s.requests != nil {
 		s.requests.AllowN(now, 1)
 	}
@@ -129,7 +146,7 @@
 
 // Unrestricted reports whether the target said nothing that keeps requests from it.
 func (s *State) Unrestricted(now time.Time) bool {
-	return s.limit == 0 && !s.leaving && !s.brittle && !now.Before(s.quietUntil)
+	return !s.isLimited(now) && !s.leaving && !s.brittle && !now.Before(s.quietUntil)
 }
 
 // Leaving reports whether the target said that it is leaving. It doesn't change its mind.
@@ -138,13 +155,26 @@
 // Quiet reports whether the target wants no requests now.
 func (s *State) Quiet(now time.Time) bool { return now.Before(s.quietUntil) }
 
-// restartDelay is the time in which hosts may not know yet that a target has a new process.
-const restartDelay = 2 * time.Second
+const (
+	// restartDelay is the time in which hosts may not know yet that a target has a new process.
+	restartDelay = 2 * time.Second
+	// inheritedTime is how long the limit of a target's former process holds for one that
+	// says nothing, as no request of the hosts that may send has come.
+	inheritedTime = 5 * time.Second
+	// tryingHosts is the number of hosts that send one request to a new process whatever the
+	// limit of the former one.
+	tryingHosts = 4
+)
 
-// Follow takes over from the state of the target's former process what the new one may have
-// said before its start was known: that it wants no requests. Its limit and its leaving are
-// in each of its answers.
+// Follow takes over from the state of the target's former process what holds of the new one
+// until it says otherwise: a limit, and that the target is brittle. All that a host sends
+// before the first answer would pass them. What the new process may have said before its start
+// was known, that it wants no requests, is taken over too.
 func (s *State) Follow(now time.Time, former State) {
+	if former.isLimited(now) {
+		s.limit, s.limitAt, s.inheritedUntil = former.limit, former.limitAt, now.Add(inheritedTime)
+	}
+	s.brittle, s.brittleAt, s.tolerated = former.brittle, former.brittleAt, former.tolerated
 	if now.Sub(former.newsAt) <= restartDelay {
 		s.quietUntil, s.newsAt = former.quietUntil, former.newsAt
 	}
@@ -204,7 +234,7 @@
 // set records a limit that was said at the time at.
 func (s *State) set(now, at time.Time, limit float64) (changed bool) {
 	changed = limit != s.limit
-	s.limit, s.limitAt = limit, at
+	s.limit, s.limitAt, s.inheritedUntil = limit, at, time.Time{}
 	if changed {
 		s.newsAt = now
 	}
@@ -240,8 +270,12 @@
 
 // Report returns what to tell other hosts, without the fields that identify the target.
 func (s *State) Report(now time.Time) Report {
+	limit, limitAt := s.limit, s.limitAt
+	if !s.inheritedUntil.IsZero() {
+		limit, limitAt = 0, time.Time{} // of another process
+	}
 	return Report{
-		Limit: s.limit, Age: uint64(max(0, now.Sub(s.limitAt).Milliseconds())),
+		Limit: limit, Age: uint64(max(0, now.Sub(limitAt).Milliseconds())),
 		Leaving: s.leaving, Quiet: uint64(max(0, s.quietUntil.Sub(now).Milliseconds())),
 		Brittle: s.brittle, Tolerated: uint64(s.tolerated), Heard: uint64(max(1, now.Sub(s.brittleAt).Milliseconds())), Full: uint64(max(0, s.fullUntil.Sub(now).Milliseconds())),
 	}
