outbound: a target that is ending may still accept connections

Now a connection to the target must still be open 100 ms after one was accepted. Ruled out: asking the process for an answer, which it may give late or have no room for.

--- a/jacinthd/internal/outbound/ending.go
+++ b/jacinthd/internal/outbound/ending.go
@@ -16,7 +16,8 @@
 // of a process that ends as if the process had closed them. The two can't be told from the bytes.
 // Such a response is therefore complete only if the target's process is seen to run after its end:
 //
-//   - the target accepts another connection that lasts for a moment, or
+//   - the target accepts another connection, and a connection to it is still open when a process
+//     that was ending would have closed all of its own, or
 //   - the target refuses connections, as one that leaves may do while it finishes its work and as
 //     a link at fault does, but another connection to it is still open when a lost end of that
 //     connection would have been sent again.
@@ -29,6 +30,9 @@
 	outliveTimeout = 700 * time.Millisecond
 	// outliveInterval is the time between two looks.
 	outliveInterval = 50 * time.Millisecond
+	// endingTime is the time in which a process that ends closes all of its connections and its
+	// listener. The system may close the listener last: until then it accepts connections.
+	endingTime = 100 * time.Millisecond
 )
 
 // ErrCutOff means that a response ended with its connection, and that its target hasn't been
@@ -43,7 +47,7 @@
 	for {
 		if !refused {
 			err := p.Open(waiting, address)
-			if err == nil {
+			if err == nil && p.staysOpen(waiting, address) {
 				return true
 			}
 			refused = errors.Is(err, syscall.ECONNREFUSED)
@@ -59,6 +63,16 @@
 	}
 }
 
+// staysOpen reports whether a connection to address is open after endingTime.
+func (p *Pool) staysOpen(ctx context.Context, address netip.AddrPort) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(endingTime):
+		return p.open.established(address)
+	}
+}
+
 // openConns are the open connections of a Pool, idle or not.
 type openConns struct {
 	mu        sync.Mutex
