--- a/jacinthd/internal/peer/codec_test.go
+++ b/jacinthd/internal/peer/codec_test.go
@@ -12,10 +12,13 @@
 
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/adapter"
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/load"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/origin"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/relay"
+	"jacinthstage/stage/speed"
 	"jacinthstage/stage/suspect"
 	"jacinthstage/stage/verdict"
 )
@@ -136,6 +139,13 @@
 			f.Add(g.data)
 		}
 	}
+	for _, extra := range []relay.Extra{
+		{Quotas: []quota.Report{{Account: 7}, {}}}, {Speeds: []speed.Report{{Target: 1 << 31}}}, {Admissions: []admission.Report{{Service: 9}}},
+	} {
+		var wire bytes.Buffer
+		require.NoError(f, peer.Write(&wire, peer.Digest{Digest: relay.Digest{From: "h"}, Extra: extra}))
+		f.Add(wire.Bytes())
+	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(t *testing.T, wire []byte) {
 		m, err := peer.Read(bytes.NewReader(wire))
