memory, connection, direct, proxy, daemon: bytes held for callers have a limit

Cause: each body was read whole, by io.ReadAll's doubling, with no sum over requests; answers that nobody takes and the number of connections had no bound either. Now one memory.Budget a process counts bodies that arrive or are held, answers not taken and bodies sent for other hosts; a buffer grows with what arrives once there is room. Without room, bodies and answers without progress for 500 ms lose first (the longest, then the largest); a body that gets none is refused with 503, Retry-After and Connection: close before it is sent, an answer passes through as it arrives. A connection.Table bounds callers' connections below the process's descriptors; idle and unfinished ones are closed first.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 
 	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
+	"jacinthstage/jacinthd/internal/callers"
 	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/direct"
 	"jacinthstage/jacinthd/internal/metrics"
@@ -38,6 +39,7 @@
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/lease"
+	"jacinthstage/stage/memory"
 	"jacinthstage/stage/mirror"
 	"jacinthstage/stage/retry"
 )
@@ -101,6 +103,11 @@
 	builds     *origins.Builds
 	origins    *origins.Streams
 	lifecycle  *lifecycle
+
+	memory        memory.Budget
+	connections   callers.Connections
+	noMemory      shortage
+	noConnections shortage
 }
 
 // New returns a Process with the settings s. It registers the process's metrics
@@ -114,6 +121,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	counters := metrics.New(registry)
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
+	metrics.RegisterMemory(registry, &p.memory, &p.connections.Table)
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: counters.Opened.Inc}
 	suspects := &contact.Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
@@ -134,7 +142,7 @@
 		OnMembers: p.peers.SetMembers, OnOwned: counters.SetOwned,
 		LeaseTiming: lease.Timing{Duration: leaseDuration, RenewInterval: leaseRenewInterval, ClockMargin: leaseClockMargin},
 	}
-	p.proxy = &proxy.Server{Headers: deps.Headers, Reach: p.reach, Stopping: p.lifecycle.isStopping}
+	p.proxy = &proxy.Server{Headers: deps.Headers, Reach: p.reach, Memory: &p.memory, Stopping: p.lifecycle.isStopping}
 	p.peers.Proxy = p.proxy
 	p.peers.Era = deps.Store.Era
 	p.origins = &origins.Streams{Self: s.Name, Store: deps.Store, Dispatcher: p.dispatcher, Peers: p.peers, Log: log}
@@ -148,7 +156,7 @@
 	p.peers.Wake = p.controller.Wake
 	p.peers.OnNewerConfig = deps.Follower.Refresh
 	p.handler = &direct.Handler{
-		Peers: p.peers, Suspects: suspects, Reach: p.reach,
+		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
 		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
@@ -184,12 +192,14 @@
 	defer cancel()
 	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
 		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()), zap.Strings("ignored", p.settings.Ignored))
-	callers := &http.Server{
+	p.applyLimits()
+	server := &http.Server{
+		ConnContext: p.connections.Accept, ConnState: p.connections.Changed,
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	listenErrs := make(chan error, 3)
-	if err := p.listen(runCtx, listenErrs, callers, p.settings.Caller); err != nil {
+	if err := p.listen(runCtx, listenErrs, server, p.settings.Caller); err != nil {
 		return err
 	}
 	if err := p.listen(runCtx, listenErrs, &http.Server{Handler: p.readinessHandler(), ReadHeaderTimeout: headerTimeout}, p.settings.Ready); err != nil {
@@ -216,7 +226,7 @@
 		return errors.Wrap(err, "listen")
 	case <-ctx.Done():
 	}
-	return p.stop(callers)
+	return p.stop(server)
 }
 
 // openLink opens the UDP socket of the link between hosts, and starts to serve
@@ -301,6 +311,7 @@
 				p.log.Info("residency: slots", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
 					zap.Int("coming", u.Loading), zap.Int("leaving", u.Unloading), zap.Int("doubt", u.Uncertain))
 			}
+			p.logShortages()
 			if d := p.sink.Dropped(); d != dropped {
 				p.log.Warn("log: lines dropped", zap.Uint64("lines", d-dropped))
 				dropped = d
--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -12,10 +12,13 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/body"
 	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/connection"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/memory"
 	"jacinthstage/stage/verdict"
 )
 
@@ -76,11 +79,16 @@
 // forwardBody sends an answer that is not a stream to the caller, once it is read
 // completely or up to maxBufferedBody.
 func (req *callerRequest) forwardBody(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) outcome {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
-	if err != nil {
+	held := req.Memory.Open(time.Now(), memory.Answer, nil)
+	defer held.Close()
+	buffer := body.Buffer{Holding: held, Limit: maxBufferedBody}
+	_, err := buffer.ReadFrom(x)
+	text := buffer.Bytes()
+	complete := err == nil && len(text) < maxBufferedBody
+	if err != nil && !errors.Is(err, body.ErrNoMemory) { // without memory, the rest passes through as it arrives
 		return req.classifyError(ctx, attempt, errors.Wrap(err, "body"))
 	}
-	if len(body) < maxBufferedBody && req.endedWithTarget(ctx, attempt, x) {
+	if complete && req.endedWithTarget(ctx, attempt, x) {
 		return req.classifyError(ctx, attempt, errors.New("body may be cut off, its target has ended"))
 	}
 	status := x.Response().StatusCode
@@ -97,14 +105,15 @@
 		return retryableFailure{status: status}
 	}
 	req.startAnswer(x.Response())
-	complete := len(body) < maxBufferedBody
 	if complete {
-		req.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		req.w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	}
 	req.w.WriteHeader(status)
-	_, err = req.w.Write(body)
+	held.MayEvict(time.Now(), func() { _ = http.NewResponseController(req.w).SetWriteDeadline(time.Now()) })
+	_, err = answerWriter{req, held}.Write(text)
 	if err == nil && !complete {
-		if _, err = io.Copy(req.w, x); err != nil {
+		held.Close()
+		if _, err = io.Copy(answerWriter{req: req}, x); err != nil {
 			req.abort(err.Error())
 		}
 	}
@@ -180,17 +189,19 @@
 		if req.lastEventTime.Sub(req.headTime) > clearingTime {
 			req.answered()
 		}
-		if _, err := req.w.Write(event); err != nil {
+		if _, err := (answerWriter{req: req}).Write(event); err != nil {
 			attempt.Report(time.Now(), dispatch.Canceled{})
 			return callerGone{}
 		}
 		if id := eventID(event); id != "" {
 			req.lastEventID = id
 		}
+		req.connection.Set(time.Now(), connection.Writing)
 		if err := http.NewResponseController(req.w).Flush(); err != nil {
 			attempt.Report(time.Now(), dispatch.Canceled{})
 			return callerGone{}
 		}
+		req.connection.Set(time.Now(), connection.Serving)
 	}
 }
 
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -20,9 +20,9 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/callers"
 	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/metrics"
 	"jacinthstage/jacinthd/internal/outbound"
@@ -30,18 +30,14 @@
 	"jacinthstage/stage/account"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/connection"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/memory"
 	"jacinthstage/stage/retry"
 	"jacinthstage/stage/suspect"
 )
 
 const (
-	// defaultMaxBody is the maximum size of a request's body, in bytes, if the
-	// configuration sets none.
-	defaultMaxBody = 4 << 20
-	// bodyReadTimeout limits the time from the arrival of a request until its body
-	// is read.
-	bodyReadTimeout = 5 * time.Second
 	// defaultTimeout is the time limit of a request; the caller and the route may
 	// set shorter ones.
 	defaultTimeout = 60 * time.Second
@@ -61,6 +57,8 @@
 	Reach      *contact.Reach
 	Metrics    *metrics.Host
 	Log        *zap.Logger
+	// Memory is the account of what is held for callers. nil means no limit.
+	Memory *memory.Budget
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
 	// Wake is called when a runner may need an order.
@@ -82,9 +80,11 @@
 	route      catalog.Route
 	service    string
 	body       []byte
-	identity   suspect.Request // see suspectRequest; zero until it is needed
-	trial      bool            // the request may be sent although a trait of it is refused
-	cleared    bool            // an answer has shown that the request crashes no target
+	held       *memory.Holding   // holds body; nil until it is read
+	connection *connection.Entry // on which the request arrived; may be nil
+	identity   suspect.Request   // see suspectRequest; zero until it is needed
+	trial      bool              // the request may be sent although a trait of it is refused
+	cleared    bool              // an answer has shown that the request crashes no target
 	arrived    time.Time
 	// deadline is the earliest of the caller's deadline, the route's and the default.
 	deadline time.Time
@@ -114,7 +114,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &callerRequest{Handler: h, w: w, r: r, arrived: time.Now(), log: h.Log}
+	req := &callerRequest{Handler: h, w: w, r: r, arrived: time.Now(), log: h.Log, connection: callers.Entry(r.Context())}
+	defer req.release()
 	defer h.Metrics.RequestStarted()()
 	if h.Stopping() || len(r.TransferEncoding) > 0 {
 		// A request with a chunked body may also have a Content-Length header, so
@@ -165,46 +166,6 @@
 	return req.readBody(config.Limits.MaxBody)
 }
 
-func (req *callerRequest) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if req.r.ContentLength > limit {
-		req.w.Header().Set("Connection", "close")
-		req.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
-	}
-	control := http.NewResponseController(req.w)
-	if err := control.SetReadDeadline(req.arrived.Add(bodyReadTimeout)); err != nil {
-		req.log.Warn("request: body read deadline not set", zap.Error(err))
-	}
-	var err error
-	req.body, err = io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, limit))
-	if err != nil {
-		req.refuseBody(err)
-		return false
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		req.log.Warn("request: body read deadline not cleared", zap.Error(err))
-	}
-	return true
-}
-
-func (req *callerRequest) refuseBody(err error) {
-	req.w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		req.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		req.refuse(http.StatusRequestTimeout, "body too slow", 0)
-		return
-	}
-	req.refuse(http.StatusBadRequest, "body can't be read", 0)
-}
-
 // refuse sends an answer that this host generates itself, and logs the reason. If
 // the answer has begun already, refuse aborts it.
 func (req *callerRequest) refuse(status int, reason string, after time.Duration) {
--- a/jacinthd/internal/proxy/server.go
+++ b/jacinthd/internal/proxy/server.go
@@ -16,10 +16,12 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/body"
 	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/memory"
 	"jacinthstage/stage/verdict"
 )
 
@@ -38,6 +40,7 @@
 	Headers  outbound.HeaderCodec
 	Reach    *contact.Reach
 	Stopping func() bool
+	Memory   *memory.Budget // may be nil
 
 	active atomic.Int32
 	open   sync.WaitGroup
@@ -88,7 +91,12 @@
 // forward sends the request and passes the answer on. It returns how the answer ended, or an
 // error if the other host needs no end.
 func (p *Server) forward(ctx context.Context, m peer.ProxyRequest, target catalog.Target, stream *peer.Stream) (peer.ProxyEnd, error) {
-	body, err := receiveBody(stream, m.Size)
+	held := p.Memory.Open(time.Now(), memory.Passed, nil)
+	defer held.Close()
+	text, err := receiveBody(stream, held, m.Size)
+	if errors.Is(err, body.ErrNoMemory) {
+		_ = stream.Send(peer.ProxyRefusal{Reason: peer.ProxyUnavailable, Cause: err.Error()})
+	}
 	if err != nil {
 		return peer.ProxyEnd{}, err
 	}
@@ -98,7 +106,7 @@
 	}
 	sent := time.Now()
 	x, err := p.Reach.Pool.Do(ctx, m.Address, outbound.Request{
-		ID: m.ID, Method: m.Method, RequestURI: m.RequestURI, Host: m.Host, Header: header, Body: body, AtMostOnce: m.AtMostOnce,
+		ID: m.ID, Method: m.Method, RequestURI: m.RequestURI, Host: m.Host, Header: header, Body: text, AtMostOnce: m.AtMostOnce,
 	}, outbound.AnswersTo(p.Headers, m.ID))
 	var fault *outbound.Error
 	if errors.As(err, &fault) && fault.Verdict == verdict.NotRun {
@@ -169,9 +177,10 @@
 	}
 }
 
-func receiveBody(stream *peer.Stream, size int) ([]byte, error) {
-	var body []byte
-	for len(body) < size {
+// receiveBody receives a body of a size. The buffer grows with what arrives.
+func receiveBody(stream *peer.Stream, held *memory.Holding, size int) ([]byte, error) {
+	buffer := body.Buffer{Holding: held, Limit: int64(size)}
+	for len(buffer.Bytes()) < size {
 		m, err := stream.Recv()
 		if err != nil {
 			return nil, err
@@ -180,9 +189,11 @@
 		if !ok {
 			return nil, errors.Errorf("unexpected %T in a body", m)
 		}
-		body = append(body, part.Data...)
+		if _, err := buffer.Write(part.Data); err != nil {
+			return nil, err
+		}
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
 
 // parseHeader parses a header as in HTTP/1.1, without the empty line behind it.
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -30,6 +30,9 @@
 	BaseRetries   float64       // retries allowed per window beyond RetryRatio, over all hosts
 	GracePeriod   time.Duration // from the stop signal to the end of the process
 	MemoryLimitMB float64       // memory limit of the process in MB; 0 means no limit
+	Descriptors   int           // file descriptors that the process may open; 0 means the limit that the system sets
+	HeldMB        float64       // MB of bodies and answers that the process may hold; 0 derives it from MemoryLimitMB
+	Connections   int           // open connections of callers; 0 derives it from Descriptors and MemoryLimitMB
 	Level         zapcore.Level // minimum level of log lines
 	Ignored       []string      // keys marked as optional that this build doesn't know, as SECTION.KEY
 }
@@ -37,10 +40,11 @@
 // The limits of what the platform sets for a host. They only exclude values that can't be
 // computed with.
 const (
-	maxRetryRatio = 1e6 // retries per request
-	maxRetries    = 1e9 // retries per window
-	maxMemory     = 1e9 // MB
-	maxBound      = 365 * 24 * time.Hour
+	maxRetryRatio  = 1e6 // retries per request
+	maxRetries     = 1e9 // retries per window
+	maxMemory      = 1e9 // MB
+	maxDescriptors = 1 << 30
+	maxBound       = 365 * 24 * time.Hour
 )
 
 // ReadDirect reads and validates the settings in file. Its error is a single
@@ -71,6 +75,7 @@
 		{section: "host", key: "zone", set: platformName(&d.Zone)},
 		{section: "host", key: "zones", optional: true, set: zoneRegions(&d.Regions)},
 		{section: "host", key: "memory", fallback: "0", set: decimal(&d.MemoryLimitMB, 0, maxMemory)},
+		{section: "host", key: "descriptors", fallback: "0", set: integer(&d.Descriptors, 0, maxDescriptors)},
 		{section: "host", key: "source", optional: true, set: ip(&d.Source)},
 		{section: "listen", key: "caller", set: address(&d.Caller)},
 		{section: "listen", key: "peer", set: address(&d.Peer)},
@@ -82,6 +87,8 @@
 		{section: "retries", key: "share", fallback: "0.1", set: decimal(&d.RetryRatio, 0, maxRetryRatio)},
 		{section: "retries", key: "slack", fallback: "10", set: decimal(&d.BaseRetries, 0, maxRetries)},
 		{section: "stop", key: "grace", fallback: "8s", set: duration(&d.GracePeriod, 0, maxBound)},
+		{section: "limits", key: "held", fallback: "0", set: decimal(&d.HeldMB, 0, maxMemory)},
+		{section: "limits", key: "callers", fallback: "0", set: integer(&d.Connections, 0, maxDescriptors)},
 		{section: "log", key: "level", fallback: "info", set: level(&d.Level)},
 	}
 }
