--- a/jacinthd/internal/direct/body.go
+++ b/jacinthd/internal/direct/body.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +25,8 @@
 	// memoryRetryAfter is the time after which the caller of a request for whose body there was
 	// no memory may try again. Bodies without progress have lost their memory by then.
 	memoryRetryAfter = time.Second
+	// discardRestTimeout is how long the rest of a body is read and discarded that was refused for want of memory.
+	discardRestTimeout = 500 * time.Millisecond
 	// writeSize is the size of the parts in which an answer is written, in bytes. After each the
 	// caller counts as one that makes progress.
 	writeSize = 32 << 10
@@ -44,7 +48,7 @@
 		return false
 	}
 	if err := req.receiveBody(control, limit); err != nil {
-		req.refuseBody(control, err)
+		req.refuseBody(control, limit, err)
 		return false
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
@@ -73,13 +77,13 @@
 	return err
 }
 
-func (req *callerRequest) refuseBody(control *http.ResponseController, err error) {
+func (req *callerRequest) refuseBody(control *http.ResponseController, limit int64, err error) {
 	req.w.Header().Set("Connection", "close")
 	req.release()
 	if errors.Is(err, body.ErrNoMemory) {
-		// The server must not wait for the rest of the body before it sends the refusal.
-		_ = control.SetReadDeadline(time.Now())
+		req.w.Header().Set("Content-Length", strconv.Itoa(len(err.Error()+"\n"))) // the refusal ends before the rest is read
 		req.refuse(http.StatusServiceUnavailable, err.Error(), memoryRetryAfter)
+		req.discardRest(control, limit)
 		return
 	}
 	var tooLarge *http.MaxBytesError
@@ -95,6 +99,14 @@
 	req.refuse(http.StatusBadRequest, "body can't be read", 0)
 }
 
+// discardRest reads on for a moment after a refusal. If the connection were closed before the
+// caller has sent all, the caller would find it reset, without the refusal.
+func (req *callerRequest) discardRest(control *http.ResponseController, limit int64) {
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardRestTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(req.r.Body, limit))
+}
+
 // release gives the memory of the request's body back. What is left of the answer is written
 // without this package.
 func (req *callerRequest) release() {
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -30,6 +30,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	budget "jacinthstage/stage/memory"
 	"jacinthstage/stage/retry"
 	"jacinthstage/stage/verdict"
 )
@@ -108,6 +109,7 @@
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
 	stop       atomic.Bool
+	memory     budget.Budget
 	targets    []catalog.Target
 	// missed is applied when the host catches up with the platform; it fails if unknown.
 	missed atomic.Pointer[missedChanges]
@@ -201,7 +203,7 @@
 	s.suspects.Pool.Watcher = reach
 	s.reach = reach
 	handler := &direct.Handler{
-		Reach:      reach,
+		Reach: reach, Memory: &s.memory,
 		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects, Peers: s.peers,
 		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Wake: func() {}, CatchUp: s.catchUp,
 	}
