--- a/jacinthd/internal/body/body.go
+++ b/jacinthd/internal/body/body.go
@@ -14,6 +14,9 @@
 // ErrNoMemory means that there was no room for a body, or that it had to give its room to others.
 var ErrNoMemory = errors.New("short of memory")
 
+// firstSize is the size of a buffer when the first bytes arrive, in bytes.
+const firstSize = 512
+
 // progressSize is the number of bytes, at least, that count as progress of a body.
 const progressSize = 4 << 10
 
@@ -68,7 +71,7 @@
 	if needed <= cap(b.data) {
 		return nil
 	}
-	size := max(memory.FreeSize, 2*cap(b.data))
+	size := max(firstSize, 2*cap(b.data))
 	if b.Limit > 0 {
 		size = int(min(int64(size), b.Limit))
 	}
