connection, platform, daemon: idle connections stay open for as long as the configuration allows

The server closed them after 2 min, also where idleTimeoutMs is longer. They are now closed by the table of connections, after the longer of both.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -48,7 +48,8 @@
 	// headerTimeout limits the time in which a caller must send the headers of a
 	// request.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is the time after which idle connections of callers are closed.
+	// idleTimeout is the time after which idle connections of callers are closed, unless the
+	// configuration allows them more.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the size of a request's headers, in bytes.
 	maxHeaderBytes = 64 << 10
@@ -195,7 +196,7 @@
 	p.applyLimits()
 	server := &http.Server{
 		ConnContext: p.connections.Accept, ConnState: p.connections.Changed,
-		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	listenErrs := make(chan error, 3)
@@ -311,6 +312,7 @@
 				p.log.Info("residency: slots", zap.String("runner", name), zap.Int("busy", u.Busy), zap.Int("idle", u.Idle),
 					zap.Int("coming", u.Loading), zap.Int("leaving", u.Unloading), zap.Int("doubt", u.Uncertain))
 			}
+			p.closeIdle(now)
 			p.logShortages()
 			if d := p.sink.Dropped(); d != dropped {
 				p.log.Warn("log: lines dropped", zap.Uint64("lines", d-dropped))
--- a/jacinthd/internal/daemon/limits.go
+++ b/jacinthd/internal/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -76,6 +77,15 @@
 	p.log.Info("host: limits of callers", zap.Int64("held", l.held), zap.Int("connections", l.connections))
 }
 
+// closeIdle closes the connections of callers that have been idle for longer than they may.
+func (p *Process) closeIdle(now time.Time) {
+	timeout := idleTimeout
+	if config := p.dispatcher.Config(); config != nil {
+		timeout = max(timeout, config.Limits.IdleTimeout)
+	}
+	p.connections.Table.CloseIdle(now, timeout)
+}
+
 // A shortage says whether a part of the process is short of something, so that only changes are
 // logged.
 type shortage struct {
--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -27,7 +27,8 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
-	MaxBody int64 // bytes of a request's body
+	MaxBody     int64         // bytes of a request's body
+	IdleTimeout time.Duration // for which callers may leave a connection idle; 0 if unknown
 }
 
 // A Service is a group of targets that serve the same requests.
--- a/stage/connection/connection.go
+++ b/stage/connection/connection.go
@@ -93,6 +93,18 @@
 	return e
 }
 
+// CloseIdle calls the function shut of each connection that has been idle for a time.
+func (t *Table) CloseIdle(now time.Time, timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for e := range t.open {
+		if e.state == Idle && now.Sub(e.since) >= timeout {
+			delete(t.open, e)
+			e.shut()
+		}
+	}
+}
+
 // loser returns the connection that is closed next, or nil if there is none. t.mu must be held.
 func (t *Table) loser(now time.Time) *Entry {
 	var oldest [stateCnt]*Entry
--- a/stage/connection/connection_test.go
+++ b/stage/connection/connection_test.go
@@ -9,6 +9,20 @@
 	"jacinthstage/stage/connection"
 )
 
+func TestCloseIdle(t *testing.T) {
+	var table connection.Table
+	now := time.Unix(1, 0)
+	var closed []connection.State
+	for _, state := range []connection.State{connection.Idle, connection.Reading, connection.Writing, connection.Serving} {
+		table.Open(now, func() { closed = append(closed, state) }).Set(now, state)
+	}
+	table.CloseIdle(now.Add(time.Minute-1), time.Minute)
+	require.Empty(t, closed)
+	table.CloseIdle(now.Add(time.Minute), time.Minute)
+	require.Equal(t, []connection.State{connection.Idle}, closed)
+	require.Equal(t, 3, table.Usage().Open)
+}
+
 func TestLoser(t *testing.T) {
 	const serving, idle, reading, writing = connection.Serving, connection.Idle, connection.Reading, connection.Writing
 	for _, c := range []struct {
