--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -135,12 +135,12 @@
 	}
 }
 
-// isStale reports whether the copy hasn't been confirmed as the newest state for so long that it has
-// to be read from the store, and hasn't been.
+// isStale reports whether the copy hasn't been read yet, or hasn't been confirmed as the newest state
+// for so long that it has to be read from the store.
 func (c *Copy) isStale(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.objects != nil && now.Sub(c.currentAt) > maxUnreadAge
+	return c.objects == nil || now.Sub(c.currentAt) > maxUnreadAge
 }
 
 // isReadHere reports whether the copy is recent because this host reads it from the store, and no
