dispatch: requests pass the admission before they get a target

Where Contended holds, Pick asks the admission for slots, and for a place if the adapter has to be loaded. A request counts as short of slots if it is expected past three quarters of its objective while half of the target's slots are taken, or if the target's queue rejects it: prompts that are late on targets with free slots come no earlier if others are refused. It is short of a place where it waits for a slot of the runner's adapters so long that it is refused as before.

--- /dev/null
+++ b/stage/dispatch/admission.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"jacinthstage/stage/admission"
+	"jacinthstage/stage/relay"
+)
+
+// maxSlotsShare is the part of its latency objective within which the answer to a request must be
+// expected for it to have found room. The rest covers the error of the estimate.
+const maxSlotsShare = 0.75
+
+// admit decides whether a request may use the target that was found for it, if other requests for
+// its service may have to go first. It returns the refusal and true if it may not. The part of a
+// request that was decided before isn't decided again.
+func (d *Dispatcher) admit(now time.Time, r Request, best *candidate) (Refuse, bool) {
+	if best == nil || r.Admitted || r.InProgress || !d.config.Contended(r.Service) {
+		return Refuse{}, false
+	}
+	slots := r.admission(admission.Slots, best.work(r))
+	if refusal, refused := d.ask(now, slots, d.slotsShort(now, r, best)); refused {
+		return refusal, true
+	}
+	if !best.load {
+		return Refuse{}, false
+	}
+	return d.ask(now, r.admission(admission.Places, 1), best.slotWait > 0 && d.loadTooSlow(now, r, best))
+}
+
+// admission returns the request as the admission counts it.
+func (r Request) admission(pool admission.Pool, work float64) admission.Request {
+	return admission.Request{Service: r.Service, Pool: pool, Rank: r.Priority, Account: r.Account, Work: work}
+}
+
+// work returns what a request takes of a candidate.
+func (c *candidate) work(r Request) float64 {
+	if !r.needsEngine() {
+		return 1
+	}
+	return admission.Work(r.Call.InputTokens-c.target.prefixCache.CachedTokens(r.Call, r.prefixKeys), r.Call.MaxOutputTokens)
+}
+
+// ask asks for room. short says that the request finds none in time even if it may pass.
+func (d *Dispatcher) ask(now time.Time, r admission.Request, short bool) (Refuse, bool) {
+	decision := d.admission.Ask(now, r, rand.Float64())
+	if !decision.Pass {
+		return Refuse{Reason: "others have the " + r.Pool.String(), RetryAfter: decision.RetryAfter, Admission: true, Pool: r.Pool}, true
+	}
+	if short {
+		d.admission.FoundNone(now, r)
+	}
+	return Refuse{}, false
+}
+
+// slotsShort reports whether a request is hardly in time since the slots of its targets are taken:
+// the best of them has less than half of its slots left. An answer that is late for another reason
+// comes no sooner if others are refused.
+func (d *Dispatcher) slotsShort(now time.Time, r Request, c *candidate) bool {
+	if c.load || c.target.Slots <= 0 || float64(c.latency) <= maxSlotsShare*float64(r.Objective.Sub(now)) {
+		return false
+	}
+	running, _ := d.running(now, c.target)
+	return 2*running >= c.target.Slots
+}
+
+// rejectedForRoom counts an attempt that its target rejected since its queue is full.
+func (d *Dispatcher) rejectedForRoom(now time.Time, r Request) {
+	if d.config.Contended(r.Service) {
+		d.admission.FoundNone(now, r.admission(admission.Slots, 0))
+	}
+}
+
+// leaves counts that an attempt has had its room in a pool: an adapter has its place once the target
+// answers.
+func (a *Attempt) leaves(now time.Time, pool admission.Pool) {
+	d, work := a.dispatcher, a.work
+	if !d.config.Contended(a.request.Service) {
+		return
+	}
+	if pool == admission.Places {
+		if a.Loaded == nil && (a.Owner.Host == "" || a.Confirm) {
+			return
+		}
+		work = 1
+	}
+	d.admission.Ended(now, a.request.admission(pool, work))
+}
+
+// Admissions returns what to tell another host of the demand for room that is short.
+func (d *Dispatcher) Admissions(now time.Time, to string, direction relay.Direction) []admission.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admission.Reports(now, to, direction == relay.ToReporter)
+}
+
+// LearnAdmissions takes in what another host told of it. reporter says that the other host reports
+// to this one.
+func (d *Dispatcher) LearnAdmissions(now time.Time, from string, reporter bool, all []admission.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Learn(now, from, reporter, all)
+}
+
+// AdmissionChanges returns how what is refused has changed since it was last called, and the part of
+// the demand for each kind of room that has it.
+func (d *Dispatcher) AdmissionChanges(now time.Time) ([]admission.Change, []admission.Level) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admission.Changes(now), d.admission.Levels(now)
+}
--- /dev/null
+++ b/stage/dispatch/admission_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/account"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/relay"
+)
+
+// contend gives the dispatcher a configuration with client accounts.
+func contend(d *dispatch.Dispatcher, version uint64) {
+	services := make([]catalog.Service, 0)
+	for _, s := range d.Config().Services {
+		services = append(services, s)
+	}
+	config := catalog.NewConfig(version, nil, services, catalog.Limits{})
+	config.Accounts, _ = account.New([]account.Entry{{Account: account.Account{Name: "pressing"}}, {Account: account.Account{Name: "calm"}}})
+	d.Apply(start, catalog.ConfigUpdated{Config: config})
+}
+
+// refusedByAdmission sends a request of an account each millisecond from a time and until another, and
+// counts those that others go before. change, if not nil, changes each of them.
+func refusedByAdmission(d *dispatch.Dispatcher, account string, input, from, until int, change func(*dispatch.Request)) int {
+	refused := 0
+	for ms := from; ms < until; ms++ {
+		r := request("", input, ms)
+		r.Account = account
+		if change != nil {
+			change(&r)
+		}
+		if c, ok := d.Pick(at(ms), r).(dispatch.Refuse); ok && c.Admission {
+			refused++
+		}
+	}
+	return refused
+}
+
+// TestAccountsShareShortSlots checks that an account which takes all slots is refused before another
+// one, at a second host as well, and only where accounts are configured.
+func TestAccountsShareShortSlots(t *testing.T) {
+	for _, contended := range []bool{true, false} {
+		d, other := newDispatcher("host-0", "north-a", 1, nil), newDispatcher("host-1", "north-a", 1, nil)
+		if contended {
+			contend(d, 2)
+			contend(other, 2)
+		}
+		require.Zero(t, refusedByAdmission(d, "pressing", 100, 0, 60, nil), "there are slots")
+		require.Empty(t, d.Admissions(at(60), "host-1", relay.ToRelay))
+		refused := refusedByAdmission(d, "pressing", 100, 60, 300, nil)
+		reports := d.Admissions(at(300), "host-1", relay.ToRelay)
+		other.LearnAdmissions(at(300), "host-0", true, reports)
+		there := refusedByAdmission(other, "pressing", 100, 300, 350, nil)
+		if !contended {
+			require.Zero(t, refused+there)
+			require.Empty(t, reports)
+			continue
+		}
+		require.Positive(t, refused)
+		require.Positive(t, there)
+		require.Zero(t, refusedByAdmission(d, "calm", 100, 350, 353, nil))
+		require.Zero(t, refusedByAdmission(other, "calm", 100, 350, 353, nil))
+		changes, _ := d.AdmissionChanges(at(353))
+		require.NotEmpty(t, changes)
+		require.Equal(t, []string{"pressing"}, changes[0].Accounts)
+	}
+}
+
+// TestAdmittedRequestIsNotDecidedAgain checks that the further attempts of a request aren't refused
+// for others.
+func TestAdmittedRequestIsNotDecidedAgain(t *testing.T) {
+	d := newDispatcher("host-0", "north-a", 1, nil)
+	contend(d, 2)
+	require.Positive(t, refusedByAdmission(d, "pressing", 100, 0, 300, nil))
+	require.Zero(t, refusedByAdmission(d, "pressing", 100, 300, 350, func(r *dispatch.Request) { r.Admitted = true }))
+	require.Zero(t, refusedByAdmission(d, "pressing", 100, 300, 350, func(r *dispatch.Request) { r.InProgress = true }))
+}
+
+// TestLatePromptsAreNotRefused checks that requests which are late for another reason than a lack of
+// slots aren't refused: others would be no earlier.
+func TestLatePromptsAreNotRefused(t *testing.T) {
+	d := newDispatcher("host-0", "north-a", 1, nil)
+	contend(d, 2)
+	require.Zero(t, refusedByAdmission(d, "pressing", 30000, 0, 25, nil))
+}
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/residency"
@@ -174,6 +175,7 @@
 			t.connectFailedAt, d.answeredAt = time.Time{}, now
 		}
 		t.setLoad(now, r.Load)
+		a.leaves(now, admission.Places)
 		a.prefillDone(now)
 		if a.request.Call.Adapter != "" {
 			t.notePresent(now, a.request.key())
@@ -181,6 +183,7 @@
 		return
 	case Completed:
 		t.completed(now, r.Failed)
+		a.leaves(now, admission.Slots)
 	case Rejected:
 		a.rejected(now, r)
 	case Failed:
@@ -236,6 +239,7 @@
 	if r.QueueFull {
 		t.process.notice.Rejected(now)
 		a.dispatcher.rejectedByBrittle(now, t)
+		a.dispatcher.rejectedForRoom(now, a.request)
 	}
 	if r.QueueFull || !a.request.needsEngine() {
 		t.reportedLoad = call.TargetLoad{Known: true, Running: t.Slots, Waiting: t.Slots, Slots: t.Slots}
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -109,6 +109,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.aggregator.Forget(name)
+	d.admission.Forget(name)
 }
 
 // Serving reports whether other hosts report to this one.
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/notice"
@@ -54,6 +55,7 @@
 	cut           bool                                   // this host reaches no target itself
 	answeredAt    time.Time                              // last answer of any target over a connection of this host
 	aggregator    relay.Aggregator                       // state reported by other hosts
+	admission     admission.State                        // demand for room that is short
 	owners        map[string]Owner                       // by runner
 	riskFrom      map[string]time.Time                   // by service, see mayRisk
 	builds        builds                                 // of each service's targets, lately
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/prefix"
@@ -54,6 +55,9 @@
 	InProgress bool            // the request may have run, or its adapter is loading: it is not refused for a long load wait
 	Bound      bool            // only targets of Build may run the request, since one of them began its stream
 	Build      string
+	Priority   int    // 0 is the most urgent
+	Account    string // client account of the caller; empty if it has none
+	Admitted   bool   // the request may use room that is short: it was decided before
 
 	prefixKeys      []uint64
 	baseFailureRate float64 // failure rate of the service's targets together
@@ -79,7 +83,9 @@
 // Refuse says that the request is to be refused at once.
 type Refuse struct {
 	Reason     string
-	RetryAfter time.Duration // when the caller may retry
+	RetryAfter time.Duration  // when the caller may retry
+	Admission  bool           // other requests go first, see admission
+	Pool       admission.Pool // of which there is no room, if Admission is set
 }
 
 func (Send) decision()   {}
@@ -102,7 +108,8 @@
 	dispatcher *Dispatcher
 	target     *target
 	request    Request
-	tokens     int // prompt tokens that are still counted in the target's pendingPrefill
+	work       float64 // what the request takes of the target, see admission.Request
+	tokens     int     // prompt tokens that are still counted in the target's pendingPrefill
 	sent       time.Time
 	done       bool
 }
@@ -117,7 +124,7 @@
 }
 
 // Pick selects a target. The reasons of a Refuse are "no target", "its targets take no
-// requests now", "no adapter", "too late" and "no place for the adapter".
+// requests now", "no adapter", "too late", "no place for the adapter" and those of admit.
 func (d *Dispatcher) Pick(now time.Time, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -126,6 +133,9 @@
 		d.countDemand(r.Call.Model)
 	}
 	best, usable := d.best(now, r)
+	if refusal, refused := d.admit(now, r, best); refused {
+		return refusal
+	}
 	switch {
 	case best == nil && usable:
 		return Refuse{Reason: "no adapter", RetryAfter: jitter(retryDelay)}
@@ -355,6 +365,7 @@
 	if !t.ejectedUntil.IsZero() {
 		t.probing = true
 	}
+	attempt.work = c.work(r)
 	if !r.needsEngine() {
 		return attempt
 	}
