jacinthd: admission on the wire, in the log and in the metrics

Extra.Admissions carries the counts while a pool is short somewhere, at most 64 a digest. A host that reports to a relay takes them only from the relay's answers, as it does loads. One log line for a change of what is refused, jacinth_admission_refused_total and jacinth_admission_room.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -285,6 +285,16 @@
 	return r
 }
 
+// noteAdmission logs and counts how what is refused for want of room has changed.
+func (p *Process) noteAdmission(now time.Time) {
+	changes, levels := p.dispatcher.AdmissionChanges(now)
+	for _, c := range changes {
+		p.log.Info("admission: refusals changed", zap.String("service", c.Service), zap.Stringer("pool", c.Pool), zap.Float64("room", c.Room),
+			zap.Int("rank", c.Rank), zap.Float64("least", c.Share), zap.Strings("accounts", c.Accounts))
+	}
+	p.handler.Metrics.SetAdmission(levels)
+}
+
 // sweep periodically closes connections to targets that no longer exist, updates
 // the limits that depend on the number of hosts, and reports gauges and slot
 // usage.
@@ -305,6 +315,7 @@
 			p.reach.Links.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.pool.SetMaxIdle(p.connectionShare())
 			p.handler.Budgets.SetHosts(now, p.settings.BaseRetries, p.dispatcher.ListedHosts())
+			p.noteAdmission(now)
 			p.handler.Metrics.Targets.Set(float64(len(inUse)))
 			p.handler.Metrics.StoreEra.Set(float64(p.deps.Store.Era()))
 			p.handler.Metrics.Suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -105,6 +105,7 @@
 	via           string            // host through which the last attempt was sent; empty if it was sent from here
 	reserved      *dispatch.Attempt // reserved on another target for the next attempt; nil if none is
 	lastEventID   string            // ID of the last event sent to the caller
+	admitted      bool              // the request may use room that is short
 	bound         bool              // only targets of build may run the request
 	build         string            // that began the stream
 	lastEventTime time.Time         // when the last event arrived
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -67,9 +67,13 @@
 	}
 	switch c := req.Dispatcher.Pick(time.Now(), req.dispatchRequest()).(type) {
 	case dispatch.Refuse:
+		if c.Admission {
+			req.Metrics.AdmissionRefused(req.service, c.Pool.String(), req.priority())
+		}
 		req.fail(c.Reason, c.RetryAfter)
 		return nil
 	case dispatch.Send:
+		req.admitted = true
 		return c.Attempt
 	default:
 		panic(fmt.Sprintf("direct: unknown choice %T", c))
@@ -89,7 +93,7 @@
 	return dispatch.Request{
 		Call: req.call, Service: req.service, Size: len(req.body),
 		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.deadline, Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
-		Bound: req.bound, Build: req.build,
+		Bound: req.bound, Build: req.build, Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
 	}
 }
 
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -35,6 +35,9 @@
 	Indirect        *prometheus.CounterVec
 	Peers           *prometheus.GaugeVec
 	Unreadable      prometheus.Counter
+
+	admissionRefused *prometheus.CounterVec
+	admissionRoom    *prometheus.GaugeVec
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -75,6 +78,11 @@
 	m.Peers = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "jacinth_peers", Help: "Other hosts by the build and the protocol of their last connection."}, []string{"build", "protocol"})
 	m.Unreadable = prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_peer_unreadable_total", Help: "Calls of other hosts that could not be read."})
+	m.admissionRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jacinth_admission_refused_total", Help: "Requests that were refused since others go first, by service, kind of room and priority."}, []string{"service", "pool", "rank"})
+	m.admissionRoom = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "jacinth_admission_room", Help: "Part of the demand for a service that has room, by kind of room; 1 if all of it has."}, []string{"service", "pool"})
+	r.MustRegister(m.admissionRefused, m.admissionRoom)
 	info := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "jacinth_build_info", Help: "1 for the build of this host."}, []string{"build"})
 	info.WithLabelValues(build.Commit()).Set(1)
 	r.MustRegister(m.StreamsTakenUp, m.StoreEra, m.Cut, m.Indirect, m.Peers, m.Unreadable, info)
--- a/jacinthd/internal/peers/extra.go
+++ b/jacinthd/internal/peers/extra.go
@@ -8,8 +8,8 @@
 )
 
 // extra returns what this host tells another one beside the digest.
-func (p *Group) extra(_ time.Time, _ string, _ relay.Direction) relay.Extra {
-	return relay.Extra{}
+func (p *Group) extra(now time.Time, to string, direction relay.Direction) relay.Extra {
+	return relay.Extra{Admissions: p.Dispatcher.Admissions(now, to, direction)}
 }
 
 // mergeExtra takes in what another host has told beside its digest.
--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -136,6 +136,8 @@
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
 		merge = p.Dispatcher.MergeDigestWithoutLoads
+	} else {
+		p.Dispatcher.LearnAdmissions(time.Now(), d.From, d.ReportsToReceiver, m.Extra.Admissions)
 	}
 	if merge(time.Now(), d) {
 		p.Log.Info("config: another host has a newer version", zap.String("host", d.From), zap.Uint64("version", d.ConfigVersion))
