--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -11,6 +11,7 @@
 
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/residency"
 )
@@ -65,7 +66,7 @@
 		req.reserved = nil
 		return attempt
 	}
-	switch c := req.Dispatcher.Pick(time.Now(), req.dispatchRequest()).(type) {
+	switch c := req.pickOrWait().(type) {
 	case dispatch.Refuse:
 		if c.Admission {
 			req.Metrics.AdmissionRefused(req.service, c.Pool.String(), req.priority())
@@ -80,6 +81,33 @@
 	}
 }
 
+// pickOrWait selects a target. If there is no room for the request that it may have, it waits for some
+// in the line of its service, see admission.Line.
+func (req *callerRequest) pickOrWait() dispatch.Decision {
+	var place *admission.Waiting
+	defer func() { req.Dispatcher.EndWait(req.service, place) }()
+	for {
+		now := time.Now()
+		decision := req.Dispatcher.Pick(now, req.dispatchRequest())
+		refusal, refused := decision.(dispatch.Refuse)
+		if !refused {
+			return decision
+		}
+		var next time.Time
+		var ok bool
+		place, next, ok = req.Dispatcher.WaitForRoom(now, req.dispatchRequest(), refusal, place)
+		if !ok {
+			return decision
+		}
+		req.admitted = true
+		select {
+		case <-time.After(time.Until(next)):
+		case <-req.r.Context().Done():
+			return decision
+		}
+	}
+}
+
 // releaseReserved ends a reserved attempt that was not made.
 func (req *callerRequest) releaseReserved() {
 	if req.reserved != nil {
--- a/stage/dispatch/admission.go
+++ b/stage/dispatch/admission.go
@@ -88,6 +88,42 @@
 	d.admission.Ended(now, a.request.admission(pool, work))
 }
 
+// WaitForRoom returns when a refused request is to look for room once more, with the place in the line
+// of its service that it has got if w is nil. It returns false if it is to be refused now.
+func (d *Dispatcher) WaitForRoom(now time.Time, r Request, refused Refuse, w *admission.Waiting) (*admission.Waiting, time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !refused.MayWait || !d.config.Contended(r.Service) {
+		return w, time.Time{}, false
+	}
+	if d.lines == nil {
+		d.lines = make(map[string]*admission.Line)
+	}
+	line := d.lines[r.Service]
+	if line == nil {
+		line = &admission.Line{}
+		d.lines[r.Service] = line
+	}
+	if w == nil {
+		var ok bool
+		if w, ok = line.Join(now, r.Priority, r.Objective, r.Deadline); !ok {
+			return nil, time.Time{}, false
+		}
+	}
+	next, ok := line.Next(now, w)
+	return w, next, ok
+}
+
+// EndWait takes a request out of the line of its service. w may be nil.
+func (d *Dispatcher) EndWait(service string, w *admission.Waiting) {
+	if w == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lines[service].Leave(w)
+}
+
 // Admissions returns what to tell another host of the demand for room that is short.
 func (d *Dispatcher) Admissions(now time.Time, to string, direction relay.Direction) []admission.Report {
 	d.mu.Lock()
--- a/stage/dispatch/admission_test.go
+++ b/stage/dispatch/admission_test.go
@@ -86,3 +86,30 @@
 	contend(d, 2)
 	require.Zero(t, refusedByAdmission(d, "pressing", 30000, 0, 25, nil))
 }
+
+// TestWaitForRoom checks that a request whose adapter has no place waits for one in the line of its
+// service, where requests differ in who goes first, and not for long.
+func TestWaitForRoom(t *testing.T) {
+	for _, contended := range []bool{true, false} {
+		d := newDispatcher("host-0", "north-a", 1, nil)
+		if contended {
+			contend(d, 2)
+		}
+		hash := relay.HashTarget("runner-0")
+		d.MergeDigest(at(0), relay.Digest{From: "owner", SlotReports: []relay.SlotReport{{Runner: hash, Spare: 0}}})
+		r := request("a1", 100, 1)
+		refusal := requireRefused(t, d, r, 1)
+		w, next, ok := d.WaitForRoom(at(1), r, refusal, nil)
+		require.Equal(t, contended, ok)
+		if !contended {
+			continue
+		}
+		require.True(t, next.After(at(1)) && next.Before(at(50)))
+		d.MergeDigest(at(20), relay.Digest{From: "owner", SlotReports: []relay.SlotReport{{Runner: hash, Spare: 1}}})
+		require.IsType(t, dispatch.Send{}, d.Pick(next, r))
+		_, _, ok = d.WaitForRoom(at(200), r, refusal, w)
+		require.False(t, ok, "it would be late")
+		d.EndWait(r.Service, w)
+		d.EndWait(r.Service, nil)
+	}
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -86,6 +86,7 @@
 	RetryAfter time.Duration  // when the caller may retry
 	Admission  bool           // other requests go first, see admission
 	Pool       admission.Pool // of which there is no room, if Admission is set
+	MayWait    bool           // the request has passed the admission, and a place may come free in time
 }
 
 func (Send) decision()   {}
@@ -144,7 +145,7 @@
 	case now.Add(best.latency).After(r.Deadline):
 		return Refuse{Reason: "too late", RetryAfter: jitter(retryDelay + best.latency/4)}
 	case best.load && !r.InProgress && d.loadTooSlow(now, r, best):
-		return Refuse{Reason: "no place for the adapter", RetryAfter: jitter(retryDelay + best.latency/4)}
+		return Refuse{Reason: "no place for the adapter", RetryAfter: jitter(retryDelay + best.latency/4), MayWait: best.slotWait > 0}
 	}
 	return Send{Attempt: d.newAttempt(now, r, best)}
 }
