admission: nothing is told of a pool that missed less than a tenth of a request

Also a test that what one host finds short reaches all others through the relays, and a stricter one for late prompts: the one before passed without the rule (its requests ended before the first look at the shares).

--- a/jacinthd/internal/direct/admission_test.go
+++ b/jacinthd/internal/direct/admission_test.go
@@ -9,6 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/stage/account"
+	"jacinthstage/stage/call"
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/relay"
 )
 
 // TestPressingAccountIsRefused checks that an account which has taken the slots of the targets is
@@ -47,3 +51,42 @@
 	close(release)
 	all.Wait()
 }
+
+// TestAdmissionsReachAllHosts checks that what one host finds short reaches all others through the
+// relays, each once, and that they stop telling it some time after.
+func TestAdmissionsReachAllHosts(t *testing.T) {
+	all := startHosts(t, 12)
+	for _, h := range all {
+		config := catalog.NewConfig(2, nil, []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 8, PrefixCacheTokens: 1000}}}, catalog.Limits{})
+		config.Accounts, _ = account.New(nil)
+		h.dispatcher.Apply(time.Now(), catalog.ConfigUpdated{Config: config})
+	}
+	offered := func(h *testHost) (sum uint64) {
+		for _, r := range h.dispatcher.Admissions(time.Now(), "", relay.ToReporter) {
+			sum += r.Offered
+		}
+		return sum
+	}
+	press := func() {
+		for range 3 {
+			now := time.Now()
+			choice := all[0].dispatcher.Pick(now, dispatch.Request{Call: call.Call{ID: "x", Model: "base", Adapter: "a", InputTokens: 10}, Service: "s", Objective: now.Add(time.Millisecond), Deadline: now.Add(time.Minute)})
+			if send, ok := choice.(dispatch.Send); ok {
+				t.Cleanup(func() { send.Attempt.Report(time.Now(), dispatch.Canceled{}) })
+			}
+		}
+	}
+	for _, h := range all {
+		require.Zero(t, offered(h))
+	}
+	for _, h := range all[1:] {
+		require.Eventually(t, func() bool {
+			press()
+			told, known := offered(all[0]), offered(h)
+			return known > told/2 && known <= 2*told
+		}, waitTimeout, 50*time.Millisecond)
+	}
+	for _, h := range all {
+		require.Eventually(t, func() bool { return offered(h) == 0 }, waitTimeout, 20*time.Millisecond)
+	}
+}
--- a/stage/admission/report.go
+++ b/stage/admission/report.go
@@ -13,6 +13,9 @@
 	// maxReports is the largest number of reports in one digest. What doesn't fit is added up for
 	// each pool and rank.
 	maxReports = 64
+	// minTold is the number of requests that must have found no room, or been refused, for a pool to
+	// be told of. It is below minShort, since the parts of all hosts are added up.
+	minTold = 0.1
 	// countUnit is the part of a request that the counts in reports are multiples of.
 	countUnit = 0.01
 	// maxReported bounds the numbers in reports, so that their sums over all hosts stay finite.
@@ -107,18 +110,19 @@
 // shortPools returns the pools for which requests found no room or were refused lately, here or
 // at another host.
 func (s *State) shortPools() map[pool]bool {
-	short := make(map[pool]bool)
-	note := func(k key, c count) {
-		if c.short+c.offered-c.passed >= countUnit {
-			short[k.pool] = true
-		}
-	}
+	missed := make(map[pool]float64)
 	for k, c := range s.own {
-		note(k, c.count)
+		missed[k.pool] += c.short + c.offered - c.passed
 	}
 	for _, from := range s.others {
 		for k, c := range from.counts {
-			note(k, c)
+			missed[k.pool] += c.short + c.offered - c.passed
+		}
+	}
+	short := make(map[pool]bool)
+	for p, n := range missed {
+		if n >= minTold {
+			short[p] = true
 		}
 	}
 	return short
--- a/stage/dispatch/admission_test.go
+++ b/stage/dispatch/admission_test.go
@@ -82,9 +82,9 @@
 // TestLatePromptsAreNotRefused checks that requests which are late for another reason than a lack of
 // slots aren't refused: others would be no earlier.
 func TestLatePromptsAreNotRefused(t *testing.T) {
-	d := newDispatcher("host-0", "north-a", 1, nil)
+	d := newDispatcher("host-0", "north-a", 4, nil)
 	contend(d, 2)
-	require.Zero(t, refusedByAdmission(d, "pressing", 30000, 0, 25, nil))
+	require.Zero(t, refusedByAdmission(d, "pressing", 60000, 0, 120, nil))
 }
 
 // TestWaitForRoom checks that a request whose adapter has no place waits for one in the line of its
