admission: the sums of what others report are kept, not formed for each digest

A relay answers as many reports as it has reporters in each round. It added up all of them for each answer; now it subtracts the receiver's part from a sum that it keeps.

--- a/stage/admission/admission.go
+++ b/stage/admission/admission.go
@@ -111,6 +111,13 @@
 	return count{c.offered + d.offered, c.passed + d.passed, c.work + d.work, c.done + d.done, c.recent + d.recent, c.short + d.short}
 }
 
+// subtract returns c without its part d, which the rounding of sums must not make negative.
+func (c count) subtract(d count) count {
+	return count{
+		max(0, c.offered-d.offered), max(0, c.passed-d.passed), max(0, c.work-d.work), max(0, c.done-d.done), max(0, c.recent-d.recent), max(0, c.short-d.short),
+	}
+}
+
 // decay returns the count after a time in which nothing was counted.
 func (c count) decay(age time.Duration) count {
 	f := math.Exp(-age.Seconds() / countingTime.Seconds())
@@ -134,7 +141,7 @@
 // is not safe for concurrent use.
 type State struct {
 	own     map[key]*cell
-	others  map[string]contribution // by the host that reported
+	heard   heard // from other hosts
 	levels  map[pool]level
 	names   map[uint32]string // of services and accounts, by hash
 	changes map[pool]lastChange
@@ -211,16 +218,12 @@
 // forgotten is the number of requests below which a count is dropped.
 const forgotten = 0.01
 
-// expire brings all counts to now and drops what doesn't count any more.
-func (s *State) expire(now time.Time) {
+// advance brings all counts to now and drops what doesn't count any more.
+func (s *State) advance(now time.Time) {
 	for k, c := range s.own {
 		if c.advance(now); c.offered < forgotten && c.short < forgotten && c.done < forgotten {
 			delete(s.own, k)
 		}
 	}
-	for host, c := range s.others {
-		if now.Sub(c.at) > contributionTTL {
-			delete(s.others, host)
-		}
-	}
+	s.heard.expire(now)
 }
--- a/stage/admission/report.go
+++ b/stage/admission/report.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// contributionTTL is how long the report of a host counts.
-	contributionTTL = 1500 * time.Millisecond
 	// maxReports is the largest number of reports in one digest. What doesn't fit is added up for
 	// each pool and rank.
 	maxReports = 64
@@ -38,18 +36,11 @@
 	Short   uint64 // those of them that found no room in time, in hundredths
 }
 
-// A contribution is what one host reported.
-type contribution struct {
-	at       time.Time
-	reporter bool // the host reports to this one, which passes its counts on
-	counts   map[key]count
-}
-
 // Learn takes in the reports of a host, which replace those before. reporter says that the host
 // reports to this one.
 func (s *State) Learn(now time.Time, from string, reporter bool, all []Report) {
 	if len(all) == 0 {
-		delete(s.others, from)
+		s.heard.forget(from)
 		return
 	}
 	c := contribution{at: now, reporter: reporter, counts: make(map[key]count, len(all))}
@@ -57,10 +48,7 @@
 		k := key{pool{r.Service, Pool(r.Pool)}, min(r.Rank, lowestRank), r.Account}
 		c.counts[k] = c.counts[k].add(r.count())
 	}
-	if s.others == nil {
-		s.others = make(map[string]contribution)
-	}
-	s.others[from] = c
+	s.heard.set(from, c)
 }
 
 func (r Report) count() count {
@@ -73,31 +61,23 @@
 func hundredths(n uint64) float64 { return float64(min(n, maxReported)) * countUnit }
 
 // Forget drops what a host reported.
-func (s *State) Forget(from string) { delete(s.others, from) }
+func (s *State) Forget(from string) { s.heard.forget(from) }
 
 // Reports returns what to tell a host of the pools that are short somewhere: the counts of this
 // host and, if all is set, of all others but the receiver, otherwise of those that report to
 // this one.
 func (s *State) Reports(now time.Time, to string, all bool) []Report {
-	if len(s.own) == 0 && len(s.others) == 0 {
+	if len(s.own) == 0 && len(s.heard.from) == 0 {
 		return nil
 	}
-	s.expire(now)
+	s.advance(now)
 	short := s.shortPools()
 	if len(short) == 0 {
 		return nil
 	}
-	sums := make(map[key]count)
+	sums := s.heard.passedOn(to, all)
 	for k, c := range s.own {
-		sums[k] = c.count
-	}
-	for from, c := range s.others {
-		if from == to || !all && !c.reporter {
-			continue
-		}
-		for k, counted := range c.counts {
-			sums[k] = sums[k].add(counted)
-		}
+		sums[k] = sums[k].add(c.count)
 	}
 	for k := range sums {
 		if !short[k.pool] {
@@ -114,10 +94,8 @@
 	for k, c := range s.own {
 		missed[k.pool] += c.short + c.offered - c.passed
 	}
-	for _, from := range s.others {
-		for k, c := range from.counts {
-			missed[k.pool] += c.short + c.offered - c.passed
-		}
+	for k, c := range s.heard.all {
+		missed[k.pool] += c.short + c.offered - c.passed
 	}
 	short := make(map[pool]bool)
 	for p, n := range missed {
--- a/stage/admission/share.go
+++ b/stage/admission/share.go
@@ -46,7 +46,7 @@
 	if s.levels == nil {
 		s.levels = make(map[pool]level)
 	}
-	s.expire(now)
+	s.advance(now)
 	l = levelOf(s.demand(p))
 	l.at = now
 	s.levels[p] = l
@@ -61,11 +61,9 @@
 			sums[k] = sums[k].add(c.count)
 		}
 	}
-	for _, from := range s.others {
-		for k, c := range from.counts {
-			if k.pool == p {
-				sums[k] = sums[k].add(c)
-			}
+	for k, c := range s.heard.all {
+		if k.pool == p {
+			sums[k] = sums[k].add(c)
 		}
 	}
 	return sums
