--- a/stage/dispatch/admission_test.go
+++ b/stage/dispatch/admission_test.go
@@ -1,11 +1,13 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/stage/account"
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/relay"
@@ -113,3 +115,28 @@
 		d.EndWait(r.Service, nil)
 	}
 }
+
+// TestRanksSharePlaces checks that the least urgent requests give way where adapters find no place, and
+// that the urgent ones still get what there is.
+func TestRanksSharePlaces(t *testing.T) {
+	d := newDispatcher("host-0", "north-a", 1, nil)
+	contend(d, 2)
+	adapter, priority := "", 2
+	ask := func(r *dispatch.Request) { r.Call.Adapter, r.Priority = adapter, priority }
+	refused := 0
+	for ms := 0; ms < 400; ms++ {
+		if ms%50 == 0 {
+			d.MergeDigest(at(ms), relay.Digest{From: "owner", SlotReports: []relay.SlotReport{{Runner: relay.HashTarget("runner-0"), Spare: 0}}})
+		}
+		adapter, priority = fmt.Sprint("a", ms%40), 2
+		refused += refusedByAdmission(d, "", 100, ms, ms+1, ask)
+		if priority = 0; ms%20 == 0 {
+			require.Zero(t, refusedByAdmission(d, "", 100, ms, ms+1, ask), ms)
+		}
+	}
+	require.Greater(t, refused, 100)
+	changes, _ := d.AdmissionChanges(at(400))
+	require.Len(t, changes, 1)
+	require.Equal(t, admission.Places, changes[0].Pool)
+	require.Equal(t, 2, changes[0].Rank)
+}
