--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -119,9 +119,10 @@
 // target for it.
 func (req *callerRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
+		Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
 		Call: req.call, Service: req.service, Size: len(req.body),
 		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.deadline, Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
-		Bound: req.bound, Build: req.build, Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
+		Bound: req.bound, Build: req.build,
 	}
 }
 
--- a/stage/dispatch/admission.go
+++ b/stage/dispatch/admission.go
@@ -12,21 +12,18 @@
 // expected for it to have found room. The rest covers the error of the estimate.
 const maxSlotsShare = 0.75
 
-// admit decides whether a request may use the target that was found for it, if other requests for
-// its service may have to go first. It returns the refusal and true if it may not. The part of a
-// request that was decided before isn't decided again.
-func (d *Dispatcher) admit(now time.Time, r Request, best *candidate) (Refuse, bool) {
-	if best == nil || r.Admitted || r.InProgress || !d.config.Contended(r.Service) {
-		return Refuse{}, false
+// admits decides whether a request may use the target that was found for it, if other requests for its
+// service may have to go first. If it may not, best has the refusal. What was decided before isn't
+// decided again.
+func (d *Dispatcher) admits(now time.Time, r Request, best *candidate) bool {
+	if r.Admitted || r.InProgress || !d.config.Contended(r.Service) {
+		return true
 	}
-	slots := r.admission(admission.Slots, best.work(r))
-	if refusal, refused := d.ask(now, slots, d.slotsShort(now, r, best)); refused {
-		return refusal, true
-	}
-	if !best.load {
-		return Refuse{}, false
+	slots := r.admission(admission.Slots, best.target.takenBy(r))
+	if !d.ask(now, slots, best, d.slotsShort(now, r, best)) {
+		return false
 	}
-	return d.ask(now, r.admission(admission.Places, 1), best.slotWait > 0 && d.loadTooSlow(now, r, best))
+	return !best.load || d.ask(now, r.admission(admission.Places, 1), best, best.slotWait > 0 && d.loadTooSlow(now, r, best))
 }
 
 // admission returns the request as the admission counts it.
@@ -34,24 +31,23 @@
 	return admission.Request{Service: r.Service, Pool: pool, Rank: r.Priority, Account: r.Account, Work: work}
 }
 
-// work returns what a request takes of a candidate.
-func (c *candidate) work(r Request) float64 {
+// takenBy returns what a request takes of a target.
+func (t *target) takenBy(r Request) float64 {
 	if !r.needsEngine() {
 		return 1
 	}
-	return admission.Work(r.Call.InputTokens-c.target.prefixCache.CachedTokens(r.Call, r.prefixKeys), r.Call.MaxOutputTokens)
+	return admission.Work(r.Call.InputTokens-t.prefixCache.CachedTokens(r.Call, r.prefixKeys), r.Call.MaxOutputTokens)
 }
 
 // ask asks for room. short says that the request finds none in time even if it may pass.
-func (d *Dispatcher) ask(now time.Time, r admission.Request, short bool) (Refuse, bool) {
+func (d *Dispatcher) ask(now time.Time, r admission.Request, best *candidate, short bool) bool {
 	decision := d.admission.Ask(now, r, rand.Float64())
 	if !decision.Pass {
-		return Refuse{Reason: "others have the " + r.Pool.String(), RetryAfter: decision.RetryAfter, Admission: true, Pool: r.Pool}, true
-	}
-	if short {
+		best.refusal = Refuse{Reason: "others have the " + r.Pool.String(), RetryAfter: decision.RetryAfter, Admission: true, Pool: r.Pool}
+	} else if short {
 		d.admission.FoundNone(now, r)
 	}
-	return Refuse{}, false
+	return decision.Pass
 }
 
 // slotsShort reports whether a request is hardly in time since the slots of its targets are taken:
@@ -75,7 +71,7 @@
 // leaves counts that an attempt has had its room in a pool: an adapter has its place once the target
 // answers.
 func (a *Attempt) leaves(now time.Time, pool admission.Pool) {
-	d, work := a.dispatcher, a.work
+	d, work := a.dispatcher, a.taken
 	if !d.config.Contended(a.request.Service) {
 		return
 	}
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -170,12 +170,12 @@
 	t := a.target
 	switch r := r.(type) {
 	case Head:
+		a.leaves(now, admission.Places)
 		t.answeredAt = now
 		if !r.Indirect {
 			t.connectFailedAt, d.answeredAt = time.Time{}, now
 		}
 		t.setLoad(now, r.Load)
-		a.leaves(now, admission.Places)
 		a.prefillDone(now)
 		if a.request.Call.Adapter != "" {
 			t.notePresent(now, a.request.key())
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -55,9 +55,10 @@
 	InProgress bool            // the request may have run, or its adapter is loading: it is not refused for a long load wait
 	Bound      bool            // only targets of Build may run the request, since one of them began its stream
 	Build      string
-	Priority   int    // 0 is the most urgent
-	Account    string // client account of the caller; empty if it has none
-	Admitted   bool   // the request may use room that is short: it was decided before
+
+	Priority int    // 0 is the most urgent
+	Account  string // client account of the caller; empty if it has none
+	Admitted bool   // the request may use room that is short: it was decided before
 
 	prefixKeys      []uint64
 	baseFailureRate float64 // failure rate of the service's targets together
@@ -106,11 +107,12 @@
 	Owner   Owner
 	Confirm bool
 
+	taken float64 // what the request takes of the target, as the admission counts it
+
 	dispatcher *Dispatcher
 	target     *target
 	request    Request
-	work       float64 // what the request takes of the target, see admission.Request
-	tokens     int     // prompt tokens that are still counted in the target's pendingPrefill
+	tokens     int // prompt tokens that are still counted in the target's pendingPrefill
 	sent       time.Time
 	done       bool
 }
@@ -122,10 +124,11 @@
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
 	slotWait time.Duration // wait for an adapter slot if load is set
+	refusal  Refuse        // of the admission
 }
 
 // Pick selects a target. The reasons of a Refuse are "no target", "its targets take no
-// requests now", "no adapter", "too late", "no place for the adapter" and those of admit.
+// requests now", "no adapter", "too late", "no place for the adapter" and those of admits.
 func (d *Dispatcher) Pick(now time.Time, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -134,14 +137,13 @@
 		d.countDemand(r.Call.Model)
 	}
 	best, usable := d.best(now, r)
-	if refusal, refused := d.admit(now, r, best); refused {
-		return refusal
-	}
 	switch {
 	case best == nil && usable:
 		return Refuse{Reason: "no adapter", RetryAfter: jitter(retryDelay)}
 	case best == nil:
 		return d.refuseWithoutTarget(now, r)
+	case !d.admits(now, r, best):
+		return best.refusal
 	case now.Add(best.latency).After(r.Deadline):
 		return Refuse{Reason: "too late", RetryAfter: jitter(retryDelay + best.latency/4)}
 	case best.load && !r.InProgress && d.loadTooSlow(now, r, best):
@@ -360,13 +362,13 @@
 	attempt := &Attempt{
 		Target: t.Target, Expected: c.latency,
 		dispatcher: d, target: t, request: r, sent: now,
+		taken: t.takenBy(r),
 	}
 	attempt.Running, _ = d.running(now, t)
 	t.inFlight++
 	if !t.ejectedUntil.IsZero() {
 		t.probing = true
 	}
-	attempt.work = c.work(r)
 	if !r.needsEngine() {
 		return attempt
 	}
