--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -360,9 +360,9 @@
 	t := c.target
 	t.process.notice.Sent(now)
 	attempt := &Attempt{
+		taken:  t.takenBy(r),
 		Target: t.Target, Expected: c.latency,
 		dispatcher: d, target: t, request: r, sent: now,
-		taken: t.takenBy(r),
 	}
 	attempt.Running, _ = d.running(now, t)
 	t.inFlight++
