--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -88,14 +88,16 @@
 	defer func() { req.Dispatcher.EndWait(req.service, place) }()
 	for {
 		now := time.Now()
-		decision := req.Dispatcher.Pick(now, req.dispatchRequest())
+		r := req.dispatchRequest()
+		r.Waiting = place != nil
+		decision := req.Dispatcher.Pick(now, r)
 		refusal, refused := decision.(dispatch.Refuse)
 		if !refused {
 			return decision
 		}
 		var next time.Time
 		var ok bool
-		place, next, ok = req.Dispatcher.WaitForRoom(now, req.dispatchRequest(), refusal, place)
+		place, next, ok = req.Dispatcher.WaitForRoom(now, r, refusal, place)
 		if !ok {
 			return decision
 		}
--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -136,7 +136,7 @@
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
 		merge = p.Dispatcher.MergeDigestWithoutLoads
-	} else {
+	} else if p.isMember(d.From) {
 		p.Dispatcher.LearnAdmissions(time.Now(), d.From, d.ReportsToReceiver, m.Extra.Admissions)
 	}
 	if merge(time.Now(), d) {
@@ -148,6 +148,16 @@
 	}
 }
 
+// isMember reports whether a host is among those of the system, as far as this one knows them.
+func (p *Group) isMember(name string) bool {
+	set := p.peerSet.Load()
+	if set == nil {
+		return false
+	}
+	_, listed := set.members[name]
+	return listed
+}
+
 // loadForPeer requests the load of an adapter onto a runner that this host owns, and
 // waits for it up to ownerLoadWait.
 func (p *Group) loadForPeer(ctx context.Context, m peer.LoadRequest) peer.LoadResponse {
--- a/stage/dispatch/admission.go
+++ b/stage/dispatch/admission.go
@@ -52,9 +52,10 @@
 
 // slotsShort reports whether a request is hardly in time since the slots of its targets are taken:
 // the best of them has less than half of its slots left. An answer that is late for another reason
-// comes no sooner if others are refused.
+// comes no sooner if others are refused, and one whose objective has passed or is missing tells nothing.
 func (d *Dispatcher) slotsShort(now time.Time, r Request, c *candidate) bool {
-	if c.load || c.target.Slots <= 0 || float64(c.latency) <= maxSlotsShare*float64(r.Objective.Sub(now)) {
+	left := r.Objective.Sub(now)
+	if left <= 0 || c.load || c.target.Slots <= 0 || float64(c.latency) <= maxSlotsShare*float64(left) {
 		return false
 	}
 	running, _ := d.running(now, c.target)
--- a/stage/dispatch/admission_test.go
+++ b/stage/dispatch/admission_test.go
@@ -140,3 +140,11 @@
 	require.Equal(t, admission.Places, changes[0].Pool)
 	require.Equal(t, 2, changes[0].Rank)
 }
+
+// TestNoObjectiveIsNotShort checks that requests whose objective has passed, or which have none, don't
+// make a service short while it has slots.
+func TestNoObjectiveIsNotShort(t *testing.T) {
+	d := newDispatcher("host-0", "north-a", 1, nil)
+	contend(d, 2)
+	require.Zero(t, refusedByAdmission(d, "pressing", 100, 0, 120, func(r *dispatch.Request) { r.Objective = at(0) }))
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -59,6 +59,7 @@
 	Priority int    // 0 is the most urgent
 	Account  string // client account of the caller; empty if it has none
 	Admitted bool   // the request may use room that is short: it was decided before
+	Waiting  bool   // the request waits for room and was counted as demand before
 
 	prefixKeys      []uint64
 	baseFailureRate float64 // failure rate of the service's targets together
@@ -133,7 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.prefixKeys = prefix.Keys(r.Call)
-	if r.needsEngine() {
+	if r.needsEngine() && !r.Waiting {
 		d.countDemand(r.Call.Model)
 	}
 	best, usable := d.best(now, r)
