admission: a request without a place asks for no slot, and broken answers leave theirs

From the lead's review: such a request stayed among those that had passed for slots and never ended, nor did answers that broke off. Line is a Queue now, its requests are Waiters.

--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -82,9 +82,9 @@
 }
 
 // pickOrWait selects a target. If there is no room for the request that it may have, it waits for some
-// in the line of its service, see admission.Line.
+// in the queue of its service, see admission.Queue.
 func (req *callerRequest) pickOrWait() dispatch.Decision {
-	var place *admission.Waiting
+	var place *admission.Waiter
 	defer func() { req.Dispatcher.EndWait(req.service, place) }()
 	for {
 		now := time.Now()
--- a/stage/admission/line_test.go
+++ b/stage/admission/queue_test.go
@@ -11,17 +11,17 @@
 
 func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
 
-// TestLineOrder checks that the most urgent request looks first, then the one whose deadline is first.
-func TestLineOrder(t *testing.T) {
-	var l admission.Line
-	join := func(rank, deadline int) *admission.Waiting {
+// TestQueueOrder checks that the most urgent request polls first, then the one whose deadline is first.
+func TestQueueOrder(t *testing.T) {
+	var l admission.Queue
+	join := func(rank, deadline int) *admission.Waiter {
 		w, ok := l.Join(start, rank, ms(1000), ms(deadline))
 		require.True(t, ok)
 		return w
 	}
 	third, first, second, last := join(1, 5000), join(0, 9000), join(1, 4000), join(2, 100)
 	before := start
-	for _, w := range []*admission.Waiting{first, second, third, last} {
+	for _, w := range []*admission.Waiter{first, second, third, last} {
 		next, ok := l.Next(start, w)
 		require.True(t, ok)
 		require.True(t, next.After(before))
@@ -34,9 +34,9 @@
 	require.False(t, ok)
 }
 
-// TestLineIsShort checks that a request waits for an eighth of its objective at most, and that few wait.
-func TestLineIsShort(t *testing.T) {
-	var l admission.Line
+// TestQueueIsShort checks that a request waits for an eighth of its objective at most, and that few wait.
+func TestQueueIsShort(t *testing.T) {
+	var l admission.Queue
 	_, ok := l.Join(ms(1001), 0, ms(1000), ms(5000))
 	require.False(t, ok, "its objective has passed")
 	w, _ := l.Join(start, 1, ms(800), ms(5000))
@@ -49,7 +49,7 @@
 		require.True(t, ok)
 	}
 	_, ok = l.Join(start, 2, ms(1000), ms(5000))
-	require.False(t, ok, "the line is full")
+	require.False(t, ok, "the queue is full")
 	_, ok = l.Join(start, 0, ms(1000), ms(5000))
 	require.True(t, ok, "the last one leaves it")
 	_, ok = l.Next(start, w)
--- a/stage/dispatch/admission.go
+++ b/stage/dispatch/admission.go
@@ -19,11 +19,13 @@
 	if r.Admitted || r.InProgress || !d.config.Contended(r.Service) {
 		return true
 	}
-	slots := r.admission(admission.Slots, best.target.takenBy(r))
-	if !d.ask(now, slots, best, d.slotsShort(now, r, best)) {
-		return false
+	if best.load {
+		short := best.slotWait > 0 && d.loadTooSlow(now, r, best)
+		if passed := d.ask(now, r.admission(admission.Places, 1), best, short); !passed || short {
+			return passed // without a place it takes no slot
+		}
 	}
-	return !best.load || d.ask(now, r.admission(admission.Places, 1), best, best.slotWait > 0 && d.loadTooSlow(now, r, best))
+	return d.ask(now, r.admission(admission.Slots, best.target.takenBy(r)), best, d.slotsShort(now, r, best))
 }
 
 // admission returns the request as the admission counts it.
@@ -85,40 +87,40 @@
 	d.admission.Ended(now, a.request.admission(pool, work))
 }
 
-// WaitForRoom returns when a refused request is to look for room once more, with the place in the line
+// WaitForRoom returns when a refused request is to poll for room once more, with the place in the queue
 // of its service that it has got if w is nil. It returns false if it is to be refused now.
-func (d *Dispatcher) WaitForRoom(now time.Time, r Request, refused Refuse, w *admission.Waiting) (*admission.Waiting, time.Time, bool) {
+func (d *Dispatcher) WaitForRoom(now time.Time, r Request, refused Refuse, w *admission.Waiter) (*admission.Waiter, time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !refused.MayWait || !d.config.Contended(r.Service) {
 		return w, time.Time{}, false
 	}
-	if d.lines == nil {
-		d.lines = make(map[string]*admission.Line)
+	if d.queues == nil {
+		d.queues = make(map[string]*admission.Queue)
 	}
-	line := d.lines[r.Service]
-	if line == nil {
-		line = &admission.Line{}
-		d.lines[r.Service] = line
+	queue := d.queues[r.Service]
+	if queue == nil {
+		queue = &admission.Queue{}
+		d.queues[r.Service] = queue
 	}
 	if w == nil {
 		var ok bool
-		if w, ok = line.Join(now, r.Priority, r.Objective, r.Deadline); !ok {
+		if w, ok = queue.Join(now, r.Priority, r.Objective, r.Deadline); !ok {
 			return nil, time.Time{}, false
 		}
 	}
-	next, ok := line.Next(now, w)
+	next, ok := queue.Next(now, w)
 	return w, next, ok
 }
 
-// EndWait takes a request out of the line of its service. w may be nil.
-func (d *Dispatcher) EndWait(service string, w *admission.Waiting) {
+// EndWait takes a request out of the queue of its service. w may be nil.
+func (d *Dispatcher) EndWait(service string, w *admission.Waiter) {
 	if w == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lines[service].Leave(w)
+	d.queues[service].Leave(w)
 }
 
 // Admissions returns what to tell another host of the demand for room that is short.
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -170,6 +170,7 @@
 	t := a.target
 	switch r := r.(type) {
 	case Head:
+		a.answered = true
 		a.leaves(now, admission.Places)
 		t.answeredAt = now
 		if !r.Indirect {
@@ -183,7 +184,6 @@
 		return
 	case Completed:
 		t.completed(now, r.Failed)
-		a.leaves(now, admission.Slots)
 	case Rejected:
 		a.rejected(now, r)
 	case Failed:
@@ -193,6 +193,9 @@
 			t.failed(now)
 		}
 	}
+	if a.answered {
+		a.leaves(now, admission.Slots)
+	}
 	a.end()
 }
 
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -56,7 +56,7 @@
 	answeredAt    time.Time                              // last answer of any target over a connection of this host
 	aggregator    relay.Aggregator                       // state reported by other hosts
 	admission     admission.State                        // demand for room that is short
-	lines         map[string]*admission.Line             // by service: requests that wait for room
+	queues        map[string]*admission.Queue            // by service: requests that wait for room
 	owners        map[string]Owner                       // by runner
 	riskFrom      map[string]time.Time                   // by service, see mayRisk
 	builds        builds                                 // of each service's targets, lately
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -108,7 +108,8 @@
 	Owner   Owner
 	Confirm bool
 
-	taken float64 // what the request takes of the target, as the admission counts it
+	answered bool    // the target has begun to answer, so that the request had a slot
+	taken    float64 // what the request takes of the target, as the admission counts it
 
 	dispatcher *Dispatcher
 	target     *target
