--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -11,6 +11,7 @@
 
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/residency"
 )
@@ -65,17 +66,50 @@
 		req.reserved = nil
 		return attempt
 	}
-	switch c := req.Dispatcher.Pick(time.Now(), req.dispatchRequest()).(type) {
+	switch c := req.pickOrWait().(type) {
 	case dispatch.Refuse:
+		if c.Admission {
+			req.Metrics.AdmissionRefused(req.service, c.Pool.String(), req.priority())
+		}
 		req.fail(c.Reason, c.RetryAfter)
 		return nil
 	case dispatch.Send:
+		req.admitted = true
 		return c.Attempt
 	default:
 		panic(fmt.Sprintf("direct: unknown choice %T", c))
 	}
 }
 
+// pickOrWait selects a target. If there is no room for the request that it may have, it waits for some
+// in the queue of its service, see admission.Queue.
+func (req *callerRequest) pickOrWait() dispatch.Decision {
+	var place *admission.Waiter
+	defer func() { req.Dispatcher.EndWait(req.service, place) }()
+	for {
+		now := time.Now()
+		r := req.dispatchRequest()
+		r.Waiting = place != nil
+		decision := req.Dispatcher.Pick(now, r)
+		refusal, refused := decision.(dispatch.Refuse)
+		if !refused {
+			return decision
+		}
+		var next time.Time
+		var ok bool
+		place, next, ok = req.Dispatcher.WaitForRoom(now, r, refusal, place)
+		if !ok {
+			return decision
+		}
+		req.admitted = true
+		select {
+		case <-time.After(time.Until(next)):
+		case <-req.r.Context().Done():
+			return decision
+		}
+	}
+}
+
 // releaseReserved ends a reserved attempt that was not made.
 func (req *callerRequest) releaseReserved() {
 	if req.reserved != nil {
@@ -87,6 +121,7 @@
 // target for it.
 func (req *callerRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
+		Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
 		Call: req.call, Service: req.service, Size: len(req.body),
 		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.deadline, Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
 		Bound: req.bound, Build: req.build,
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/residency"
@@ -169,6 +170,8 @@
 	t := a.target
 	switch r := r.(type) {
 	case Head:
+		a.answered = true
+		a.leaves(now, admission.Places)
 		t.answeredAt = now
 		if !r.Indirect {
 			t.connectFailedAt, d.answeredAt = time.Time{}, now
@@ -190,6 +193,9 @@
 			t.failed(now)
 		}
 	}
+	if a.answered {
+		a.leaves(now, admission.Slots)
+	}
 	a.end()
 }
 
@@ -236,6 +242,7 @@
 	if r.QueueFull {
 		t.process.notice.Rejected(now)
 		a.dispatcher.rejectedByBrittle(now, t)
+		a.dispatcher.rejectedForRoom(now, a.request)
 	}
 	if r.QueueFull || !a.request.needsEngine() {
 		t.reportedLoad = call.TargetLoad{Known: true, Running: t.Slots, Waiting: t.Slots, Slots: t.Slots}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthstage/stage/admission"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/prefix"
@@ -55,6 +56,11 @@
 	Bound      bool            // only targets of Build may run the request, since one of them began its stream
 	Build      string
 
+	Priority int    // 0 is the most urgent
+	Account  string // client account of the caller; empty if it has none
+	Admitted bool   // the request may use room that is short: it was decided before
+	Waiting  bool   // the request waits for room and was counted as demand before
+
 	prefixKeys      []uint64
 	baseFailureRate float64 // failure rate of the service's targets together
 }
@@ -79,7 +85,10 @@
 // Refuse says that the request is to be refused at once.
 type Refuse struct {
 	Reason     string
-	RetryAfter time.Duration // when the caller may retry
+	RetryAfter time.Duration  // when the caller may retry
+	Admission  bool           // other requests go first, see admission
+	Pool       admission.Pool // of which there is no room, if Admission is set
+	MayWait    bool           // the request has passed the admission, and a place may come free in time
 }
 
 func (Send) decision()   {}
@@ -99,6 +108,9 @@
 	Owner   Owner
 	Confirm bool
 
+	answered bool    // the target has begun to answer, so that the request had a slot
+	taken    float64 // what the request takes of the target, as the admission counts it
+
 	dispatcher *Dispatcher
 	target     *target
 	request    Request
@@ -114,15 +126,16 @@
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
 	slotWait time.Duration // wait for an adapter slot if load is set
+	refusal  Refuse        // of the admission
 }
 
 // Pick selects a target. The reasons of a Refuse are "no target", "its targets take no
-// requests now", "no adapter", "too late" and "no place for the adapter".
+// requests now", "no adapter", "too late", "no place for the adapter" and those of admits.
 func (d *Dispatcher) Pick(now time.Time, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.prefixKeys = prefix.Keys(r.Call)
-	if r.needsEngine() {
+	if r.needsEngine() && !r.Waiting {
 		d.countDemand(r.Call.Model)
 	}
 	best, usable := d.best(now, r)
@@ -131,10 +144,12 @@
 		return Refuse{Reason: "no adapter", RetryAfter: jitter(retryDelay)}
 	case best == nil:
 		return d.refuseWithoutTarget(now, r)
+	case !d.admits(now, r, best):
+		return best.refusal
 	case now.Add(best.latency).After(r.Deadline):
 		return Refuse{Reason: "too late", RetryAfter: jitter(retryDelay + best.latency/4)}
 	case best.load && !r.InProgress && d.loadTooSlow(now, r, best):
-		return Refuse{Reason: "no place for the adapter", RetryAfter: jitter(retryDelay + best.latency/4)}
+		return Refuse{Reason: "no place for the adapter", RetryAfter: jitter(retryDelay + best.latency/4), MayWait: best.slotWait > 0}
 	}
 	return Send{Attempt: d.newAttempt(now, r, best)}
 }
@@ -347,6 +362,7 @@
 	t := c.target
 	t.process.notice.Sent(now)
 	attempt := &Attempt{
+		taken:  t.takenBy(r),
 		Target: t.Target, Expected: c.latency,
 		dispatcher: d, target: t, request: r, sent: now,
 	}
