direct, memory, proxy: stalled callers that were refused, evictions without use, refusals to hosts

A caller that was refused before its body was read (400, 401, 404, 503) and stopped short kept its connection without end: the time limit of the body now begins with the request (TestRefusedCallerThatStopsShort). No more holdings are evicted once those evicted before still hold too much. A host that refuses another one's body for want of memory drops the rest of it, so that the other has sent all and reads the refusal (no test).

--- a/jacinthd/internal/daemon/limits.go
+++ b/jacinthd/internal/daemon/limits.go
@@ -16,14 +16,14 @@
 	// heldShare is the share of the process's memory, as a divisor, that bodies and answers may
 	// take. Freed buffers take as much again until the collector runs.
 	heldShare = 8
-	// connectionShare and connectionSize are the share of the process's memory, as a divisor, that
+	// connectionMemoryShare and connectionSize are the share of the process's memory, as a divisor, that
 	// connections of callers may take, and what one takes, in bytes: two goroutines, two buffers
 	// and the header of a request.
 	connectionMemoryShare = 4
 	connectionSize        = 32 << 10
 	// reservedDescriptors and reservedShare are the descriptors that are kept for files, the store
 	// and other hosts: a number or, of a small total, a share as a divisor. Of the others callers
-	// get a half, since each request may need a connection to a target.
+	// get a part, callersShare as a divisor, since each request may need a connection to a target.
 	reservedDescriptors = 200
 	reservedShare       = 4
 	callersShare        = 2
--- a/jacinthd/internal/direct/body.go
+++ b/jacinthd/internal/direct/body.go
@@ -32,6 +32,14 @@
 	writeSize = 32 << 10
 )
 
+// limitReadTime limits the time in which the body must arrive, also behind a refusal that doesn't
+// wait for it.
+func (req *callerRequest) limitReadTime() {
+	if err := http.NewResponseController(req.w).SetReadDeadline(req.arrived.Add(bodyReadTimeout)); err != nil {
+		req.log.Warn("request: body read deadline not set", zap.Error(err))
+	}
+}
+
 // readBody reads the request's body. If it can't be read, readBody sends the refusal and returns
 // false.
 func (req *callerRequest) readBody(limit int64) bool {
@@ -39,9 +47,6 @@
 		limit = defaultMaxBody
 	}
 	control := http.NewResponseController(req.w)
-	if err := control.SetReadDeadline(req.arrived.Add(bodyReadTimeout)); err != nil {
-		req.log.Warn("request: body read deadline not set", zap.Error(err))
-	}
 	if req.r.ContentLength > limit {
 		req.w.Header().Set("Connection", "close")
 		req.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -132,6 +132,7 @@
 // accept reads the request and finds its route. If the request can't be served,
 // accept sends the refusal and returns false.
 func (req *callerRequest) accept() bool {
+	req.limitReadTime()
 	var err error
 	req.call, err = req.Headers.ParseCall(req.r.Header)
 	if err != nil {
--- a/jacinthd/internal/direct/memory_test.go
+++ b/jacinthd/internal/direct/memory_test.go
@@ -88,3 +88,18 @@
 	require.Contains(t, string(answer), "Connection: close\r\n")
 	require.Zero(t, s.runs.Load())
 }
+
+// TestRefusedCallerThatStopsShort checks that a caller whose request is refused before its body is
+// read doesn't keep its connection by stopping short.
+func TestRefusedCallerThatStopsShort(t *testing.T) {
+	s := newShortSystem(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+	_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: other.example\r\nId: x\r\nContent-Length: 9\r\n\r\nshort")
+	require.NoError(t, err)
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "HTTP/1.1 404 ")
+}
--- a/jacinthd/internal/proxy/server.go
+++ b/jacinthd/internal/proxy/server.go
@@ -172,10 +172,12 @@
 	}
 }
 
-// receiveBody receives a body of a size. The buffer grows with what arrives.
+// receiveBody receives a body of a size. The buffer grows with what arrives. Without memory, the rest
+// is received and dropped, so that the other host has sent all and reads the refusal.
 func receiveBody(stream *peer.Stream, held *memory.Holding, size int) ([]byte, error) {
 	buffer := body.Buffer{Holding: held, Limit: int64(size)}
-	for len(buffer.Bytes()) < size {
+	var full error
+	for received := 0; received < size; {
 		m, err := stream.Recv()
 		if err != nil {
 			return nil, err
@@ -184,11 +186,16 @@
 		if !ok {
 			return nil, errors.Errorf("unexpected %T in a body", m)
 		}
-		if _, err := buffer.Write(part.Data); err != nil {
-			return nil, err
+		received += len(part.Data)
+		if full == nil {
+			_, full = buffer.Write(part.Data)
+		}
+		if full != nil {
+			buffer = body.Buffer{}
+			held.Close()
 		}
 	}
-	return buffer.Bytes(), nil
+	return buffer.Bytes(), full
 }
 
 // parseHeader parses a header as in HTTP/1.1, without the empty line behind it.
--- a/stage/memory/budget.go
+++ b/stage/memory/budget.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// makeRoom evicts stalled holdings until there is room for n more bytes of h, or there are none.
+// makeRoom evicts stalled holdings until there is room for n more bytes of h, there are none, or
+// too many bytes are held by those that were evicted before.
 // b.mu must be held.
 func (b *Budget) makeRoom(now time.Time, h *Holding, n int64) {
 	var stalled []*Holding
@@ -171,7 +172,7 @@
 		return cmp.Or(longer, cmp.Compare(y.size, x.size), x.progress.Compare(y.progress))
 	})
 	for _, other := range stalled {
-		if b.fits(h, n) {
+		if b.fits(h, n) || b.held+n > evictionFactor*b.limit {
 			return
 		}
 		other.evicted = true
