--- a/stage/call/call.go
+++ b/stage/call/call.go
@@ -70,6 +70,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how many times as long as usual work takes on the target's machine at the moment,
+	// as told by the target. It is 0 if the target didn't tell, and otherwise positive and finite.
+	Slowdown float64
 }
 
 // An Order asks a runner to load or unload a model or one of its adapters.
