speed, dispatch: what each target can do is learned, and pauses count in the choice

Cause: one set of constants and a slowdown that each host learned alone (a few answers of a target each at 70 hosts) stood for all targets, and the choice knew nothing of pauses between events. Where targets tell the slowness of the moment, stage/speed learns the service's times between events and to the first byte, the slowness of each machine (a long and a recent window) and how soon a moment loses its meaning, adds up what hosts observe by relay.Extra.Speeds, and adds the probability of late pauses, of the stream itself and of those on the target, to the cost. Where several targets need no load, a host chooses among some drawn at random: otherwise hosts that don't know of each other's newest requests choose the same one.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -162,6 +162,9 @@
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF {
+			if !req.gaps.Full() {
+				attempt.Report(time.Now(), dispatch.Streamed{Gaps: req.gaps})
+			}
 			attempt.Report(time.Now(), dispatch.Completed{})
 			req.startStream(x.Response())
 			req.logAnswered(attempt, req.status, nil)
@@ -172,7 +175,9 @@
 		}
 		req.startStream(x.Response())
 		req.streamBegan(attempt.Target)
-		req.recordEventGap(time.Now())
+		if req.recordEventGap(time.Now()) {
+			attempt.Report(time.Now(), dispatch.Streamed{Gaps: req.gaps})
+		}
 		if req.lastEventTime.Sub(req.headTime) > clearingTime {
 			req.answered()
 		}
@@ -192,12 +197,16 @@
 	}
 }
 
-// recordEventGap records the time since the previous event.
-func (req *callerRequest) recordEventGap(now time.Time) {
+// recordEventGap records the time since the previous event. It returns true once, when the times between events show
+// how fast the target works.
+func (req *callerRequest) recordEventGap(now time.Time) (shown bool) {
 	if !req.lastEventTime.IsZero() {
-		req.maxEventGap = max(req.maxEventGap, now.Sub(req.lastEventTime))
+		gap := now.Sub(req.lastEventTime)
+		req.maxEventGap = max(req.maxEventGap, gap)
+		shown = req.gaps.Add(gap)
 	}
 	req.lastEventTime = now
+	return shown
 }
 
 // startStream sends the head of a stream's answer, unless it was sent before.
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -141,8 +142,14 @@
 	if !w.stop() {
 		return req.classifyError(ctx, attempt, ctx.Err())
 	}
-	head := req.Headers.ParseAnswer(x.Response().StatusCode, x.Response().Header)
-	attempt.Report(time.Now(), dispatch.Head{Load: head.Load, Indirect: req.via != ""})
+	status := x.Response().StatusCode
+	head := req.Headers.ParseAnswer(status, x.Response().Header)
+	worked := head.Signed && status < http.StatusMultipleChoices
+	if worked {
+		took, expected := attempt.FirstByte(time.Now())
+		req.Metrics.ObserveFirstByte(req.service, took, expected)
+	}
+	attempt.Report(time.Now(), dispatch.Head{Load: head.Load, Indirect: req.via != "", Worked: worked})
 	if attempt.Heard(time.Now(), head.Notice, head.Source()) {
 		req.Metrics.TargetSpoke(head.Notice)
 		contact.LogNotice(req.log, attempt.Target, head.Notice)
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -18,6 +18,7 @@
 	accounts      accountCounter
 	active        prometheus.Gauge
 	stalls        prometheus.Histogram
+	firstBytes    *prometheus.HistogramVec
 	Opened        prometheus.Counter
 	orders        *prometheus.CounterVec
 	owned         prometheus.Gauge
@@ -40,6 +41,9 @@
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
 var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1, 1.5, 2.5, 4, 6, 10, 15}
 
+// ratioBuckets are the upper bounds of the histogram of ratios of real to expected times.
+var ratioBuckets = []float64{.125, .25, .35, .5, .6, .7, .8, .9, 1, 1.1, 1.25, 1.4, 1.7, 2, 2.5, 3, 4, 6, 8, 16}
+
 // New returns metrics that are registered at r.
 func New(r prometheus.Registerer) *Host {
 	m := &Host{
@@ -69,6 +73,8 @@
 	m.StreamsTakenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_streams_taken_up_total", Help: "Requests that take up a stream, by how it is known which build began it."}, []string{"source"})
 	m.StoreEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_store_era", Help: "Era of the platform's store, which rises when it has come back from an older copy."})
+	m.firstBytes = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "jacinth_first_byte_ratio", Help: "Time to the first byte of a target's answer as a multiple of the expected time, by service.", Buckets: ratioBuckets}, []string{"service"})
 	m.Cut = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_cut", Help: "1 while this host can't reach any target."})
 	m.Indirect = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_indirect_requests_total", Help: "Attempts that were sent through another host, by whether they got an answer."}, []string{"outcome"})
@@ -78,6 +84,7 @@
 	info := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "jacinth_build_info", Help: "1 for the build of this host."}, []string{"build"})
 	info.WithLabelValues(build.Commit()).Set(1)
 	r.MustRegister(m.StreamsTakenUp, m.StoreEra, m.Cut, m.Indirect, m.Peers, m.Unreadable, info)
+	r.MustRegister(m.firstBytes)
 	r.MustRegister(m.notices, m.Crashes, m.Suspects, m.SuspectsRefused, m.SuspectTrials)
 	r.MustRegister(m.accounts.requests, m.requests, m.latency, m.active, m.stalls, m.Opened, m.orders, m.owned, m.ConfigVersion, m.Targets)
 	return m
@@ -102,6 +109,13 @@
 // ObserveStall records how long a request waited for its adapter.
 func (m *Host) ObserveStall(wait time.Duration) { m.stalls.Observe(wait.Seconds()) }
 
+// ObserveFirstByte records how long the first byte of a target's answer took and what was expected.
+func (m *Host) ObserveFirstByte(service string, took, expected time.Duration) {
+	if expected > 0 {
+		m.firstBytes.WithLabelValues(service).Observe(took.Seconds() / expected.Seconds())
+	}
+}
+
 // TargetSpoke counts what a target said of itself.
 func (m *Host) TargetSpoke(n notice.Notice) {
 	switch {
--- a/jacinthd/internal/peers/extra.go
+++ b/jacinthd/internal/peers/extra.go
@@ -8,9 +8,11 @@
 )
 
 // extra returns what this host tells another one beside the digest.
-func (p *Group) extra(_ time.Time, _ string, _ relay.Direction) relay.Extra {
-	return relay.Extra{}
+func (p *Group) extra(now time.Time, to string, path relay.Direction) relay.Extra {
+	return relay.Extra{Speeds: p.Dispatcher.SpeedReports(now, to, path)}
 }
 
 // mergeExtra takes in what another host has told beside its digest.
-func (p *Group) mergeExtra(_ time.Time, _ peer.Digest) {}
+func (p *Group) mergeExtra(now time.Time, m peer.Digest) {
+	p.Dispatcher.MergeSpeeds(now, m.Digest.From, m.Digest.ReportsToReceiver, m.Extra.Speeds)
+}
--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -156,6 +156,12 @@
 	return slices.ContainsFunc(r.Split, func(s TrafficShare) bool { return s.Service == service })
 }
 
+// PauseObjective returns the objective for the longest pause between the events of an answer, or 0 if there is none.
+func (r Route) PauseObjective() time.Duration {
+	stream, _ := r.Kind.(Stream)
+	return stream.GapObjective
+}
+
 // Retryable reports whether a request of the route may run more than once.
 func (r Route) Retryable() bool {
 	switch k := r.Kind.(type) {
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/notice"
 	"jacinthstage/stage/residency"
+	"jacinthstage/stage/speed"
 )
 
 const (
@@ -29,17 +30,21 @@
 	lateAdapterDelay = 70 * time.Millisecond
 )
 
-// A Result is the progress or the outcome of a request on a target: Head,
+// A Result is the progress or the outcome of a request on a target: Head, Streamed,
 // Completed, Rejected, Failed or Canceled.
 type Result interface{ result() }
 
 // Head says that the head of the target's answer arrived. Indirect says that another host
-// received it.
+// received it, Worked that the target has done the work, and not refused it or failed.
 type Head struct {
 	Load     call.TargetLoad
 	Indirect bool
+	Worked   bool
 }
 
+// Streamed says what times were between the events of the answer, which may go on.
+type Streamed struct{ Gaps speed.Gaps }
+
 // Completed says that the target's answer is complete.
 type Completed struct{ Failed bool }
 
@@ -57,6 +62,7 @@
 type Canceled struct{ TimedOut bool }
 
 func (Head) result()      {}
+func (Streamed) result()  {}
 func (Completed) result() {}
 func (Rejected) result()  {}
 func (Failed) result()    {}
@@ -107,10 +113,10 @@
 	defer d.mu.Unlock()
 	t := a.target
 	key := a.request.key()
-	delete(t.loadRequestedAt, key)
+	t.loads.Answered(key)
 	switch r := r.(type) {
 	case Loading:
-		t.noteLoadRequest(now, key)
+		t.loads.Note(now, key)
 		return false
 	case Loaded:
 		t.noteCached(now, key)
@@ -157,7 +163,7 @@
 // its adapter.
 func (a *Attempt) ResetClock(now time.Time) { a.sent = now }
 
-// Report processes the progress of the request. Any result but Head ends the
+// Report processes the progress of the request. Any result but Head and Streamed ends the
 // attempt; later calls have no effect.
 func (a *Attempt) Report(now time.Time, r Result) {
 	d := a.dispatcher
@@ -174,11 +180,14 @@
 			t.connectFailedAt, d.answeredAt = time.Time{}, now
 		}
 		t.setLoad(now, r.Load)
-		a.prefillDone(now)
+		a.prefillDone(now, r)
 		if a.request.Call.Adapter != "" {
 			t.notePresent(now, a.request.key())
 		}
 		return
+	case Streamed:
+		t.speed.Streamed(now, r.Gaps)
+		return
 	case Completed:
 		t.completed(now, r.Failed)
 	case Rejected:
@@ -201,14 +210,28 @@
 	return a.target.process.heard(now, a.sent, n, from)
 }
 
+// FirstByte returns how long the first byte of the answer took up to now since the request was ready to be sent,
+// and what was expected of its target.
+func (a *Attempt) FirstByte(now time.Time) (took, expected time.Duration) {
+	d := a.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(a.sent), speed.Slowed(a.work.Usual(), a.target.slownessOf(now)) + d.networkDelay(a.target)
+}
+
 // prefillDone records that the prompt was processed, and updates the target's
 // slowdown unless the attempt waited for an adapter or for an owner's answer.
-func (a *Attempt) prefillDone(now time.Time) {
+func (a *Attempt) prefillDone(now time.Time, head Head) {
 	t := a.target
+	t.speed.Tell(now, head.Load.Slowdown)
+	if head.Worked && !head.Indirect {
+		took := now.Sub(a.sent) - a.dispatcher.networkDelay(t)
+		t.speed.First(now, took, a.work.Usual(), a.tokens, head.Load.Slowdown)
+	}
 	t.pendingPrefill -= a.tokens
 	a.tokens = 0
 	if a.request.needsEngine() && a.Loaded == nil && a.Owner.Host == "" {
-		t.updateSlowdown(t.slowdown * float64(now.Sub(a.sent)) / float64(max(a.Expected, stepTime)))
+		t.updateSlowdown(t.slowdown * float64(now.Sub(a.sent)) / float64(max(a.Expected, speed.MinObserved)))
 	}
 }
 
@@ -219,7 +242,7 @@
 	t.pendingPrefill -= a.tokens
 	a.tokens = 0
 	t.probing = false
-	t.endUse(a.request.key())
+	t.usage.End(a.request.key())
 	if t.residency != nil {
 		if a.Loaded != nil {
 			t.residency.CancelLoadRequest(a.request.key())
--- a/stage/dispatch/digest.go
+++ b/stage/dispatch/digest.go
@@ -1,22 +1,18 @@
 package dispatch
 
 import (
-	"maps"
 	"net/netip"
 	"time"
 
 	"jacinthstage/stage/relay"
 	"jacinthstage/stage/residency"
+	"jacinthstage/stage/speed"
 )
 
 // maxSlotReportAge is how long a report of a runner's adapter slots by its owner
 // stays valid.
 const maxSlotReportAge = 2 * time.Second
 
-// usage counts this host's requests for one adapter on one runner: open those in
-// progress, started those that began since the last report to the owner.
-type usage struct{ open, started int }
-
 // Digest returns the report of this host to another one. nextHop returns the host
 // to which to send usage that is destined for the owner of a runner, where that
 // owner doesn't report to this host.
@@ -44,9 +40,9 @@
 		owner := d.owners[t.Name].Host
 		switch {
 		case t.residency != nil || owner == "":
-			t.dropEndedUsage()
-		case len(t.usage) > 0 && next(owner) == to:
-			digest.Uses = append(digest.Uses, t.reportUsage(owner)...)
+			t.usage.DropEnded()
+		case !t.usage.IsEmpty() && next(owner) == to:
+			digest.Uses = append(digest.Uses, t.usage.Report(owner, t.Name)...)
 		}
 	}
 	digest.Loads = d.aggregator.Loads(to, path, loads)
@@ -56,22 +52,18 @@
 	return digest
 }
 
-// reportUsage returns this host's usage of a target's adapters and starts a new
-// reporting period.
-func (t *target) reportUsage(owner string) []relay.AdapterUse {
-	out := make([]relay.AdapterUse, 0, len(t.usage))
-	for k, u := range t.usage {
-		out = append(out, relay.AdapterUse{Owner: owner, Runner: t.Name, Model: k.Model, Adapter: k.Adapter, InProgress: u.open, Started: u.started})
-		u.started = 0
-	}
-	t.dropEndedUsage()
-	return out
+// SpeedReports returns what this host tells another one of the speed of targets.
+func (d *Dispatcher) SpeedReports(now time.Time, to string, path relay.Direction) []speed.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.speeds.Reports(now, to, path == relay.ToReporter)
 }
 
-// dropEndedUsage deletes the usage of adapters that have no request in progress.
-// It is called once the usage was reported or needs no report.
-func (t *target) dropEndedUsage() {
-	maps.DeleteFunc(t.usage, func(_ residency.Key, u *usage) bool { return u.open == 0 })
+// MergeSpeeds takes in what another host told of the speed of targets. reporter says that it reports to this one.
+func (d *Dispatcher) MergeSpeeds(now time.Time, from string, reporter bool, all []speed.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.speeds.Merge(now, from, reporter, all)
 }
 
 // MergeDigest merges the report of another host into the state. It reports
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -28,6 +28,8 @@
 	"jacinthstage/stage/prefix"
 	"jacinthstage/stage/relay"
 	"jacinthstage/stage/residency"
+	"jacinthstage/stage/speed"
+	"jacinthstage/stage/usage"
 )
 
 // A Dispatcher selects targets from the state of all targets as known to one
@@ -56,6 +58,7 @@
 	aggregator    relay.Aggregator                       // state reported by other hosts
 	owners        map[string]Owner                       // by runner
 	riskFrom      map[string]time.Time                   // by service, see mayRisk
+	speeds        speed.Pool                             // what targets can do
 	builds        builds                                 // of each service's targets, lately
 	hostCount     int                                    // hosts that share the load rate of the weight store
 	hosts         []relay.Host                           // all hosts; empty while they are unknown
@@ -98,12 +101,12 @@
 	inFlightAtReport    int       // value of inFlight at reportedAt
 	prefixCache         prefix.Cache
 	residency           *residency.Manager // nil unless this host owns the runner
-	usage               map[residency.Key]*usage
+	usage               usage.Adapters
 	absentAt            map[residency.Key]time.Time // when an adapter was last found missing
 	presentAt           map[residency.Key]time.Time // when an adapter was last found loaded
 	cachedAt            map[residency.Key]time.Time // adapters assumed to be cached on the runner, and when each was last seen loaded
 	noLoadsUntil        time.Time                   // no load is requested before this time
-	loadRequestedAt     map[residency.Key]time.Time // load requests to the runner's owner
+	loads               usage.Loads                 // asked of the runner's owner
 	consecutiveFailures int
 	ejectedUntil        time.Time // zero unless the target is ejected; from then on it gets one probe at a time
 	probing             bool      // a probe is in flight
@@ -113,6 +116,7 @@
 	failureRate         float64   // failure rate at ratedAt
 	ratedAt             time.Time
 	outcomes            outcomeWindow
+	speed               *speed.Machine
 	process             *process
 	unconfirmedUntil    time.Time    // an older copy of the store lists the target, whose removal was acknowledged
 	share               notice.Share // this host's share of the target's limit
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -5,32 +5,16 @@
 
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/speed"
 )
 
 const (
-	// prefillRate is the number of prompt tokens that a runner processes per
-	// millisecond.
-	prefillRate = 38.0
-	// stepTime is the duration of one batch step, which generates one token for
-	// each request in the batch.
-	stepTime = 7 * time.Millisecond
-	// meanSlotTime is how long a request usually occupies its batch slot on a
-	// runner.
-	meanSlotTime = 1500 * time.Millisecond
-	// batchDelay is what each running request adds to the time to the first token
-	// of a new one.
-	batchDelay = 4 * time.Millisecond
-	// meanServiceTime is how long a target of a plain service usually takes for a
-	// request.
-	meanServiceTime = 40 * time.Millisecond
 	// zoneDelay and regionDelay are the network round-trip times to another
 	// availability zone of the same region and to another region.
 	zoneDelay   = 3 * time.Millisecond
 	regionDelay = 65 * time.Millisecond
 	// loadHalfLife is the time after which a target's reported load counts half.
 	loadHalfLife = 2 * time.Second
-	// maxLatency is the longest time that is expected of any target.
-	maxLatency = time.Hour
 )
 
 // networkDelay returns the network round-trip time to a target.
@@ -65,35 +49,24 @@
 	return running, others.PrefillTokens
 }
 
-// queueWait estimates the wait for a slot on a target with the given number of
-// running requests, each of which occupies its slot for slotTime.
-func (t *target) queueWait(running int, slotTime time.Duration) time.Duration {
-	if t.Slots <= 0 || running < t.Slots {
-		return 0
-	}
-	return slotTime * time.Duration(running-t.Slots+1) / time.Duration(t.Slots)
-}
-
-// expectedLatency estimates the time to the first byte of a target's answer,
-// without the load of an adapter.
-func (d *Dispatcher) expectedLatency(now time.Time, t *target, r Request) time.Duration {
+// workOf returns a request as a target sees it, and the prompt tokens of others that it processes first.
+func (d *Dispatcher) workOf(now time.Time, t *target, r Request) (work speed.Work, backlog int) {
 	running, otherPrefill := d.running(now, t)
-	var latency time.Duration
-	if r.needsEngine() {
-		cached := t.prefixCache.CachedTokens(r.Call, r.prefixKeys)
-		latency = prefillTime(otherPrefill+t.pendingPrefill+max(0, r.Call.InputTokens-cached)) + stepTime
-		latency += t.queueWait(running, meanSlotTime) + batchDelay*time.Duration(running)
-	} else {
-		latency = meanServiceTime + t.queueWait(running, meanServiceTime)
-		latency += meanServiceTime * time.Duration(running) / time.Duration(max(1, t.Slots)) / 2
+	work = speed.Work{Plain: !r.needsEngine(), Running: running, Slots: t.Slots}
+	if work.Plain {
+		return work, 0
 	}
-	latency = time.Duration(min(max(float64(latency)*t.slowdown, 0), float64(maxLatency)))
-	return latency + d.networkDelay(t)
+	backlog = otherPrefill + t.pendingPrefill
+	work.Tokens = backlog + max(0, r.Call.InputTokens-t.prefixCache.CachedTokens(r.Call, r.prefixKeys))
+	return work, backlog
 }
 
-// prefillTime returns the time that a runner takes to process prompt tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+// slownessOf returns the expected ratio of a target's times to the usual ones.
+func (t *target) slownessOf(now time.Time) float64 {
+	if t.speed.Told() {
+		return t.speed.Slowness(now)
+	}
+	return t.slowdown
 }
 
 // listed reports whether a target accepts new requests according to its entry.
@@ -132,34 +105,8 @@
 	// transferCost is the cost of sending transferUnit bytes to another region.
 	transferCost = 0.03
 	transferUnit = 16 << 10 // 16 KiB
-	// waitCost is the cost of an answer that arrives just at its latency
-	// objective, beyond the risk that it is late.
-	waitCost = 0.2
-	// lateCost is the cost of each further multiple of the latency objective by
-	// which an answer is late.
-	lateCost = 0.5
 	// unreachableCost is the cost of a target to which other hosts can't connect.
 	unreachableCost = 0.6
 	// failureCost is the cost of a target all of whose answers fail.
 	failureCost = 2.0
 )
-
-// latencyCost returns the cost of an expected time to the first byte under a
-// latency objective. Up to half of the objective the cost grows slowly, since the
-// rest covers the error of the estimate; then it grows quadratically to 1 at the
-// objective.
-func latencyCost(latency, objective time.Duration) float64 {
-	if objective <= 0 {
-		objective = time.Second
-	}
-	x := float64(latency) / float64(objective)
-	cost := waitCost * x
-	if x > 0.5 {
-		steep := min(2*x-1, 1)
-		cost += (1 - waitCost) * steep * steep
-	}
-	if x > 1 {
-		cost += lateCost * (x - 1)
-	}
-	return cost
-}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -12,6 +12,7 @@
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/prefix"
 	"jacinthstage/stage/residency"
+	"jacinthstage/stage/speed"
 )
 
 const (
@@ -30,14 +31,9 @@
 	// retryDelay is how long a caller should wait before it retries a request for
 	// which no target was found.
 	retryDelay = 200 * time.Millisecond
-	// loadRequestAge is how long after a load request the adapter is assumed to be
-	// loading.
-	loadRequestAge = 600 * time.Millisecond
 	// confirmationAge is how long after an adapter was found loaded further
 	// requests go to the runner without a confirmation by its owner.
 	confirmationAge = 700 * time.Millisecond
-	// slotReportDelay is the usual age of a runner's reported adapter slots.
-	slotReportDelay = 250 * time.Millisecond
 	// observationAge is how long what a request found out about an adapter takes
 	// precedence over the target's entry.
 	observationAge = 3 * time.Second
@@ -52,6 +48,7 @@
 	Deadline   time.Time
 	Exclude    map[string]bool // targets to which the request was already sent
 	InProgress bool            // the request may have run, or its adapter is loading: it is not refused for a long load wait
+	Pause      time.Duration   // longest pause between two events of an answer that is on time; 0 for no limit
 	Bound      bool            // only targets of Build may run the request, since one of them began its stream
 	Build      string
 
@@ -103,6 +100,7 @@
 	target     *target
 	request    Request
 	tokens     int // prompt tokens that are still counted in the target's pendingPrefill
+	work       speed.Work
 	sent       time.Time
 	done       bool
 }
@@ -110,6 +108,7 @@
 // A candidate is a target with the estimates for one request.
 type candidate struct {
 	target   *target
+	work     speed.Work
 	cost     float64
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
@@ -125,6 +124,7 @@
 	if r.needsEngine() {
 		d.countDemand(r.Call.Model)
 	}
+	d.speeds.NotePause(now, r.Service, r.Pause)
 	best, usable := d.best(now, r)
 	switch {
 	case best == nil && usable:
@@ -162,15 +162,35 @@
 		}
 		return ranks[t]
 	}
+	var holders []candidate
 	for _, t := range all {
 		c, ok := d.evaluate(now, t, r, rank)
+		if ok && !c.load {
+			holders = append(holders, c)
+		}
 		if ok && (best == nil || c.cost < best.cost || c.cost == best.cost && t.Name < best.target.Name) {
 			best = &c
 		}
 	}
+	if best != nil && !best.load && best.target.speed.Told() {
+		best = d.draw(holders)
+	}
 	return best, len(all) > 0
 }
 
+// draw returns the cheapest of some candidates that are drawn at random, so that hosts that don't know of each
+// other's newest requests yet don't all choose the same target.
+func (d *Dispatcher) draw(from []candidate) *candidate {
+	for i := range speed.Draws(len(from), len(d.hosts)) {
+		j := i + rand.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+		if from[i].cost < from[0].cost {
+			from[0], from[i] = from[i], from[0]
+		}
+	}
+	return &from[0]
+}
+
 // filterTargets returns the targets of a request's service that satisfy include
 // and to which the request was not sent yet.
 func (d *Dispatcher) filterTargets(r Request, include func(*target) bool) []*target {
@@ -216,7 +236,8 @@
 // the request can't be sent there. rank returns the rank of a target among the
 // preferred runners of the adapter.
 func (d *Dispatcher) evaluate(now time.Time, t *target, r Request, rank func(*target) int) (candidate, bool) {
-	c := candidate{target: t, latency: d.expectedLatency(now, t, r)}
+	work, backlog := d.workOf(now, t, r)
+	c := candidate{target: t, work: work, latency: speed.Slowed(work.Usual(), t.slownessOf(now)) + d.networkDelay(t)}
 	c.cost = failureCost * max(0, d.failureRate(now, t)-r.baseFailureRate)
 	if d.unreachable(now, t) {
 		c.cost += unreachableCost
@@ -234,7 +255,11 @@
 		c.latency += l.slotWait + l.duration
 		c.cost += l.cost
 	}
-	c.cost += latencyCost(c.latency, r.Objective.Sub(now))
+	c.cost += speed.LatencyCost(c.latency, r.Objective.Sub(now))
+	if r.needsEngine() && t.speed.Told() {
+		t.speed.NoteBacklog(now, backlog)
+		c.cost += t.speed.PauseCost(now, speed.Load{Own: work.Tokens - backlog, Backlog: backlog, Running: work.Running}, r.Pause)
+	}
 	if t.process.notice.Brittle() {
 		c.cost += spreadCost * rand.Float64()
 	}
@@ -288,9 +313,9 @@
 		l.cost, l.duration = cachedLoadCost, cachedLoadTime
 	}
 	l.cost += rankCost * float64(rank(t))
-	if at, ok := t.loadRequestedAt[k]; ok && now.Sub(at) < loadRequestAge {
+	if age, ok := t.loads.Requested(now, k); ok {
 		// The adapter is already loading for another request of this host.
-		l.cost, l.duration = 0, max(0, l.duration-now.Sub(at))
+		l.cost, l.duration = 0, max(0, l.duration-age)
 	}
 	if t.residency != nil {
 		l, ok := estimateOwnLoad(now, t.residency, k, l)
@@ -305,24 +330,12 @@
 		if report.Closed {
 			return loadEstimate{}, false
 		}
-		spare := report.Spare - t.unreportedLoads(now, k)
+		spare := report.Spare - t.loads.Unreported(now, k)
 		l.slotWait = time.Duration(max(0, 1-spare)) * adapterSlotWait
 	}
 	return l, owned && model && !d.ownerSilent(now, t)
 }
 
-// unreportedLoads returns the number of other adapters that this host requested
-// so recently that the reported adapter slots of the runner don't count them yet.
-func (t *target) unreportedLoads(now time.Time, k residency.Key) int {
-	n := 0
-	for other, at := range t.loadRequestedAt {
-		if other != k && now.Sub(at) < slotReportDelay {
-			n++
-		}
-	}
-	return n
-}
-
 // estimateOwnLoad completes the estimate for a load onto a runner that this host
 // owns.
 func estimateOwnLoad(now time.Time, s *residency.Manager, k residency.Key, l loadEstimate) (loadEstimate, bool) {
@@ -348,9 +361,9 @@
 	t.process.notice.Sent(now)
 	attempt := &Attempt{
 		Target: t.Target, Expected: c.latency,
-		dispatcher: d, target: t, request: r, sent: now,
+		dispatcher: d, target: t, request: r, work: c.work, sent: now,
 	}
-	attempt.Running, _ = d.running(now, t)
+	attempt.Running = c.work.Running
 	t.inFlight++
 	if !t.ejectedUntil.IsZero() {
 		t.probing = true
@@ -367,7 +380,7 @@
 	if r.Call.Adapter == "" {
 		return attempt
 	}
-	t.beginUse(r.key())
+	t.usage.Begin(r.key())
 	switch {
 	case t.residency != nil:
 		if c.load {
@@ -376,46 +389,10 @@
 		t.residency.BeginUse(now, r.key())
 	case c.load:
 		attempt.Owner = d.owners[t.Name]
-		t.noteLoadRequest(now, r.key())
+		t.loads.Note(now, r.key())
 	case !d.inOtherRegion(t) && !d.isRemoteZone(d.owners[t.Name].Zone) && now.Sub(t.presentAt[r.key()]) > confirmationAge && !d.ownerSilent(now, t):
 		attempt.Owner = d.owners[t.Name]
 		attempt.Confirm = true
 	}
 	return attempt
 }
-
-// noteLoadRequest records that the owner of a runner is asked to load an adapter.
-func (t *target) noteLoadRequest(now time.Time, k residency.Key) {
-	if t.loadRequestedAt == nil {
-		t.loadRequestedAt = make(map[residency.Key]time.Time)
-	}
-	for other, at := range t.loadRequestedAt {
-		if now.Sub(at) >= loadRequestAge {
-			delete(t.loadRequestedAt, other)
-		}
-	}
-	if _, ok := t.loadRequestedAt[k]; !ok {
-		t.loadRequestedAt[k] = now
-	}
-}
-
-// beginUse counts a request for an adapter on a runner.
-func (t *target) beginUse(k residency.Key) {
-	if t.usage == nil {
-		t.usage = make(map[residency.Key]*usage)
-	}
-	u := t.usage[k]
-	if u == nil {
-		u = &usage{}
-		t.usage[k] = u
-	}
-	u.open++
-	u.started++
-}
-
-// endUse counts the end of a request that beginUse counted.
-func (t *target) endUse(k residency.Key) {
-	if u := t.usage[k]; u != nil && u.open > 0 {
-		u.open--
-	}
-}
--- a/stage/dispatch/targets.go
+++ b/stage/dispatch/targets.go
@@ -158,7 +158,8 @@
 		d.targets = make(map[string]*target)
 		d.services = make(map[string]map[string]*target)
 	}
-	t := &target{hash: p.hash, process: p, prefixCache: prefix.Cache{MaxTokens: d.prefixCacheLimit(entry.Service)}, slowdown: 1}
+	learned := d.speeds.Machine(entry.Service, entry.Name, entry.Started)
+	t := &target{hash: p.hash, process: p, speed: learned, prefixCache: prefix.Cache{MaxTokens: d.prefixCacheLimit(entry.Service)}, slowdown: 1}
 	d.targets[entry.Name] = t
 	if d.services[entry.Service] == nil {
 		d.services[entry.Service] = make(map[string]*target)
@@ -217,6 +218,7 @@
 		d.pendingLoads[t.Name] = t.residency.UncertainLoads()
 	}
 	d.releaseTarget(t)
+	d.speeds.Forget(t.speed)
 	d.builds.saw(now, t.Service, t.Build)
 	delete(d.targets, t.Name)
 	delete(d.services[t.Service], t.Name)
--- /dev/null
+++ b/stage/speed/pause.go
@@ -0,0 +1,105 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// backlogMemory is the time after which a target's backlog of prompts counts half in its mean.
+	backlogMemory = 2 * time.Second
+	// typicalPrompt is the number of prompt tokens that are expected to arrive on a target beside those that
+	// are known.
+	typicalPrompt = 2500
+	// momentsOfStream is the number of different moments that a stream is expected to last.
+	momentsOfStream = 2.5
+	// othersWeight is the part of the running requests that are expected to be streams with an objective for
+	// their pauses, and maxOthersCost the largest cost of what a prompt does to these.
+	othersWeight  = 0.4
+	maxOthersCost = 0.9
+	// minCommon is the number of prompt tokens below which a prompt doesn't disturb the streams of others.
+	minCommon = 256
+)
+
+// A Load is what a target has to do besides a request.
+type Load struct {
+	Own     int // prompt tokens of the request that the target has to process
+	Backlog int // prompt tokens of others that it has to process
+	Running int // requests on it
+}
+
+// NoteBacklog records the backlog of prompts on the target.
+func (m *Machine) NoteBacklog(now time.Time, tokens int) {
+	m.backlog.add(now, backlogMemory, float64(min(max(tokens, 0), maxCount)), 1)
+}
+
+// PauseCost returns the cost of late pauses between the events of streams if a request is sent to the target: those
+// of its own stream, if it has an objective for its longest pause, and those of the streams that run there, between
+// whose tokens its prompt is processed. The unit is one late answer.
+func (m *Machine) PauseCost(now time.Time, l Load, objective time.Duration) float64 {
+	s := m.service
+	theirs := s.pause
+	if objective <= 0 && (theirs <= 0 || l.Own < minCommon) {
+		return 0
+	}
+	f := m.forecast(now)
+	cost := 0.0
+	if objective > 0 {
+		cost = f.late(objective, l.Backlog, f.stream)
+	}
+	if theirs > 0 && l.Own >= minCommon && l.Running > 0 {
+		more := f.late(theirs, l.Backlog+l.Own, f.soon) - f.late(theirs, l.Backlog, f.soon)
+		cost += min(othersWeight*float64(l.Running)*more, maxOthersCost)
+	}
+	return cost
+}
+
+// A forecast is what is expected of a target's pauses. Moments are usual or disturbed.
+type forecast struct {
+	gap       float64 // milliseconds between two events while no prompt is processed
+	token     float64 // milliseconds to process a prompt token
+	spread    float64 // tokens by which the backlog is exceeded once in e times
+	disturbed float64 // slowness of disturbed moments
+	soon      float64 // probability of a disturbed moment soon
+	stream    float64 // the same during a stream
+}
+
+func (m *Machine) forecast(now time.Time) forecast {
+	s := m.service
+	machine := m.machine(now)
+	share, disturbed := s.disturbedShare()
+	f := forecast{
+		gap:       float64(s.gap(now)) / float64(time.Millisecond) * machine,
+		token:     s.correction(now) * machine / prefillRate,
+		spread:    typicalPrompt + m.backlog.mean(1),
+		disturbed: max(disturbed, disturbedFrom),
+		soon:      share,
+	}
+	if m.pace > 0 && m.gain+priorGain > 0 {
+		left := m.paceLeft(now)
+		if is := m.relative(m.pace); is >= disturbedFrom {
+			f.soon = left + (1-left)*share
+		} else {
+			f.soon = (1 - left) * share
+		}
+	}
+	f.stream = max(f.soon, 1-math.Pow(1-share, momentsOfStream))
+	return f
+}
+
+// late returns the probability that a pause exceeds an objective on a target with a backlog of prompt tokens, where
+// disturbed is the probability of a disturbed moment.
+func (f forecast) late(objective time.Duration, backlog int, disturbed float64) float64 {
+	return (1-disturbed)*f.exceeds(objective, backlog, 1) + disturbed*f.exceeds(objective, backlog, f.disturbed)
+}
+
+// exceeds returns the probability that a pause exceeds an objective in moments of a given slowness: that the target
+// has to process as many more prompt tokens as take the rest of the time.
+func (f forecast) exceeds(objective time.Duration, backlog int, slowness float64) float64 {
+	room := float64(objective)/float64(time.Millisecond) - f.gap*slowness
+	spare := room/(f.token*slowness) - float64(backlog)
+	if spare <= 0 {
+		return 1
+	}
+	return math.Exp(-spare / f.spread)
+}
