--- a/stage/dispatch/bench_test.go
+++ b/stage/dispatch/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"jacinthstage/stage/call"
 	"jacinthstage/stage/dispatch"
 )
 
@@ -29,3 +31,31 @@
 		}
 	}
 }
+
+// BenchmarkPickTold measures Pick at 300 targets that tell the slowness of the moment, and at as many that don't.
+func BenchmarkPickTold(b *testing.B) {
+	for name, told := range map[string]float64{"told": 1, "untold": 0} {
+		b.Run(name, func(b *testing.B) {
+			adapters := make(map[int][]string)
+			for i := range 300 {
+				adapters[i] = []string{fmt.Sprintf("a%d", i), fmt.Sprintf("b%d", i/8)}
+			}
+			d := newDispatcher("host-0", "north-a", 300, adapters)
+			for i := range 300 {
+				s, ok := d.Pick(at(0), request(fmt.Sprintf("a%d", i), 800, 0)).(dispatch.Send)
+				if ok {
+					s.Attempt.Report(at(1), dispatch.Head{Worked: true, Load: call.TargetLoad{Known: true, Slots: 64, Slowdown: told}})
+					s.Attempt.Report(at(1), dispatch.Completed{})
+				}
+			}
+			r := request("b5", 800, 0)
+			r.Pause = 500 * time.Millisecond
+			for ms := 2; b.Loop(); ms++ {
+				r.Objective, r.Deadline = at(ms+1000), at(ms+6000)
+				if s, ok := d.Pick(at(ms), r).(dispatch.Send); ok {
+					s.Attempt.Report(at(ms), dispatch.Canceled{})
+				}
+			}
+		})
+	}
+}
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -109,6 +109,7 @@
 type candidate struct {
 	target   *target
 	work     speed.Work
+	backlog  int // prompt tokens in work that are of others
 	cost     float64
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
@@ -165,6 +166,9 @@
 	var holders []candidate
 	for _, t := range all {
 		c, ok := d.evaluate(now, t, r, rank)
+		if ok && t.speed.Told() && (best == nil || !c.load || c.cost < best.cost) {
+			c.cost += pauseCost(now, &c, r)
+		}
 		if ok && !c.load {
 			holders = append(holders, c)
 		}
@@ -178,6 +182,15 @@
 	return best, len(all) > 0
 }
 
+// pauseCost returns the cost of late pauses in streams if a request is sent to a candidate.
+func pauseCost(now time.Time, c *candidate, r Request) float64 {
+	if c.work.Plain {
+		return 0
+	}
+	c.target.speed.NoteBacklog(now, c.backlog)
+	return c.target.speed.PauseCost(now, speed.Load{Own: c.work.Tokens - c.backlog, Backlog: c.backlog, Running: c.work.Running}, r.Pause)
+}
+
 // draw returns the cheapest of some candidates that are drawn at random, so that hosts that don't know of each
 // other's newest requests yet don't all choose the same target.
 func (d *Dispatcher) draw(from []candidate) *candidate {
@@ -237,7 +250,7 @@
 // preferred runners of the adapter.
 func (d *Dispatcher) evaluate(now time.Time, t *target, r Request, rank func(*target) int) (candidate, bool) {
 	work, backlog := d.workOf(now, t, r)
-	c := candidate{target: t, work: work, latency: speed.Slowed(work.Usual(), t.slownessOf(now)) + d.networkDelay(t)}
+	c := candidate{target: t, work: work, backlog: backlog, latency: speed.Slowed(work.Usual(), t.slownessOf(now)) + d.networkDelay(t)}
 	c.cost = failureCost * max(0, d.failureRate(now, t)-r.baseFailureRate)
 	if d.unreachable(now, t) {
 		c.cost += unreachableCost
@@ -256,10 +269,6 @@
 		c.cost += l.cost
 	}
 	c.cost += speed.LatencyCost(c.latency, r.Objective.Sub(now))
-	if r.needsEngine() && t.speed.Told() {
-		t.speed.NoteBacklog(now, backlog)
-		c.cost += t.speed.PauseCost(now, speed.Load{Own: work.Tokens - backlog, Backlog: backlog, Running: work.Running}, r.Pause)
-	}
 	if t.process.notice.Brittle() {
 		c.cost += spreadCost * rand.Float64()
 	}
--- a/stage/speed/evidence.go
+++ b/stage/speed/evidence.go
@@ -21,7 +21,7 @@
 // fade reduces the weight of the observations to that at the time now.
 func (e *evidence) fade(now time.Time, halfLife time.Duration) {
 	if age := now.Sub(e.at); age > 0 {
-		if !e.at.IsZero() {
+		if e.count > 0 {
 			keep := math.Exp2(-float64(age) / float64(halfLife))
 			e.count, e.sum = e.count*keep, e.sum*keep
 		}
--- a/stage/speed/machine.go
+++ b/stage/speed/machine.go
@@ -46,6 +46,29 @@
 	paceAt  time.Time
 	gain    float64 // by how much the figure makes the errors of expectations smaller
 	backlog evidence
+	usual   float64 // what the target usually tells; 0 if it told nothing
+	cache   present
+	cached  moment
+}
+
+// A present is what is learned of a target at one moment.
+type present struct {
+	machine float64 // slowness of its machine
+	pace    float64 // slowness of the moment as told last, as a multiple of what the target usually tells
+	left    float64 // share of its meaning that pace has left; 0 if it doesn't count
+}
+
+// now returns what is learned of the target.
+func (m *Machine) now(now time.Time) *present {
+	if at := m.pool.moment(now); m.cached != at {
+		m.cache = present{machine: m.machine(now), pace: m.relative(m.pace)}
+		if m.pace > 0 && m.gain+priorGain > 0 {
+			age := max(0, now.Sub(m.paceAt))
+			m.cache.left = math.Exp(-float64(age) / float64(m.service.usual(now).memory))
+		}
+		m.cached = at
+	}
+	return &m.cache
 }
 
 // Told reports whether the targets of the service tell the slowness of the moment, so that it is learned what
@@ -59,8 +82,10 @@
 	}
 	slowness = min(max(slowness, 1/maxPace), maxPace)
 	m.service.told = true
+	m.pool.changes++
 	before, age := m.relative(m.pace), now.Sub(m.paceAt)
 	m.paces.add(now, paceHalfLife, math.Log(slowness), 1)
+	m.usual = math.Exp(m.paces.mean(priorPaces))
 	m.service.sawMoment(now, m.relative(slowness), before, age)
 	m.hearPace(now, slowness)
 }
@@ -77,24 +102,17 @@
 	if !(pace > 0) {
 		return 1
 	}
-	return min(max(pace/math.Exp(m.paces.mean(priorPaces)), 1/maxRatio), maxRatio)
+	if m.usual > 0 {
+		pace /= m.usual
+	}
+	return min(max(pace, 1/maxRatio), maxRatio)
 }
 
 // moment returns the expected slowness of the moment: what the target told, as far as that still has a
 // meaning, and else the mean of the service.
 func (m *Machine) moment(now time.Time) float64 {
-	share, disturbed := m.service.disturbedShare()
-	usual := 1 + share*(disturbed-1)
-	if m.pace == 0 || m.gain+priorGain <= 0 {
-		return usual
-	}
-	left := m.paceLeft(now)
-	return left*m.relative(m.pace) + (1-left)*usual
-}
-
-// paceLeft returns the share of its meaning that what the target told has left.
-func (m *Machine) paceLeft(now time.Time) float64 {
-	return math.Exp(-float64(max(0, now.Sub(m.paceAt))) / float64(m.service.memory()))
+	u, p := m.service.usual(now), m.now(now)
+	return p.left*p.pace + (1-p.left)*(1+u.disturbed*(u.disturbance-1))
 }
 
 // machine returns the slowness of the target's machine.
@@ -112,7 +130,7 @@
 
 // Slowness returns the expected ratio of the target's times to those of Work.Usual.
 func (m *Machine) Slowness(now time.Time) float64 {
-	return min(max(m.service.correction(now)*m.machine(now)*m.moment(now), 1/maxRatio), maxRatio*maxRatio)
+	return min(max(m.service.usual(now).correction*m.now(now).machine*m.moment(now), 1/maxRatio), maxRatio*maxRatio)
 }
 
 // First records that the first byte of an answer arrived after the time observed where usual is its usual time
@@ -122,7 +140,7 @@
 	if !m.Told() {
 		return
 	}
-	machine, correction, moment := m.machine(now), m.service.correction(now), 1.0
+	machine, correction, moment := m.machine(now), m.service.usual(now).correction, 1.0
 	if told > 0 {
 		moment = m.relative(told)
 	}
@@ -131,6 +149,7 @@
 		return
 	}
 	known := math.Log(machine)
+	m.pool.changes++
 	m.gain += gainWeight * (math.Abs(plain-known) - math.Abs(plain-known-math.Log(moment)) - m.gain)
 	if m.gain+priorGain <= 0 {
 		moment = 1
@@ -154,10 +173,12 @@
 	if quick <= 0 || !m.Told() {
 		return
 	}
+	m.pool.changes++
 	share := 0.0 // logarithm of the part of the pauses that comes from the machine being slower than others
 	if m.service.allGaps(now).count >= minGaps {
 		ratio, _ := logRatio(float64(quick), float64(m.service.gap(now)))
 		m.observe(now, ratio, 1)
+		m.pool.changes++
 		share = math.Log(m.machine(now))
 	}
 	m.service.gaps.add(now, serviceHalfLife, math.Log(float64(quick)/float64(stepTime))-share, 1)
--- a/stage/speed/pause.go
+++ b/stage/speed/pause.go
@@ -28,8 +28,14 @@
 	Running int // requests on it
 }
 
+// backlogInterval is the time between two backlogs that count in the mean.
+const backlogInterval = 20 * time.Millisecond
+
 // NoteBacklog records the backlog of prompts on the target.
 func (m *Machine) NoteBacklog(now time.Time, tokens int) {
+	if now.Sub(m.backlog.at) < backlogInterval {
+		return
+	}
 	m.backlog.add(now, backlogMemory, float64(min(max(tokens, 0), maxCount)), 1)
 }
 
@@ -65,25 +71,18 @@
 }
 
 func (m *Machine) forecast(now time.Time) forecast {
-	s := m.service
-	machine := m.machine(now)
-	share, disturbed := s.disturbedShare()
+	u, p := m.service.usual(now), m.now(now)
 	f := forecast{
-		gap:       float64(s.gap(now)) / float64(time.Millisecond) * machine,
-		token:     s.correction(now) * machine / prefillRate,
+		gap:       float64(u.gap) / float64(time.Millisecond) * p.machine,
+		token:     u.correction * p.machine / prefillRate,
 		spread:    typicalPrompt + m.backlog.mean(1),
-		disturbed: max(disturbed, disturbedFrom),
-		soon:      share,
+		disturbed: max(u.disturbance, disturbedFrom),
+		soon:      (1 - p.left) * u.disturbed,
 	}
-	if m.pace > 0 && m.gain+priorGain > 0 {
-		left := m.paceLeft(now)
-		if is := m.relative(m.pace); is >= disturbedFrom {
-			f.soon = left + (1-left)*share
-		} else {
-			f.soon = (1 - left) * share
-		}
+	if p.pace >= disturbedFrom {
+		f.soon += p.left
 	}
-	f.stream = max(f.soon, 1-math.Pow(1-share, momentsOfStream))
+	f.stream = max(f.soon, u.ofStream)
 	return f
 }
 
--- a/stage/speed/pool.go
+++ b/stage/speed/pool.go
@@ -18,8 +18,18 @@
 	contributions map[string]*contribution // by host
 	totals        map[uint32]Report        // sums of the contributions
 	reported      map[string]time.Time     // last report, by receiver
+	changes       uint64                   // observations and reports
 }
 
+// A moment identifies what was known at a time.
+type moment struct {
+	at      int64
+	changes uint64
+}
+
+// moment returns the moment at which estimates are made.
+func (p *Pool) moment(now time.Time) moment { return moment{now.UnixNano(), p.changes} }
+
 // A contribution is what one host reported.
 type contribution struct {
 	at       time.Time
@@ -65,6 +75,7 @@
 	if len(all) == 0 {
 		return
 	}
+	p.changes++
 	p.drop(from)
 	if p.contributions == nil {
 		p.contributions = make(map[string]*contribution)
@@ -184,6 +195,7 @@
 func (p *Pool) expire(now time.Time) {
 	for from, c := range p.contributions {
 		if now.Sub(c.at) > contributionAge {
+			p.changes++
 			p.drop(from)
 		}
 	}
--- a/stage/speed/service.go
+++ b/stage/speed/service.go
@@ -40,6 +40,33 @@
 	pairAge     evidence // seconds between these
 	pause       time.Duration
 	pauseAt     time.Time
+	cache       usualSpeed
+	cached      moment
+}
+
+// A usualSpeed is what is learned of a service at one moment.
+type usualSpeed struct {
+	correction  float64       // ratio of this service's usual times to those of the prior
+	gap         time.Duration // usual time between two events of a stream while no prompt is processed
+	disturbed   float64       // share of disturbed moments
+	disturbance float64       // their mean slowness
+	ofStream    float64       // probability of a disturbed moment during a stream
+	memory      time.Duration // time in which what a target tells of the moment loses two thirds of its meaning
+}
+
+// usual returns what is learned of the service.
+func (s *Service) usual(now time.Time) *usualSpeed {
+	if at := s.pool.moment(now); s.cached != at {
+		s.cache, s.cached = s.compute(now), at
+	}
+	return &s.cache
+}
+
+func (s *Service) compute(now time.Time) usualSpeed {
+	u := usualSpeed{correction: s.correction(now), gap: s.gap(now), memory: s.memory()}
+	u.disturbed, u.disturbance = s.disturbed.mean(priorAnswers), max(1, s.disturbance.mean(0))
+	u.ofStream = 1 - math.Pow(1-u.disturbed, momentsOfStream)
+	return u
 }
 
 // allGaps returns what all hosts observed of the times between events.
@@ -97,11 +124,6 @@
 	}
 }
 
-// disturbedShare returns the share of disturbed moments and their mean slowness.
-func (s *Service) disturbedShare() (share, slowness float64) {
-	return s.disturbed.mean(priorAnswers), max(1, s.disturbance.mean(0))
-}
-
 // pauseObjectiveAge is how long the strictest objective for pauses counts after a request with it.
 const pauseObjectiveAge = 10 * time.Second
 
