dispatch: no adapter is loaded for late pauses alone, and what a prompt does to streams counts up to two late answers

Cause: loads at once over all runners are near what the weight store serves, and the cost of pauses could exceed that of a load; and a prompt that disturbs five streams cost at most 0.9 late answers.

--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -111,6 +111,7 @@
 	work     speed.Work
 	backlog  int // prompt tokens in work that are of others
 	cost     float64
+	pause    float64       // part of cost: late pauses in streams
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
 	slotWait time.Duration // wait for an adapter slot if load is set
@@ -167,7 +168,8 @@
 	for _, t := range all {
 		c, ok := d.evaluate(now, t, r, rank)
 		if ok && t.speed.Told() && (best == nil || !c.load || c.cost < best.cost) {
-			c.cost += pauseCost(now, &c, r)
+			c.pause = pauseCost(now, &c, r)
+			c.cost += c.pause
 		}
 		if ok && !c.load {
 			holders = append(holders, c)
@@ -176,12 +178,19 @@
 			best = &c
 		}
 	}
-	if best != nil && !best.load && best.target.speed.Told() {
-		best = d.draw(holders)
+	if len(holders) == 0 || !holders[0].target.speed.Told() {
+		return best, len(all) > 0
+	}
+	if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
+		best = drawn
 	}
 	return best, len(all) > 0
 }
 
+// worthLoad returns the cost that counts between a candidate for which the adapter has to be loaded and one that
+// holds it: no load is made for late pauses alone, since the weight store serves all runners.
+func (c *candidate) worthLoad() float64 { return c.cost - max(0, c.pause-loadCost) }
+
 // pauseCost returns the cost of late pauses in streams if a request is sent to a candidate.
 func pauseCost(now time.Time, c *candidate, r Request) float64 {
 	if c.work.Plain {
--- a/stage/speed/pause.go
+++ b/stage/speed/pause.go
@@ -16,7 +16,7 @@
 	// othersWeight is the part of the running requests that are expected to be streams with an objective for
 	// their pauses, and maxOthersCost the largest cost of what a prompt does to these.
 	othersWeight  = 0.4
-	maxOthersCost = 0.9
+	maxOthersCost = 2.0
 	// minCommon is the number of prompt tokens below which a prompt doesn't disturb the streams of others.
 	minCommon = 256
 )
