--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -170,6 +170,9 @@
 		if ok && t.speed.Told() && (best == nil || !c.load || c.cost < best.cost) {
 			c.pause = pauseCost(now, &c, r)
 			c.cost += c.pause
+			if c.load && !r.InProgress && d.loadTooSlow(now, r, &c) {
+				c.cost += refusalCost
+			}
 		}
 		if ok && !c.load {
 			holders = append(holders, c)
