--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -151,7 +151,7 @@
 // which the request could be sent. If all targets are ejected, it considers them
 // all.
 func (d *Dispatcher) best(now time.Time, r Request) (*candidate, bool) {
-	var best *candidate
+	var best candidate // of no target as long as none is found
 	all := d.filterTargets(r, func(t *target) bool { return t.usable(now) && d.isWilling(now, t) })
 	if len(all) == 0 {
 		all = d.filterTargets(r, func(t *target) bool { return t.listed(now) && d.isWilling(now, t) })
@@ -167,27 +167,29 @@
 	var holders []candidate
 	for _, t := range all {
 		c, ok := d.evaluate(now, t, r, rank)
-		if ok && t.speed.Told() && (best == nil || !c.load || c.cost < best.cost) {
+		if ok && t.speed.Told() && (best.target == nil || !c.load || c.cost < best.cost) {
 			c.pause = pauseCost(now, &c, r)
 			c.cost += c.pause
 			if c.load && !r.InProgress && d.loadTooSlow(now, r, &c) {
 				c.cost += refusalCost
 			}
 		}
-		if ok && !c.load {
+		if ok && !c.load && t.speed.Told() {
 			holders = append(holders, c)
 		}
-		if ok && (best == nil || c.cost < best.cost || c.cost == best.cost && t.Name < best.target.Name) {
-			best = &c
+		if ok && (best.target == nil || c.cost < best.cost || c.cost == best.cost && t.Name < best.target.Name) {
+			best = c
 		}
 	}
-	if len(holders) == 0 || !holders[0].target.speed.Told() {
-		return best, len(all) > 0
+	if best.target == nil {
+		return nil, len(all) > 0
 	}
-	if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
-		best = drawn
+	if len(holders) > 0 {
+		if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
+			return drawn, true
+		}
 	}
-	return best, len(all) > 0
+	return &best, true
 }
 
 // worthLoad returns the cost that counts between a candidate for which the adapter has to be loaded and one that
