--- a/stage/speed/evidence.go
+++ b/stage/speed/evidence.go
@@ -11,6 +11,10 @@
 	at         time.Time
 }
 
+// minFade divides a half-life into the shortest times after which the weight is computed again: until then it falls by
+// less than a five-hundredth.
+const minFade = 400
+
 // add adds an observation of the given weight.
 func (e *evidence) add(now time.Time, halfLife time.Duration, x, weight float64) {
 	e.fade(now, halfLife)
@@ -20,7 +24,7 @@
 
 // fade reduces the weight of the observations to that at the time now.
 func (e *evidence) fade(now time.Time, halfLife time.Duration) {
-	if age := now.Sub(e.at); age > 0 {
+	if age := now.Sub(e.at); age > halfLife/minFade {
 		if e.count > 0 {
 			keep := math.Exp2(-float64(age) / float64(halfLife))
 			e.count, e.sum = e.count*keep, e.sum*keep
