--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -116,7 +116,7 @@
 	failureRate         float64   // failure rate at ratedAt
 	ratedAt             time.Time
 	outcomes            outcomeWindow
-	speed               *speed.Machine
+	speed               *speed.Target
 	process             *process
 	unconfirmedUntil    time.Time    // an older copy of the store lists the target, whose removal was acknowledged
 	share               notice.Share // this host's share of the target's limit
--- a/stage/dispatch/drawn_test.go
+++ b/stage/dispatch/drawn_test.go
@@ -99,13 +99,13 @@
 	return done
 }
 
-// A drawnLoad is a load on fake runners. moment is the slowness of a runner's moments beside that of its machine.
+// A drawnLoad is a load on fake runners. moment is the slowness of a runner's moments beside its own.
 type drawnLoad struct {
 	name       string
 	hosts, lag int     // lag is the ms in which digests arrive
 	perSecond  float64 // requests
 	long       float64 // share of requests with long prompts
-	machine    func(runner int, ms float64) float64
+	own        func(runner int, ms float64) float64
 	moment     func(runner int, ms float64) float64
 }
 
@@ -134,7 +134,7 @@
 func newDrawnPlay(l drawnLoad, p drawnPolicy, seed uint64) *drawnPlay {
 	d := &drawnPlay{load: l, policy: p, rng: rand.New(rand.NewPCG(seed, 2)), later: make(map[int][]func())}
 	for i := range drawnRunners {
-		f := &drawnRunner{slow: func(ms float64) float64 { return l.machine(i, ms) * l.moment(i, ms) }, told: func(float64) float64 { return 0 }}
+		f := &drawnRunner{slow: func(ms float64) float64 { return l.own(i, ms) * l.moment(i, ms) }, told: func(float64) float64 { return 0 }}
 		if p.tell {
 			f.told = func(ms float64) float64 { return l.moment(i, ms) }
 		}
@@ -267,8 +267,8 @@
 	return 1
 }
 
-// neighbours returns the slowness of moments in which a sixth of the runners have other work on their machines.
-func neighbours(runner int, ms float64) float64 {
+// contention returns the slowness of moments in which a sixth of the runners have other work beside theirs.
+func contention(runner int, ms float64) float64 {
 	moment := uint64(ms/600) + uint64(runner)*7
 	if rand.New(rand.NewPCG(moment, uint64(runner))).IntN(6) == 0 {
 		return 2.5
@@ -299,9 +299,9 @@
 		lead map[string]float64 // by which the share in time is at least larger
 	}{
 		{drawnLoad{"a quarter at half speed", 6, 100, 110, 0.4, quarterSlow, usual}, map[string]float64{"least requests": 0.1, "better of two": 0.05}},
-		{drawnLoad{"neighbours", 6, 100, 110, 0.4, usual, neighbours}, map[string]float64{"least requests": 0.1, "better of two": 0.05, "today": 0.01}},
+		{drawnLoad{"contention", 6, 100, 110, 0.4, usual, contention}, map[string]float64{"least requests": 0.1, "better of two": 0.05, "today": 0.01}},
 		{drawnLoad{"one slower for 6 s", 6, 100, 150, 0.4, oneSlow, usual}, map[string]float64{"least requests": 0.1}},
-		{drawnLoad{"a quarter slow and neighbours, 70 hosts", 70, 300, 110, 0.4, quarterSlow, neighbours}, map[string]float64{"least requests": 0.1, "today": 0.1}},
+		{drawnLoad{"a quarter slow and contention, 70 hosts", 70, 300, 110, 0.4, quarterSlow, contention}, map[string]float64{"least requests": 0.1, "today": 0.1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			shares := make(map[string]float64)
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -186,7 +186,7 @@
 	if best.target == nil {
 		return nil, len(all) > 0
 	}
-	if holders = comparable(now, holders, r); len(holders) > 0 {
+	if holders = eligible(now, holders, r); len(holders) > 0 {
 		if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
 			return drawn, true
 		}
@@ -207,9 +207,9 @@
 	return c.target.speed.PauseCost(now, speed.Load{Own: c.work.Tokens - c.backlog, Backlog: c.backlog, Running: c.work.Running}, r.Pause)
 }
 
-// comparable returns the candidates that answer before the deadline and whose targets don't fail more, can't be reached
+// eligible returns the candidates that answer before the deadline and whose targets don't fail more, can't be reached
 // less and aren't farther away than the best one in this by drawMargin.
-func comparable(now time.Time, all []candidate, r Request) []candidate {
+func eligible(now time.Time, all []candidate, r Request) []candidate {
 	lowest := math.Inf(1)
 	for _, c := range all {
 		lowest = min(lowest, c.fault)
--- a/stage/dispatch/targets.go
+++ b/stage/dispatch/targets.go
@@ -158,7 +158,7 @@
 		d.targets = make(map[string]*target)
 		d.services = make(map[string]map[string]*target)
 	}
-	learned := d.speeds.Machine(entry.Service, entry.Name, entry.Started)
+	learned := d.speeds.Target(entry.Service, entry.Name, entry.Started)
 	t := &target{hash: p.hash, process: p, speed: learned, prefixCache: prefix.Cache{MaxTokens: d.prefixCacheLimit(entry.Service)}, slowdown: 1}
 	d.targets[entry.Name] = t
 	if d.services[entry.Service] == nil {
--- a/stage/speed/pause.go
+++ b/stage/speed/pause.go
@@ -17,7 +17,7 @@
 	// their pauses, and maxOthersCost the largest cost of what a prompt does to these.
 	othersWeight  = 0.4
 	maxOthersCost = 2.0
-	// minCommon is the number of prompt tokens below which a prompt doesn't disturb the streams of others.
+	// minCommon is the number of prompt tokens below which a prompt doesn't slow the streams of others.
 	minCommon = 256
 )
 
@@ -32,7 +32,7 @@
 const backlogInterval = 20 * time.Millisecond
 
 // NoteBacklog records the backlog of prompts on the target.
-func (m *Machine) NoteBacklog(now time.Time, tokens int) {
+func (m *Target) NoteBacklog(now time.Time, tokens int) {
 	if now.Sub(m.backlog.at) < backlogInterval {
 		return
 	}
@@ -42,7 +42,7 @@
 // PauseCost returns the cost of late pauses between the events of streams if a request is sent to the target: those
 // of its own stream, if it has an objective for its longest pause, and those of the streams that run there, between
 // whose tokens its prompt is processed. The unit is one late answer.
-func (m *Machine) PauseCost(now time.Time, l Load, objective time.Duration) float64 {
+func (m *Target) PauseCost(now time.Time, l Load, objective time.Duration) float64 {
 	s := m.service
 	theirs := s.pause
 	if objective <= 0 && (theirs <= 0 || l.Own < minCommon) {
@@ -60,26 +60,26 @@
 	return cost
 }
 
-// A forecast is what is expected of a target's pauses. Moments are usual or disturbed.
+// A forecast is what is expected of a target's pauses. Moments are usual or contended.
 type forecast struct {
 	gap       float64 // milliseconds between two events while no prompt is processed
 	token     float64 // milliseconds to process a prompt token
 	spread    float64 // tokens by which the backlog is exceeded once in e times
-	disturbed float64 // slowness of disturbed moments
-	soon      float64 // probability of a disturbed moment soon
+	contended float64 // slowness of contended moments
+	soon      float64 // probability of a contended moment soon
 	stream    float64 // the same during a stream
 }
 
-func (m *Machine) forecast(now time.Time) forecast {
+func (m *Target) forecast(now time.Time) forecast {
 	u, p := m.service.usual(now), m.now(now)
 	f := forecast{
-		gap:       float64(u.gap) / float64(time.Millisecond) * p.machine,
-		token:     u.correction * p.machine / prefillRate,
+		gap:       float64(u.gap) / float64(time.Millisecond) * p.own,
+		token:     u.correction * p.own / prefillRate,
 		spread:    typicalPrompt + m.backlog.mean(1),
-		disturbed: max(u.disturbance, disturbedFrom),
-		soon:      (1 - p.left) * u.disturbed,
+		contended: max(u.contention, contendedFrom),
+		soon:      (1 - p.left) * u.contended,
 	}
-	if p.pace >= disturbedFrom {
+	if p.pace >= contendedFrom {
 		f.soon += p.left
 	}
 	f.stream = max(f.soon, u.ofStream)
@@ -87,9 +87,9 @@
 }
 
 // late returns the probability that a pause exceeds an objective on a target with a backlog of prompt tokens, where
-// disturbed is the probability of a disturbed moment.
-func (f forecast) late(objective time.Duration, backlog int, disturbed float64) float64 {
-	return (1-disturbed)*f.exceeds(objective, backlog, 1) + disturbed*f.exceeds(objective, backlog, f.disturbed)
+// contended is the probability of a contended moment.
+func (f forecast) late(objective time.Duration, backlog int, contended float64) float64 {
+	return (1-contended)*f.exceeds(objective, backlog, 1) + contended*f.exceeds(objective, backlog, f.contended)
 }
 
 // exceeds returns the probability that a pause exceeds an objective in moments of a given slowness: that the target
--- a/stage/speed/pool.go
+++ b/stage/speed/pool.go
@@ -14,7 +14,7 @@
 // A Pool is what one host knows of the speed of all targets. The zero value is ready to use.
 type Pool struct {
 	services      map[string]*Service
-	machines      map[uint32]*Machine
+	targets       map[uint32]*Target
 	contributions map[string]*contribution // by host
 	totals        map[uint32]Report        // sums of the contributions
 	reported      map[string]time.Time     // last report, by receiver
@@ -37,21 +37,21 @@
 	reports  map[uint32]Report
 }
 
-// Machine returns what is known of a process of a target of a service.
-func (p *Pool) Machine(service, target string, started time.Time) *Machine {
-	if p.machines == nil {
-		p.machines = make(map[uint32]*Machine)
+// Target returns what is known of a process of a target of a service.
+func (p *Pool) Target(service, target string, started time.Time) *Target {
+	if p.targets == nil {
+		p.targets = make(map[uint32]*Target)
 		p.services = make(map[string]*Service)
 	}
 	k := Key(target, started)
-	if m := p.machines[k]; m != nil && m.service == p.services[service] {
+	if m := p.targets[k]; m != nil && m.service == p.services[service] {
 		return m
 	}
 	if p.services[service] == nil {
 		p.services[service] = &Service{pool: p, key: Key("service "+service, time.Time{})}
 	}
-	m := &Machine{pool: p, service: p.services[service], key: k}
-	p.machines[k] = m
+	m := &Target{pool: p, service: p.services[service], key: k}
+	p.targets[k] = m
 	return m
 }
 
@@ -63,9 +63,9 @@
 }
 
 // Forget drops what this host knows of a target that is gone.
-func (p *Pool) Forget(m *Machine) {
-	if p.machines[m.key] == m {
-		delete(p.machines, m.key)
+func (p *Pool) Forget(m *Target) {
+	if p.targets[m.key] == m {
+		delete(p.targets, m.key)
 	}
 }
 
@@ -96,7 +96,7 @@
 
 // hear records the moment of a report.
 func (p *Pool) hear(now time.Time, r Report) {
-	m := p.machines[r.Target]
+	m := p.targets[r.Target]
 	if m == nil {
 		return
 	}
@@ -150,7 +150,7 @@
 			add(s.report(now))
 		}
 	}
-	for _, m := range p.machines {
+	for _, m := range p.targets {
 		if m.Told() {
 			add(m.report(now))
 		}
--- a/stage/speed/service.go
+++ b/stage/speed/service.go
@@ -16,8 +16,8 @@
 	// longPrompt is the number of tokens from which the first byte of an answer shows how fast prompts are
 	// processed. Other delays dominate before shorter ones.
 	longPrompt = 2000
-	// disturbedFrom is the slowness from which a moment counts as disturbed.
-	disturbedFrom = 1.4
+	// contendedFrom is the slowness from which a moment counts as contended.
+	contendedFrom = 1.4
 	// priorMemory is the time in which what a target tells of the moment loses two thirds of its meaning, as
 	// long as nothing was observed. The learned time is from minMemory to maxMemory.
 	priorMemory = 300 * time.Millisecond
@@ -29,29 +29,29 @@
 
 // A Service is what is learned of the targets of one service together.
 type Service struct {
-	pool        *Pool
-	key         uint32
-	told        bool     // a target told the slowness of a moment
-	gaps        evidence // own observations: logarithm of the time between events while no prompt is processed, in stepTime
-	firsts      evidence // own observations: logarithm of the ratio of the time to the first byte to the usual one
-	disturbed   evidence // 1 for each disturbed moment, 0 for any other
-	disturbance evidence // slowness of disturbed moments
-	persisted   evidence // how much of a disturbed moment was left at a later one
-	pairAge     evidence // seconds between these
-	pause       time.Duration
-	pauseAt     time.Time
-	cache       usualSpeed
-	cached      moment
+	pool       *Pool
+	key        uint32
+	told       bool     // a target told the slowness of a moment
+	gaps       evidence // own observations: logarithm of the time between events while no prompt is processed, in stepTime
+	firsts     evidence // own observations: logarithm of the ratio of the time to the first byte to the usual one
+	contended  evidence // 1 for each contended moment, 0 for any other
+	contention evidence // slowness of contended moments
+	persisted  evidence // how much of a contended moment was left at a later one
+	pairAge    evidence // seconds between these
+	pause      time.Duration
+	pauseAt    time.Time
+	cache      usualSpeed
+	cached     moment
 }
 
 // A usualSpeed is what is learned of a service at one moment.
 type usualSpeed struct {
-	correction  float64       // ratio of this service's usual times to those of the prior
-	gap         time.Duration // usual time between two events of a stream while no prompt is processed
-	disturbed   float64       // share of disturbed moments
-	disturbance float64       // their mean slowness
-	ofStream    float64       // probability of a disturbed moment during a stream
-	memory      time.Duration // time in which what a target tells of the moment loses two thirds of its meaning
+	correction float64       // ratio of this service's usual times to those of the prior
+	gap        time.Duration // usual time between two events of a stream while no prompt is processed
+	contended  float64       // share of contended moments
+	contention float64       // their mean slowness
+	ofStream   float64       // probability of a contended moment during a stream
+	memory     time.Duration // time in which what a target tells of the moment loses two thirds of its meaning
 }
 
 // usual returns what is learned of the service.
@@ -64,8 +64,8 @@
 
 func (s *Service) compute(now time.Time) usualSpeed {
 	u := usualSpeed{correction: s.correction(now), gap: s.gap(now), memory: s.memory()}
-	u.disturbed, u.disturbance = s.disturbed.mean(priorAnswers), max(1, s.disturbance.mean(0))
-	u.ofStream = 1 - math.Pow(1-u.disturbed, momentsOfStream)
+	u.contended, u.contention = s.contended.mean(priorAnswers), max(1, s.contention.mean(0))
+	u.ofStream = 1 - math.Pow(1-u.contended, momentsOfStream)
 	return u
 }
 
@@ -113,12 +113,12 @@
 // sawMoment records the slowness of a moment, and the one that the same target told before.
 func (s *Service) sawMoment(now time.Time, slowness, before float64, age time.Duration) {
 	share := 0.0
-	if slowness >= disturbedFrom {
+	if slowness >= contendedFrom {
 		share = 1
-		s.disturbance.add(now, serviceHalfLife, slowness, 1)
+		s.contention.add(now, serviceHalfLife, slowness, 1)
 	}
-	s.disturbed.add(now, serviceHalfLife, share, 1)
-	if before >= disturbedFrom && age > 0 && age < maxPairAge {
+	s.contended.add(now, serviceHalfLife, share, 1)
+	if before >= contendedFrom && age > 0 && age < maxPairAge {
 		s.persisted.add(now, serviceHalfLife, min(max((slowness-1)/(before-1), 0), 1), 1)
 		s.pairAge.add(now, serviceHalfLife, age.Seconds(), 1)
 	}
--- a/stage/speed/speed.go
+++ b/stage/speed/speed.go
@@ -1,12 +1,12 @@
 // Package speed learns what each target can do, and estimates from it when an answer starts and how long
 // its stream pauses.
 //
-// A target's time for a piece of work is the usual time of its service, multiplied by the slowness of its
-// machine and by that of the moment. The usual time has a prior and is corrected by what the answers of the
-// service's targets show. The slowness of a machine changes slowly. It is the mean of the ratios of observed
+// A target's time for a piece of work is the usual time of its service, multiplied by its
+// own slowness and by that of the moment. The usual time has a prior and is corrected by what the answers of the
+// service's targets show. A target's own slowness changes slowly. It is the mean of the ratios of observed
 // to usual times over all hosts, from two windows: a long one, and a recent one that takes precedence where it
 // differs strongly, since a target may slow down or recover at once. The slowness of the moment is that
-// of other work on the machine. A target tells it with its answers, and it soon loses its meaning; how soon
+// of other work beside it. A target tells it with its answers, and it soon loses its meaning; how soon
 // is learned from what targets tell one after the other. What a target tells counts against what it
 // usually tells, and doesn't count while expectations without it are better.
 //
--- a/stage/speed/speed_test.go
+++ b/stage/speed/speed_test.go
@@ -17,17 +17,17 @@
 // A pair is a target of which nothing special is known and one that is observed, of one service.
 type pair struct {
 	pool          speed.Pool
-	usual, target *speed.Machine
+	usual, target *speed.Target
 }
 
 func newPair() *pair {
 	p := &pair{}
-	p.usual, p.target = p.pool.Machine("draft", "usual", start), p.pool.Machine("draft", "target", start)
+	p.usual, p.target = p.pool.Target("draft", "usual", start), p.pool.Target("draft", "target", start)
 	return p
 }
 
 // stream has a target produce a stream with 40 ms between events at slowness 1.
-func stream(m *speed.Machine, ms int, slowness float64) {
+func stream(m *speed.Target, ms int, slowness float64) {
 	var g speed.Gaps
 	for range 8 {
 		g.Add(time.Duration(40 * slowness * float64(time.Millisecond)))
@@ -42,8 +42,8 @@
 	}
 }
 
-// TestSlownessOfMachine checks that a slow target, one that slows down and one that recovers are learned from streams.
-func TestSlownessOfMachine(t *testing.T) {
+// TestSlownessOfTarget checks that a slow target, one that slows down and one that recovers are learned from streams.
+func TestSlownessOfTarget(t *testing.T) {
 	p := newPair()
 	p.target.Tell(at(0), 1)
 	ratio := func(ms int) float64 { return p.target.Slowness(at(ms)) / p.usual.Slowness(at(ms)) }
@@ -62,7 +62,7 @@
 		stream(p.target, ms, 2)
 	}
 	require.InDelta(t, 2, ratio(10000), 0.7, "recovered")
-	again := p.pool.Machine("draft", "target", at(10000))
+	again := p.pool.Target("draft", "target", at(10000))
 	require.InDelta(t, 1, again.Slowness(at(10000))/p.usual.Slowness(at(10000)), 0.2, "started again")
 }
 
@@ -164,7 +164,7 @@
 		stream(p.target, ms, 2)
 	}
 	p.pool.NotePause(at(3000), "draft", 500*time.Millisecond)
-	cost := func(m *speed.Machine, own, backlog, running int, objective time.Duration) float64 {
+	cost := func(m *speed.Target, own, backlog, running int, objective time.Duration) float64 {
 		return m.PauseCost(at(3000), speed.Load{Own: own, Backlog: backlog, Running: running}, objective)
 	}
 	const objective = 500 * time.Millisecond
--- a/stage/speed/machine.go
+++ b/stage/speed/target.go
@@ -34,8 +34,8 @@
 	gainWeight = 0.15
 )
 
-// A Machine is what is known of the speed of one process of a target.
-type Machine struct {
+// A Target is what is known of the speed of one process of a target.
+type Target struct {
 	pool    *Pool
 	service *Service
 	key     uint32
@@ -53,15 +53,15 @@
 
 // A present is what is learned of a target at one moment.
 type present struct {
-	machine float64 // slowness of its machine
-	pace    float64 // slowness of the moment as told last, as a multiple of what the target usually tells
-	left    float64 // share of its meaning that pace has left; 0 if it doesn't count
+	own  float64 // own slowness of the target
+	pace float64 // slowness of the moment as told last, as a multiple of what the target usually tells
+	left float64 // share of its meaning that pace has left; 0 if it doesn't count
 }
 
 // now returns what is learned of the target.
-func (m *Machine) now(now time.Time) *present {
+func (m *Target) now(now time.Time) *present {
 	if at := m.pool.moment(now); m.cached != at {
-		m.cache = present{machine: m.machine(now), pace: m.relative(m.pace)}
+		m.cache = present{own: m.own(now), pace: m.relative(m.pace)}
 		if m.pace > 0 && m.gain+priorGain > 0 {
 			age := max(0, now.Sub(m.paceAt))
 			m.cache.left = math.Exp(-float64(age) / float64(m.service.usual(now).memory))
@@ -73,10 +73,10 @@
 
 // Told reports whether the targets of the service tell the slowness of the moment, so that it is learned what
 // they can do.
-func (m *Machine) Told() bool { return m != nil && m.service.told }
+func (m *Target) Told() bool { return m != nil && m.service.told }
 
 // Tell records the slowness of the moment that the target told, which is not positive if it told none.
-func (m *Machine) Tell(now time.Time, slowness float64) {
+func (m *Target) Tell(now time.Time, slowness float64) {
 	if !(slowness > 0) {
 		return
 	}
@@ -91,14 +91,14 @@
 }
 
 // hearPace records what the target told, possibly to another host.
-func (m *Machine) hearPace(at time.Time, slowness float64) {
+func (m *Target) hearPace(at time.Time, slowness float64) {
 	if at.After(m.paceAt) {
 		m.pace, m.paceAt = slowness, at
 	}
 }
 
 // relative returns what the target told as a multiple of what it usually tells, or 1 if it told nothing.
-func (m *Machine) relative(pace float64) float64 {
+func (m *Target) relative(pace float64) float64 {
 	if !(pace > 0) {
 		return 1
 	}
@@ -110,13 +110,13 @@
 
 // moment returns the expected slowness of the moment: what the target told, as far as that still has a
 // meaning, and else the mean of the service.
-func (m *Machine) moment(now time.Time) float64 {
+func (m *Target) moment(now time.Time) float64 {
 	u, p := m.service.usual(now), m.now(now)
-	return p.left*p.pace + (1-p.left)*(1+u.disturbed*(u.disturbance-1))
+	return p.left*p.pace + (1-p.left)*(1+u.contended*(u.contention-1))
 }
 
-// machine returns the slowness of the target's machine.
-func (m *Machine) machine(now time.Time) float64 {
+// own returns the own slowness of the target.
+func (m *Target) own(now time.Time) float64 {
 	m.long.fade(now, longHalfLife)
 	m.recent.fade(now, recentHalfLife)
 	others := m.pool.totals[m.key]
@@ -129,18 +129,18 @@
 }
 
 // Slowness returns the expected ratio of the target's times to those of Work.Usual.
-func (m *Machine) Slowness(now time.Time) float64 {
-	return min(max(m.service.usual(now).correction*m.now(now).machine*m.moment(now), 1/maxRatio), maxRatio*maxRatio)
+func (m *Target) Slowness(now time.Time) float64 {
+	return min(max(m.service.usual(now).correction*m.now(now).own*m.moment(now), 1/maxRatio), maxRatio*maxRatio)
 }
 
 // First records that the first byte of an answer arrived after the time observed where usual is its usual time
 // and tokens the length of the prompt that was processed. told is the slowness of the moment that the answer
 // told, if any.
-func (m *Machine) First(now time.Time, observed, usual time.Duration, tokens int, told float64) {
+func (m *Target) First(now time.Time, observed, usual time.Duration, tokens int, told float64) {
 	if !m.Told() {
 		return
 	}
-	machine, correction, moment := m.machine(now), m.service.usual(now).correction, 1.0
+	own, correction, moment := m.own(now), m.service.usual(now).correction, 1.0
 	if told > 0 {
 		moment = m.relative(told)
 	}
@@ -148,7 +148,7 @@
 	if !ok {
 		return
 	}
-	known := math.Log(machine)
+	known := math.Log(own)
 	m.pool.changes++
 	m.gain += gainWeight * (math.Abs(plain-known) - math.Abs(plain-known-math.Log(moment)) - m.gain)
 	if m.gain+priorGain <= 0 {
@@ -168,30 +168,30 @@
 }
 
 // Streamed records the times between the events of a stream that the target produces.
-func (m *Machine) Streamed(now time.Time, g Gaps) {
+func (m *Target) Streamed(now time.Time, g Gaps) {
 	quick := g.Quick()
 	if quick <= 0 || !m.Told() {
 		return
 	}
 	m.pool.changes++
-	share := 0.0 // logarithm of the part of the pauses that comes from the machine being slower than others
+	share := 0.0 // logarithm of the part of the pauses that comes from the target being slower than others
 	if m.service.allGaps(now).count >= minGaps {
 		ratio, _ := logRatio(float64(quick), float64(m.service.gap(now)))
 		m.observe(now, ratio, 1)
 		m.pool.changes++
-		share = math.Log(m.machine(now))
+		share = math.Log(m.own(now))
 	}
 	m.service.gaps.add(now, serviceHalfLife, math.Log(float64(quick)/float64(stepTime))-share, 1)
 }
 
 // observe adds the logarithm of a ratio to both windows.
-func (m *Machine) observe(now time.Time, ratio, weight float64) {
+func (m *Target) observe(now time.Time, ratio, weight float64) {
 	m.long.add(now, longHalfLife, ratio, weight)
 	m.recent.add(now, recentHalfLife, ratio, weight)
 }
 
 // report returns what this host tells others of the target.
-func (m *Machine) report(now time.Time) Report {
+func (m *Target) report(now time.Time) Report {
 	m.long.fade(now, longHalfLife)
 	m.recent.fade(now, recentHalfLife)
 	r := Report{Target: m.key}
