--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -19,6 +19,7 @@
 	"jacinthstage/stage/connection"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/memory"
+	"jacinthstage/stage/speed"
 	"jacinthstage/stage/verdict"
 )
 
@@ -159,9 +160,14 @@
 // sends only complete events.
 func (req *callerRequest) forwardStream(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) outcome {
 	reader := bufio.NewReaderSize(x, 4<<10)
+	var gaps speed.Gaps
+	var last time.Time
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF {
+			if req.via == "" && !gaps.Full() {
+				attempt.Report(time.Now(), dispatch.Streamed{Gaps: gaps})
+			}
 			attempt.Report(time.Now(), dispatch.Completed{})
 			req.startStream(x.Response())
 			req.logAnswered(attempt, req.status, nil)
@@ -172,7 +178,12 @@
 		}
 		req.startStream(x.Response())
 		req.streamBegan(attempt.Target)
-		req.recordEventGap(time.Now())
+		now := time.Now()
+		req.recordEventGap(now)
+		if !last.IsZero() && gaps.Add(now.Sub(last)) && req.via == "" {
+			attempt.Report(now, dispatch.Streamed{Gaps: gaps})
+		}
+		last = now
 		if req.lastEventTime.Sub(req.headTime) > clearingTime {
 			req.answered()
 		}
