quota: limits that all hosts keep together, as decisions

Credit with a deadline: each listed host earns an equal part of the rate, spare credit goes to a collector that hands it to the hosts that need it. Not wired yet.

--- /dev/null
+++ b/stage/quota/account.go
@@ -0,0 +1,134 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandMemory is the time constant of the mean demand of an account at one host.
+	demandMemory = 2 * time.Second
+	// exchangeTime is how long it takes a host to get credit from a collector: two ways through
+	// two relays each, at one digest every 100 ms.
+	exchangeTime = 800 * time.Millisecond
+	// shortMemory is how long a collector's word counts that credit is short.
+	shortMemory = 700 * time.Millisecond
+	// expectedLumps is the least number of requests for which a host holds credit that it expects.
+	expectedLumps = 2
+	// lumpMemory is the number of requests over which their cost is averaged.
+	lumpMemory = 8
+	// spareMemory is how long after a request a host can use surplus.
+	spareMemory = 10 * time.Second
+	// creditSteps is the number of parts of its lifetime in which a host tells credit apart.
+	creditSteps = 16
+)
+
+// state is what one host knows of one account.
+type state struct {
+	name  string
+	hash  uint32
+	limit Limit
+	life  time.Duration // of credit
+
+	held     balance
+	spare    balance   // credit from the collector's surplus, which isn't given back
+	earnedAt time.Time // until when this host's part has been earned
+	reserved float64   // for requests that are accepted and not sent yet
+	waiting  float64   // for requests that wait for credit
+	waiters  int       // number of these requests
+
+	demand   float64 // mean of the last demandMemory, in units per second
+	demandAt time.Time
+	lump     float64 // mean cost of a request
+
+	received   float64 // credit granted so far
+	shortAfter time.Duration
+	shortAt    time.Time // when a collector said that credit is short
+
+	candidates []Host
+	pool       balance // credit that other hosts gave to this one as the collector
+	needs      map[Host]*need
+}
+
+// step returns the time within which credit isn't told apart.
+func (s *state) step() time.Duration { return s.life / creditSteps }
+
+// earn adds what the host has earned since the last call. What was earned more than a lifetime ago
+// has lapsed.
+func (s *state) earn(now time.Time, part float64) {
+	from := s.earnedAt
+	s.earnedAt = now
+	if from.IsZero() || part == 0 {
+		return
+	}
+	if oldest := now.Add(-s.life); from.Before(oldest) {
+		from = oldest
+	}
+	for step := max(s.step(), time.Millisecond); from.Before(now); from = from.Add(step) {
+		duration := min(step, now.Sub(from))
+		s.held.add(credit{s.limit.Rate * part * duration.Seconds(), from.Add(s.life)}, s.step())
+	}
+}
+
+// asked records that a caller has asked for cost units.
+func (s *state) asked(now time.Time, cost float64) {
+	s.demand = s.demandNow(now) + cost/demandMemory.Seconds()
+	s.demandAt = now
+	if s.lump == 0 {
+		s.lump = cost
+	}
+	s.lump += (cost - s.lump) / lumpMemory
+}
+
+func (s *state) demandNow(now time.Time) float64 {
+	return s.demand * math.Exp(-now.Sub(s.demandAt).Seconds()/demandMemory.Seconds())
+}
+
+// expected returns the credit for the requests that arrive until this host could get more. It is 0
+// where these are too few: what is held for them would lapse.
+func (s *state) expected(now time.Time) float64 {
+	expected := s.demandNow(now) * exchangeTime.Seconds()
+	if expected < expectedLumps*s.lump {
+		return 0
+	}
+	return expected
+}
+
+// kept returns the credit that this host doesn't give away. Where credit is short, that includes
+// what came too late for the request that waited for it: another one follows.
+func (s *state) kept(now time.Time) float64 {
+	kept := s.reserved + s.waiting + s.expected(now)
+	if s.isShort(now) && s.held.total(now) >= kept+s.lump-parcelRounding {
+		kept += s.lump
+	}
+	return kept
+}
+
+// usable returns the credit that this host can use.
+func (s *state) usable(now time.Time) float64 { return s.held.total(now) + s.spare.total(now) }
+
+// spend takes credit for a request.
+func (s *state) spend(now time.Time, cost float64) []credit {
+	spare := min(cost, s.spare.total(now))
+	return append(s.spare.take(spare), s.held.take(cost-spare)...)
+}
+
+// isShort reports whether a collector has said lately that the account has used up its quota.
+func (s *state) isShort(now time.Time) bool {
+	return !s.shortAt.IsZero() && now.Sub(s.shortAt) <= shortMemory
+}
+
+// retryAfter returns when there is room for a request that lacks credit.
+func (s *state) retryAfter(now time.Time, missing float64) time.Duration {
+	after := time.Duration(missing / s.limit.Rate * float64(time.Second))
+	if s.isShort(now) {
+		after = max(after, s.shortAfter)
+	}
+	return min(max(after, minRetryAfter), maxRetryAfter)
+}
+
+// The least and the greatest time after which a caller is told to come back.
+const (
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
--- /dev/null
+++ b/stage/quota/quota_test.go
@@ -0,0 +1,280 @@
+package quota_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/quota"
+	"jacinthstage/stage/relay"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	bound = quota.Bound{Window: 8 * time.Second, Over: 0.1, Slack: 110_000}
+	large = quota.Limit{Unit: quota.Tokens, Rate: 540_000, Burst: 540_000}
+	small = quota.Limit{Unit: quota.Tokens, Rate: 29_000, Burst: 29_000}
+)
+
+const (
+	step     = 10 * time.Millisecond
+	interval = 10 // steps between two digests of a host
+)
+
+// A demand returns the callers' requests of one step: by host, the tokens of one each.
+type demand func(step int, rng *rand.Rand) (hosts []int)
+
+// A link says whether a message from one host to another arrives.
+type link func(step, from, to int) bool
+
+// A node is one host.
+type node struct {
+	name   string
+	keeper *quota.Keeper
+	frozen int // until which step
+	inbox  []message
+}
+
+// A message arrives at a host at a step. A report wants an answer.
+type message struct {
+	at, from int
+	reports  []quota.Report
+	report   bool
+}
+
+type waiter struct {
+	host, since int
+	done        func()
+}
+
+// A fleet is hosts that keep one account's quota, in virtual time.
+type fleet struct {
+	rng     *rand.Rand
+	limit   quota.Limit
+	cost    int
+	nodes   []*node
+	names   []string
+	roster  *relay.Roster
+	link    link
+	step    int
+	waiters []waiter
+	sent    []float64 // by step
+	allowed float64   // by one bucket with the limit
+	bucket  float64
+	served  float64
+}
+
+func newFleet(seed uint64, hosts int, limit quota.Limit, cost int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), limit: limit, cost: cost, bucket: limit.Burst, link: func(int, int, int) bool { return true }}
+	var all []relay.Host
+	for i := range hosts {
+		name := fmt.Sprint("h", i)
+		f.names = append(f.names, name)
+		all = append(all, relay.Host{Name: name, Region: "r"})
+		f.nodes = append(f.nodes, &node{name: name})
+	}
+	f.roster = relay.NewRoster(all)
+	for i := range hosts {
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) now() time.Time { return start.Add(time.Duration(f.step) * step) }
+
+// restart gives a host a new process.
+func (f *fleet) restart(i int) {
+	n := f.nodes[i]
+	n.keeper, n.inbox = &quota.Keeper{Self: n.name, Start: uint64(f.step + 1), Bound: bound}, nil
+	n.keeper.SetHosts(f.now(), f.names)
+	n.keeper.SetLimits(f.now(), map[string]quota.Limit{"a": f.limit})
+	n.keeper.Confirm(f.now())
+}
+
+func (f *fleet) index(name string) int {
+	var i int
+	_, _ = fmt.Sscanf(name, "h%d", &i)
+	return i
+}
+
+func (f *fleet) post(from, to int, reports []quota.Report, report bool) {
+	if f.link(f.step, from, to) {
+		n := f.nodes[to]
+		n.inbox = append(n.inbox, message{f.step + 1 + f.rng.IntN(3), from, reports, report})
+	}
+}
+
+func none(string) bool { return false }
+
+// exchange sends the digests of a host, as peers.Group does.
+func (f *fleet) exchange(i int) {
+	n := f.nodes[i]
+	if to := f.roster.RelayOf(n.name, none); to != "" {
+		f.post(i, f.index(to), n.keeper.Reports(f.now(), quota.Route{Passes: func(quota.Host) bool { return true }}), true)
+		return
+	}
+	next := make(map[quota.Host]string, len(f.names))
+	for _, name := range f.names {
+		next[quota.HashHost(name)] = name
+		if hop := f.roster.RelayOf(name, none); hop != "" {
+			next[quota.HashHost(name)] = hop
+		}
+	}
+	for _, to := range f.roster.Relays("r", none) {
+		if to != n.name {
+			route := quota.Route{Relays: true, Passes: func(h quota.Host) bool { return next[h] == to }}
+			f.post(i, f.index(to), n.keeper.Reports(f.now(), route), false)
+		}
+	}
+}
+
+func (f *fleet) receive(i int) {
+	n := f.nodes[i]
+	rest := n.inbox[:0]
+	for _, m := range n.inbox {
+		if m.at > f.step {
+			rest = append(rest, m)
+			continue
+		}
+		n.keeper.Receive(f.now(), m.reports)
+		if m.report {
+			to := quota.HashHost(f.nodes[m.from].name)
+			f.post(i, m.from, n.keeper.Reports(f.now(), quota.Route{Relays: true, Passes: func(h quota.Host) bool { return h == to }}), false)
+		}
+	}
+	n.inbox = rest
+}
+
+// run plays steps. The hosts that are frozen do nothing.
+func (f *fleet) run(steps int, d demand) {
+	for range steps {
+		f.sent = append(f.sent, 0)
+		f.bucket = min(f.limit.Burst, f.bucket+f.limit.Rate*step.Seconds())
+		for i, n := range f.nodes {
+			if f.step < n.frozen {
+				continue
+			}
+			f.receive(i)
+			if (f.step+i*7)%interval == 0 {
+				n.keeper.Confirm(f.now())
+				f.exchange(i)
+			}
+		}
+		waiting := f.waiters
+		f.waiters = nil
+		for _, w := range waiting {
+			f.ask(w.host, w)
+		}
+		for _, host := range d(f.step, f.rng) {
+			if f.bucket >= float64(f.cost) {
+				f.bucket -= float64(f.cost)
+				f.allowed += float64(f.cost)
+			}
+			f.ask(host, waiter{host: host, since: f.step})
+		}
+		f.step++
+	}
+}
+
+func (f *fleet) ask(host int, w waiter) {
+	k := f.nodes[host].keeper
+	if f.step < f.nodes[host].frozen {
+		return
+	}
+	last := time.Duration(f.step-w.since)*step >= quota.ExchangeLimit
+	switch decision := k.Reserve(f.now(), "a", f.cost, w.done != nil, last).(type) {
+	case quota.Accepted:
+		if k.Send(f.now(), &decision.Reservation) {
+			f.sent[f.step] += float64(f.cost)
+			f.served += float64(f.cost)
+		}
+	case quota.Unknown:
+		if w.done == nil {
+			w.done = k.Await("a", f.cost)
+		}
+		f.waiters = append(f.waiters, w)
+		return
+	}
+	if w.done != nil {
+		w.done()
+	}
+}
+
+// excess returns the largest part of the bound that was used in any window from a step on.
+func (f *fleet) excess(limit quota.Limit, from int) (most float64) {
+	window := int(bound.Window / step)
+	allowed := (limit.Rate*bound.Window.Seconds()+limit.Burst)*(1+bound.Over) + bound.Slack
+	sum := 0.0
+	for i := from; i < len(f.sent); i++ {
+		sum += f.sent[i]
+		if i-window >= from {
+			sum -= f.sent[i-window]
+		}
+		most = max(most, sum/allowed)
+	}
+	return most
+}
+
+// spread returns a demand of some units per second over hosts, changed over time by shape.
+func spread(perSecond float64, cost int, hosts []int, shape func(seconds float64) float64) demand {
+	due := 0.0
+	return func(s int, rng *rand.Rand) (out []int) {
+		due += perSecond * shape(float64(s)*step.Seconds()) * step.Seconds() * rng.ExpFloat64() / float64(cost)
+		for ; due >= 1; due-- {
+			out = append(out, hosts[rng.IntN(len(hosts))])
+		}
+		return out
+	}
+}
+
+func flat(float64) float64 { return 1 }
+
+func wavy(t float64) float64 { return 1 + 0.8*math.Sin(t*2*math.Pi/10) }
+
+func clumped(t float64) float64 {
+	if math.Mod(t, 2) < 0.4 {
+		return 5
+	}
+	return 0
+}
+
+func first(n int) (out []int) {
+	for i := range n {
+		out = append(out, i)
+	}
+	return out
+}
+
+// TestServedShare checks that nearly all that one bucket for all hosts would allow is served.
+func TestServedShare(t *testing.T) {
+	for _, l := range []struct {
+		name  string
+		limit quota.Limit
+	}{{"large", large}, {"small", small}} {
+		for _, shape := range []struct {
+			name string
+			of   func(float64) float64
+			load float64 // mean, in parts of the rate
+		}{{"steady", flat, 0.95}, {"wavy", wavy, 0.55}, {"hot", flat, 1.8}, {"clumped", clumped, 0.5}} {
+			for _, hosts := range []int{6, 71} {
+				for _, met := range []int{3, hosts} {
+					name := fmt.Sprintf("%s %s, %d of %d", l.name, shape.name, met, hosts)
+					t.Run(name, func(t *testing.T) {
+						f := newFleet(1, hosts, l.limit, 9200)
+						d := spread(l.limit.Rate*shape.load, 9200, first(met), shape.of)
+						f.run(600, d)
+						f.allowed, f.served = 0, 0
+						f.run(3000*int(1+large.Rate/l.limit.Rate/4), d)
+						t.Logf("served %.3f of what is allowed, %.2f of the bound", f.served/f.allowed, f.excess(l.limit, 0))
+						require.LessOrEqual(t, f.excess(l.limit, 0), 1.0)
+						require.GreaterOrEqual(t, f.served/f.allowed, 0.97)
+					})
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/stage/quota/share.go
@@ -0,0 +1,67 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// hostMemory is how long a host that is no longer listed counts among those that earn: it may
+	// still run, cut off from where the list is kept.
+	hostMemory = time.Minute
+	// unconfirmedLife is how long a host earns after its lease has ended. It is shorter than
+	// hostMemory: a host has stopped before others take over its part.
+	unconfirmedLife = 45 * time.Second
+)
+
+// A roster is the hosts among which a rate is divided.
+type roster struct {
+	hosts       []Host
+	most        int       // number of hosts in the last hostMemory
+	countedAt   time.Time // when there were so many
+	listed      bool      // this host is one of them
+	confirmedAt time.Time // when this host's lease was last valid
+}
+
+func (r *roster) set(now time.Time, self Host, hosts []Host) {
+	if len(hosts) >= r.most || now.Sub(r.countedAt) > hostMemory {
+		r.most, r.countedAt = len(hosts), now
+	}
+	r.hosts = hosts
+	r.listed = slices.Contains(hosts, self)
+}
+
+// part returns the part of each rate that this host earns.
+func (r *roster) part(now time.Time) float64 {
+	if !r.listed || r.most == 0 || now.Sub(r.confirmedAt) > unconfirmedLife {
+		return 0
+	}
+	return 1 / float64(r.most)
+}
+
+// maxCandidates is the number of hosts that may be an account's collector, in order: the first one
+// that is there is.
+const maxCandidates = 3
+
+// candidates returns the hosts that may be the collector of an account, the first choice first.
+func (r *roster) candidates(account uint32) []Host {
+	weight := func(h Host) uint64 {
+		var key [8]byte
+		for i := range 4 {
+			key[i], key[4+i] = byte(h>>(8*i)), byte(account>>(8*i))
+		}
+		return xxhash.Sum64(key[:])
+	}
+	best := slices.Clone(r.hosts)
+	slices.Sort(best)
+	best = slices.Compact(best)
+	slices.SortFunc(best, func(x, y Host) int {
+		if weight(x) > weight(y) {
+			return -1
+		}
+		return 1
+	})
+	return best[:min(len(best), maxCandidates)]
+}
