--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -14,11 +14,17 @@
 	// shortMemory is how long a collector's word counts that credit is short.
 	shortMemory = 700 * time.Millisecond
 	// expectedLumps is the least number of requests for which a host holds credit that it expects.
-	expectedLumps = 2
+	expectedLumps = 4
 	// lumpMemory is the number of requests over which their cost is averaged.
 	lumpMemory = 8
 	// spareMemory is how long after a request a host can use surplus.
 	spareMemory = 10 * time.Second
+	// maxShortWaiters is the number of requests of an account that wait for credit on one host while
+	// it is short.
+	maxShortWaiters = 1
+	// lateMemory is how long after a collector's word that credit is short a host keeps credit that
+	// came too late for the request that waited for it.
+	lateMemory = 3 * time.Second
 	// creditSteps is the number of parts of its lifetime in which a host tells credit apart.
 	creditSteps = 16
 )
@@ -95,13 +101,25 @@
 }
 
 // kept returns the credit that this host doesn't give away. Where credit is short, that includes
-// what came too late for the request that waited for it: another one follows.
+// what came too late for the request that waited for it: another one follows. A host that sees
+// few requests keeps none that is less than a request needs: it would lapse.
 func (s *state) kept(now time.Time) float64 {
-	kept := s.reserved + s.waiting + s.expected(now)
-	if s.isShort(now) && s.held.total(now) >= kept+s.lump-parcelRounding {
+	held, kept, expected := s.held.total(now), s.reserved+s.waiting, s.expected(now)
+	if expected == 0 && held < kept {
+		return s.whole(held)
+	}
+	if now.Sub(s.shortAt) <= lateMemory && held >= kept+s.lump-parcelRounding {
 		kept += s.lump
 	}
-	return kept
+	return kept + expected
+}
+
+// whole returns the part of an amount that serves whole requests of the mean cost.
+func (s *state) whole(amount float64) float64 {
+	if s.lump <= 0 {
+		return 0
+	}
+	return math.Floor((amount+parcelRounding)/s.lump) * s.lump
 }
 
 // usable returns the credit that this host can use.
@@ -118,6 +136,11 @@
 	return !s.shortAt.IsZero() && now.Sub(s.shortAt) <= shortMemory
 }
 
+// maySoon reports whether a request that lacks credit may get it within ExchangeLimit.
+func (s *state) maySoon(now time.Time) bool {
+	return !s.isShort(now) || s.waiters < maxShortWaiters
+}
+
 // retryAfter returns when there is room for a request that lacks credit.
 func (s *state) retryAfter(now time.Time, missing float64) time.Duration {
 	after := time.Duration(missing / s.limit.Rate * float64(time.Second))
--- a/stage/quota/exchange.go
+++ b/stage/quota/exchange.go
@@ -193,6 +193,9 @@
 // report returns what this host needs.
 func (s *state) report(now time.Time, k *Keeper) Report {
 	firm := s.reserved + s.waiting - s.usable(now)
+	if s.expected(now) == 0 && firm > 0 {
+		firm = s.reserved + s.waiting - s.spare.total(now) - s.whole(s.held.total(now))
+	}
 	if s.reserved+s.waiting > 0 {
 		firm += parcelRounding
 	}
--- a/stage/quota/keeper.go
+++ b/stage/quota/keeper.go
@@ -57,10 +57,6 @@
 // ExchangeLimit is how long a request may wait for credit from other hosts.
 const ExchangeLimit = 900 * time.Millisecond
 
-// maxShortWaiters is the number of requests of an account that wait for credit on one host while it
-// is short. With one, credit lapses before the next request comes.
-const maxShortWaiters = 2
-
 // SetLimits sets the limits of all accounts by their names.
 func (k *Keeper) SetLimits(now time.Time, limits map[string]Limit) {
 	k.mu.Lock()
@@ -125,7 +121,7 @@
 		s.reserved += cost
 		return Accepted{Reservation{account: s, cost: cost}}
 	}
-	if !last && len(k.roster.hosts) > 1 && (again || s.waiters < maxShortWaiters || !s.isShort(now)) {
+	if !last && len(k.roster.hosts) > 1 && (again || s.maySoon(now)) {
 		return Unknown{Missing: missing}
 	}
 	after := s.retryAfter(now, missing)
