quota, direct, peers: quotas are kept

A request reserves room in its account's quota before its body is read and counts as it is sent. Credit goes between hosts in relay.Extra. Settings carry the bound.

--- a/jacinthd/internal/daemon/apply.go
+++ b/jacinthd/internal/daemon/apply.go
@@ -48,6 +48,7 @@
 	if before != nil && after.Version <= before.Version {
 		return
 	}
+	p.applyQuotas(after)
 	p.lifecycle.fire(configured)
 	p.handler.Metrics.ConfigVersion.Set(float64(after.Version))
 	p.log.Info("config: applied", zap.Uint64("version", after.Version), zap.Int("services", len(after.Services)))
--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"jacinthstage/stage/lease"
 	"jacinthstage/stage/memory"
 	"jacinthstage/stage/mirror"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/retry"
 )
 
@@ -99,6 +100,7 @@
 	reach      *contact.Reach
 	controller *ownership.Controller
 	peers      *peers.Group
+	quotas     *quota.Keeper
 	proxy      *proxy.Server
 	handler    *direct.Handler
 	builds     *origins.Builds
@@ -128,8 +130,13 @@
 	suspects := &contact.Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
 	p.reach = &contact.Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
 	p.pool.Watcher = p.reach
+	p.quotas = &quota.Keeper{
+		Self: s.Name, Start: uint64(time.Now().UnixMilli()),
+		Bound: quota.Bound{Window: s.QuotaWindow, Over: s.QuotaRatio, Slack: s.QuotaSlack},
+	}
 	p.peers = &peers.Group{
-		Self: s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
+		Quotas: p.quotas,
+		Self:   s.Name, Zone: s.Zone, Regions: s.Regions, Dispatcher: p.dispatcher, Copies: deps.Copies, Suspects: suspects, Log: log,
 		Link: &peer.Link{Identity: identity, LivenessTimeout: peerIdleTimeout, Log: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))},
 	}
 	p.peers.Link.OnVersion, p.peers.Link.OnUnreadable = p.peers.OnVersion, p.peers.OnUnreadable
@@ -157,7 +164,7 @@
 	p.peers.Wake = p.controller.Wake
 	p.peers.OnNewerConfig = deps.Follower.Refresh
 	p.handler = &direct.Handler{
-		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory,
+		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory, Quotas: p.quotas,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
 		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
@@ -305,6 +312,7 @@
 			p.reach.Links.Prune(func(a netip.AddrPort) bool { return inUse[a] })
 			p.pool.SetMaxIdle(p.connectionShare())
 			p.handler.Budgets.SetHosts(now, p.settings.BaseRetries, p.dispatcher.ListedHosts())
+			p.sweepQuotas()
 			p.handler.Metrics.Targets.Set(float64(len(inUse)))
 			p.handler.Metrics.StoreEra.Set(float64(p.deps.Store.Era()))
 			p.handler.Metrics.Suspects.Set(float64(p.handler.Suspects.List.Sweep(now)))
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -31,6 +31,7 @@
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	budget "jacinthstage/stage/memory"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/retry"
 	"jacinthstage/stage/verdict"
 )
@@ -104,6 +105,7 @@
 	dispatcher *dispatch.Dispatcher
 	suspects   *contact.Suspects
 	peers      *peers.Group
+	quotas     quota.Keeper
 	reach      *contact.Reach
 	sent       atomic.Int32 // requests of callers
 	runs       atomic.Int32 // requests that reached a target
@@ -203,7 +205,7 @@
 	s.suspects.Pool.Watcher = reach
 	s.reach = reach
 	handler := &direct.Handler{
-		Reach: reach, Memory: &s.memory,
+		Reach: reach, Memory: &s.memory, Quotas: &s.quotas,
 		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects, Peers: s.peers,
 		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Wake: func() {}, CatchUp: s.catchUp,
 	}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -33,6 +33,7 @@
 	"jacinthstage/stage/connection"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/memory"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/retry"
 	"jacinthstage/stage/suspect"
 )
@@ -55,6 +56,7 @@
 	Budgets    *retry.Budgets
 	Suspects   *contact.Suspects
 	Reach      *contact.Reach
+	Quotas     *quota.Keeper
 	Metrics    *metrics.Host
 	Log        *zap.Logger
 	// Memory is the account of what is held for callers. nil means no limit.
@@ -70,13 +72,16 @@
 // A callerRequest is one request of a caller, with the state of its attempts.
 type callerRequest struct {
 	*Handler
-	w          http.ResponseWriter
-	r          *http.Request
-	call       call.Call
-	config     uint64          // version of the configuration that route is from
-	accounts   bool            // that configuration has client accounts
-	account    account.Account // of the caller; the zero value if it has none
-	authorized uint64          // version of the configuration that the key was last looked up in
+	w           http.ResponseWriter
+	r           *http.Request
+	call        call.Call
+	config      uint64            // version of the configuration that route is from
+	accounts    bool              // that configuration has client accounts
+	account     account.Account   // of the caller; the zero value if it has none
+	authorized  uint64            // version of the configuration that the key was last looked up in
+	reservation quota.Reservation // in the quota of the account
+	mayRun      bool              // an attempt may have run the request
+
 	route      catalog.Route
 	service    string
 	body       []byte
@@ -123,6 +128,7 @@
 		// Closing the connection prevents request smuggling.
 		w.Header().Set("Connection", "close")
 	}
+	defer req.releaseQuota()
 	if !req.accept() {
 		return
 	}
@@ -163,7 +169,7 @@
 			req.deadline = req.arrived.Add(limit)
 		}
 	}
-	return req.readBody(config.Limits.MaxBody)
+	return req.reserveQuota() && req.readBody(config.Limits.MaxBody)
 }
 
 // refuse sends an answer that this host generates itself, and logs the reason. If
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -114,7 +114,7 @@
 	if !attempt.Willing(time.Now()) {
 		return req.adapterNotLoaded(ctx, attempt)
 	}
-	if req.refuseSuspect() || req.refuseRevoked() {
+	if req.refuseSuspect() || req.refuseRevoked() || req.refuseOverQuota() {
 		attempt.Report(time.Now(), dispatch.Canceled{})
 		return false
 	}
@@ -137,10 +137,12 @@
 		req.fail("timeout", 0)
 		return false
 	case connectFailed:
+		req.notSent()
 		req.dialFailures++
 		req.avoid[attempt.Target.Name] = true
 		return req.allowRetry(req.dialFailures < maxDialFailures, false, "no connection")
 	case notRun:
+		req.notSent()
 		req.sends++
 		return req.allowRetry(req.sends < maxSends, true, o.reason)
 	case retryableFailure:
--- a/jacinthd/internal/metrics/account.go
+++ b/jacinthd/internal/metrics/account.go
@@ -18,6 +18,8 @@
 // An accountCounter counts the requests of client accounts.
 type accountCounter struct {
 	requests *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	short    *prometheus.GaugeVec
 
 	mu    sync.Mutex
 	named map[string]bool
@@ -43,3 +45,17 @@
 	c.named[account] = true
 	return account
 }
+
+// QuotaRefused counts a request that was refused since its account has used up its quota.
+func (m *Host) QuotaRefused(account string) {
+	m.accounts.refused.WithLabelValues(m.accounts.label(account)).Inc()
+}
+
+// SetQuotaShort sets whether the quota of an account is used up.
+func (m *Host) SetQuotaShort(account string, short bool) {
+	value := 0.0
+	if short {
+		value = 1
+	}
+	m.accounts.short.WithLabelValues(m.accounts.label(account)).Set(value)
+}
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -66,6 +66,11 @@
 	}
 	m.accounts.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_account_requests_total", Help: "Requests of callers by client account and class of status; 0xx means that no answer was sent."}, []string{"account", "status"})
+	m.accounts.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jacinth_quota_refused_total", Help: "Requests that were refused since their client account has used up its quota."}, []string{"account"})
+	m.accounts.short = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "jacinth_quota_short", Help: "1 while the quota of a client account is used up, as this host was told."}, []string{"account"})
+	r.MustRegister(m.accounts.refused, m.accounts.short)
 	m.StreamsTakenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_streams_taken_up_total", Help: "Requests that take up a stream, by how it is known which build began it."}, []string{"source"})
 	m.StoreEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_store_era", Help: "Era of the platform's store, which rises when it has come back from an older copy."})
--- a/jacinthd/internal/peers/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -9,9 +9,11 @@
 
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/mirror"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/relay"
 )
 
@@ -49,17 +51,19 @@
 // A peerSet is the set of hosts in the assignment table, with their relays.
 type peerSet struct {
 	members map[string]host.Identity
+	names   map[quota.Host]string
 	hosts   []relay.Host
 	roster  *relay.Roster
 }
 
 // SetMembers sets the hosts of the system.
 func (p *Group) SetMembers(all []host.Identity) {
-	set := &peerSet{members: make(map[string]host.Identity, len(all))}
+	set := &peerSet{members: make(map[string]host.Identity, len(all)), names: make(map[quota.Host]string, len(all))}
 	hosts := make([]relay.Host, 0, len(all))
 	names := make([]string, 0, len(all))
 	for _, m := range all {
 		set.members[m.Name] = m
+		set.names[quota.HashHost(m.Name)] = m.Name
 		names = append(names, m.Name)
 		hosts = append(hosts, relay.Host{Name: m.Name, Region: p.Regions[m.Zone]})
 	}
@@ -70,6 +74,9 @@
 	if before := p.peerSet.Swap(set); before != nil {
 		p.forgetVersions(before, set)
 	}
+	if p.Quotas != nil {
+		p.Quotas.SetHosts(boottime.Now(), names)
+	}
 	p.askStarted(set)
 }
 
@@ -144,7 +151,7 @@
 	if p.Copies.ReadsAlone(sent) {
 		digest.CopyStates = p.Copies.States(sent)
 	}
-	message := p.digestMessage(to, digest, p.extra(sent, to, relay.ToRelay))
+	message := p.digestMessage(to, digest, p.extra(to, relay.ToRelay))
 	go func() {
 		defer p.reporting.Delete(to)
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -209,7 +216,7 @@
 	digest := p.digest(now, from, relay.ToReporter, func(string) string { return "" })
 	// The reporter may have been the one to tell them.
 	digest.CopyStates = relay.Newer(p.Copies.States(now), report.CopyStates)
-	return p.digestMessage(from, digest, p.extra(now, from, relay.ToReporter))
+	return p.digestMessage(from, digest, p.extra(from, relay.ToReporter))
 }
 
 // ReaderInfo returns the values that determine how often this host reads the store.
@@ -297,7 +304,7 @@
 	if p.Regions[to.Zone] == p.Regions[p.Zone] {
 		digest.CopyStates = states
 	}
-	message := p.digestMessage(to.Name, digest, p.extra(now, to.Name, relay.ToRelay))
+	message := p.digestMessage(to.Name, digest, p.extra(to.Name, relay.ToRelay))
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 		defer cancel()
--- a/jacinthd/internal/peers/extra.go
+++ b/jacinthd/internal/peers/extra.go
@@ -1,16 +1,42 @@
 package peers
 
 import (
-	"time"
-
+	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/relay"
 )
 
-// extra returns what this host tells another one beside the digest.
-func (p *Group) extra(_ time.Time, _ string, _ relay.Direction) relay.Extra {
-	return relay.Extra{}
+// extra returns what this host tells another one beside the digest. The other one gets it at most
+// once.
+func (p *Group) extra(to string, direction relay.Direction) relay.Extra {
+	if p.Quotas == nil {
+		return relay.Extra{}
+	}
+	return relay.Extra{Quotas: p.Quotas.Reports(boottime.Now(), p.quotaRoute(to, direction))}
+}
+
+// quotaRoute returns what goes to a host: to a reporter what is for it, to this host's relay all,
+// and to other relays what is for them and for those that report to them.
+func (p *Group) quotaRoute(to string, direction relay.Direction) quota.Route {
+	receiver := quota.HashHost(to)
+	set := p.peerSet.Load()
+	switch {
+	case direction == relay.ToReporter || set == nil:
+		return quota.Route{Relays: true, Passes: func(h quota.Host) bool { return h == receiver }}
+	case p.relayName() != "":
+		return quota.Route{Passes: func(quota.Host) bool { return true }}
+	}
+	return quota.Route{Relays: true, Passes: func(h quota.Host) bool {
+		name := set.names[h]
+		hop := set.roster.RelayOf(name, p.unreachable)
+		return name == to || hop == to
+	}}
 }
 
 // mergeExtra takes in what another host has told beside its digest.
-func (p *Group) mergeExtra(_ time.Time, _ peer.Digest) {}
+func (p *Group) mergeExtra(m peer.Digest) {
+	if p.Quotas != nil && len(m.Extra.Quotas) > 0 {
+		p.Quotas.Receive(boottime.Now(), m.Extra.Quotas)
+	}
+}
--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -18,6 +18,7 @@
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/mirror"
 	"jacinthstage/stage/origin"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/residency"
 	"jacinthstage/stage/verdict"
 )
@@ -50,6 +51,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Copies     *mirror.Set
 	Suspects   *contact.Suspects
+	Quotas     *quota.Keeper // nil where this host keeps none
 	// Proxy sends requests of other hosts. If it is nil, this host sends none.
 	Proxy Proxy
 	// Wake is called when a runner may need an order.
@@ -131,7 +133,7 @@
 // takes it for a relay would count twice.
 func (p *Group) applyDigest(m peer.Digest, loads bool) {
 	d := m.Digest
-	p.mergeExtra(time.Now(), m)
+	p.mergeExtra(m)
 	p.Suspects.Merge(d.From, d.Suspects)
 	merge := p.Dispatcher.MergeDigest
 	if !loads {
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -28,6 +28,9 @@
 	OrderInterval time.Duration // minimum time between the orders of two successive owners to one runner; doubled unless Fenced
 	RetryRatio    float64       // retries allowed per request to a service
 	BaseRetries   float64       // retries allowed per window beyond RetryRatio, over all hosts
+	QuotaWindow   time.Duration // time over which QuotaRatio and QuotaSlack hold
+	QuotaRatio    float64       // fraction by which all hosts together may exceed the limit of a client account
+	QuotaSlack    float64       // units by which they may exceed it beyond that
 	GracePeriod   time.Duration // from the stop signal to the end of the process
 	MemoryLimitMB float64       // memory limit of the process in MB; 0 means no limit
 	Descriptors   int           // file descriptors that the process may open; 0 means the limit that the system sets
@@ -40,9 +43,11 @@
 // The limits of what the platform sets for a host. They only exclude values that can't be
 // computed with.
 const (
-	maxRetryRatio  = 1e6 // retries per request
-	maxRetries     = 1e9 // retries per window
-	maxMemory      = 1e9 // MB
+	maxRetryRatio  = 1e6  // retries per request
+	maxRetries     = 1e9  // retries per window
+	maxQuotaRatio  = 1e6  // units per unit
+	maxQuotaSlack  = 1e15 // units per window
+	maxMemory      = 1e9  // MB
 	maxDescriptors = 1 << 30
 	maxBound       = 365 * 24 * time.Hour
 )
@@ -86,6 +91,9 @@
 		{section: "orders", key: "turn", fallback: "3s", set: duration(&d.OrderInterval, 0, maxBound)},
 		{section: "retries", key: "share", fallback: "0.1", set: decimal(&d.RetryRatio, 0, maxRetryRatio)},
 		{section: "retries", key: "slack", fallback: "10", set: decimal(&d.BaseRetries, 0, maxRetries)},
+		{section: "quotas", key: "window", fallback: "10s", set: duration(&d.QuotaWindow, 0, maxBound)},
+		{section: "quotas", key: "share", fallback: "0.1", set: decimal(&d.QuotaRatio, 0, maxQuotaRatio)},
+		{section: "quotas", key: "slack", fallback: "0", set: decimal(&d.QuotaSlack, 0, maxQuotaSlack)},
 		{section: "stop", key: "grace", fallback: "8s", set: duration(&d.GracePeriod, 0, maxBound)},
 		{section: "limits", key: "held", fallback: "0", set: decimal(&d.HeldMB, 0, maxMemory)},
 		{section: "limits", key: "callers", fallback: "0", set: integer(&d.Connections, 0, maxDescriptors)},
--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -23,7 +23,7 @@
 	// it is short.
 	maxShortWaiters = 1
 	// lateMemory is how long after a collector's word that credit is short a host keeps credit that
-	// came too late for the request that waited for it.
+	// came too late for the request that waited for it, if it sees one a second.
 	lateMemory = 3 * time.Second
 	// creditSteps is the number of parts of its lifetime in which a host tells credit apart.
 	creditSteps = 16
@@ -108,7 +108,7 @@
 	if expected == 0 && held < kept {
 		return s.whole(held)
 	}
-	if now.Sub(s.shortAt) <= lateMemory && held >= kept+s.lump-parcelRounding {
+	if now.Sub(s.shortAt) <= lateMemory && s.demandNow(now) >= s.lump && held >= kept+s.lump-parcelRounding {
 		kept += s.lump
 	}
 	return kept + expected
--- a/stage/quota/collector.go
+++ b/stage/quota/collector.go
@@ -18,9 +18,9 @@
 	shortInterval = 250 * time.Millisecond
 	// minGrantLife is how long credit must be valid yet for a grant: it lapses on its way otherwise.
 	minGrantLife = 400 * time.Millisecond
-	// reserve is the time whose earnings a collector keeps for requests that wait, and
-	// spareInterval the least time between two reports of surplus to one host.
-	reserve       = 500 * time.Millisecond
+	// reservePart is the part of credit's lifetime whose earnings a collector keeps for requests that
+	// wait, and spareInterval the least time between two reports of surplus to one host.
+	reservePart   = 0.6
 	spareInterval = 800 * time.Millisecond
 )
 
@@ -159,7 +159,7 @@
 // giveSurplus gives hosts credit for their next request, out of what is beyond the reserve.
 func (s *state) giveSurplus(now time.Time, self Host, order []*need) (out []Report) {
 	slices.SortStableFunc(order, func(x, y *need) int { return x.spareAt.Compare(y.spareAt) })
-	beyond := s.pool.total(now) - s.limit.Rate*reserve.Seconds()
+	beyond := s.pool.total(now) - s.limit.Rate*reservePart*s.life.Seconds()
 	for _, n := range order {
 		if n.spare <= 0 || n.spare > beyond || now.Sub(n.spareAt) <= spareInterval {
 			continue
--- a/stage/quota/keeper.go
+++ b/stage/quota/keeper.go
@@ -165,6 +165,20 @@
 	return true
 }
 
+// Undo takes back Send, for a request that certainly didn't run and is sent once more.
+func (k *Keeper) Undo(r *Reservation) {
+	if r.account == nil || r.parts == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range r.parts {
+		r.account.held.add(c, 0)
+	}
+	r.parts = nil
+	r.account.reserved += r.cost
+}
+
 // Release gives back the room of a request that ran nowhere.
 func (k *Keeper) Release(r *Reservation) {
 	if r.account == nil {
--- a/stage/quota/quota.go
+++ b/stage/quota/quota.go
@@ -71,6 +71,8 @@
 	// while a host is frozen.
 	lifePart = 0.8
 	maxLife  = 30 * time.Second
+	// minLife is the least lifetime. A bound that allows less can't be kept, but for a host alone.
+	minLife = 250 * time.Millisecond
 )
 
 // life returns how long credit under a limit lives: all that is sent in a window was earned in
@@ -80,7 +82,7 @@
 		b = Bound{Window: DefaultWindow, Over: DefaultOver}
 	}
 	beyond := b.Over*l.Rate*b.Window.Seconds() + (1+b.Over)*l.Burst + b.Slack
-	seconds := min(lifePart*beyond/l.Rate, maxLife.Seconds())
+	seconds := min(max(lifePart*beyond/l.Rate, minLife.Seconds()), maxLife.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
 
