--- a/stage/quota/collector.go
+++ b/stage/quota/collector.go
@@ -173,7 +173,7 @@
 
 // grant takes credit from the pool for a host.
 func (s *state) grant(now time.Time, self Host, n *need, amount float64, kind Kind) (out []Report) {
-	for _, c := range s.pool.take(amount) {
+	for _, c := range s.pool.takeLasting(now.Add(exchangeTime), amount) {
 		switch {
 		case n.host == self && kind == Surplus:
 			s.spare.add(c, 0)
--- a/stage/quota/credit.go
+++ b/stage/quota/credit.go
@@ -74,3 +74,20 @@
 	}
 	return parts
 }
+
+// takeLasting is like take but takes credit that lapses before the time until only if the rest
+// doesn't suffice.
+func (b *balance) takeLasting(until time.Time, amount float64) []credit {
+	first := 0
+	for first < len(*b) && (*b)[first].until.Before(until) {
+		first++
+	}
+	short, lasting := (*b)[:first:first], (*b)[first:]
+	parts := lasting.take(amount)
+	for _, c := range parts {
+		amount -= c.amount
+	}
+	parts = append(parts, short.takeLast(amount)...)
+	*b = append(short, lasting...)
+	return parts
+}
