--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -104,14 +104,20 @@
 // what came too late for the request that waited for it: another one follows. A host that sees
 // few requests keeps none that is less than a request needs: it would lapse.
 func (s *state) kept(now time.Time) float64 {
-	held, kept, expected := s.held.total(now), s.reserved+s.waiting, s.expected(now)
-	if expected == 0 && held < kept {
-		return s.whole(held)
-	}
-	if now.Sub(s.shortAt) <= lateMemory && s.demandNow(now) >= s.lump && held >= kept+s.lump-parcelRounding {
+	kept, expected := s.needed(now), s.expected(now)
+	if now.Sub(s.shortAt) <= lateMemory && s.demandNow(now) >= s.lump && s.usable(now) >= kept+s.lump-parcelRounding {
 		kept += s.lump
 	}
-	return kept + expected
+	return max(0, kept-s.spare.total(now)) + expected
+}
+
+// needed returns the part of what this host has for accepted and waiting requests that is of use.
+func (s *state) needed(now time.Time) float64 {
+	usable, needed := s.usable(now), s.reserved+s.waiting
+	if usable < needed && s.expected(now) == 0 {
+		return s.whole(usable)
+	}
+	return needed
 }
 
 // whole returns the part of an amount that serves whole requests of the mean cost.
--- a/stage/quota/exchange.go
+++ b/stage/quota/exchange.go
@@ -194,7 +194,7 @@
 func (s *state) report(now time.Time, k *Keeper) Report {
 	firm := s.reserved + s.waiting - s.usable(now)
 	if s.expected(now) == 0 && firm > 0 {
-		firm = s.reserved + s.waiting - s.spare.total(now) - s.whole(s.held.total(now))
+		firm = s.reserved + s.waiting - s.needed(now)
 	}
 	if s.reserved+s.waiting > 0 {
 		firm += parcelRounding
