--- a/jacinthd/settings/platform_test.go
+++ b/jacinthd/settings/platform_test.go
@@ -137,6 +137,9 @@
 	require.Equal(t, 58.0, want.BaseRetries)
 	require.Equal(t, 3*time.Second, want.OrderInterval)
 	require.Equal(t, 8*time.Second, want.GracePeriod)
+	require.Equal(t, 10*time.Second, want.QuotaWindow)
+	require.Equal(t, 0.1, want.QuotaRatio)
+	require.Zero(t, want.QuotaSlack)
 
 	cases := []struct {
 		path  string
@@ -152,6 +155,12 @@
 		{"bounds.budgetRatio", 2.5, func(d *settings.Direct) { d.RetryRatio = 2.5 }},
 		{"bounds.budgetRatio", 0, func(d *settings.Direct) { d.RetryRatio = 0 }},
 		{"bounds.budgetRatio", undefined, func(d *settings.Direct) { d.RetryRatio = 0.1 }},
+		{"bounds.quotaWindowS", 8, func(d *settings.Direct) { d.QuotaWindow = 8 * time.Second }},
+		{"bounds.quotaWindowS", 7.5, func(d *settings.Direct) { d.QuotaWindow = 7500 * time.Millisecond }},
+		{"bounds.quotaOver", 0.25, func(d *settings.Direct) { d.QuotaRatio = 0.25 }},
+		{"bounds.quotaOver", 0, func(d *settings.Direct) { d.QuotaRatio = 0 }},
+		{"bounds.quotaSlack", 110000, func(d *settings.Direct) { d.QuotaSlack = 110000 }},
+		{"bounds.quotaSlack", nil, func(d *settings.Direct) { d.QuotaSlack = 0 }},
 		{"bounds.leaseMs", 2500.5, func(d *settings.Direct) { d.OrderInterval = 2500500 * time.Microsecond }},
 		{"bounds.leaseMs", 3600000, func(d *settings.Direct) { d.OrderInterval = time.Hour }},
 		{"bounds.leaseMs", 0, func(d *settings.Direct) { d.OrderInterval = 0 }},
