--- a/stage/quota/quota_test.go
+++ b/stage/quota/quota_test.go
@@ -446,3 +446,54 @@
 	now = now.Add(time.Hour)
 	require.False(t, k.Send(now, &r), "lapsed, and the host's lease ended")
 }
+
+// TestPartsByLastDemand is the other baseline: each host has the part of the rate that its demand
+// had in that of all hosts half a second ago. What it asks beyond its part meanwhile is refused.
+func TestPartsByLastDemand(t *testing.T) {
+	const (
+		hosts = 71
+		delay = 50
+		cost  = 2000.0
+	)
+	rng := rand.New(rand.NewPCG(1, 1))
+	asked := make([][hosts]float64, 3000)
+	var held [hosts]float64
+	var f fleet
+	d := spread(large.Rate*1.8, int(cost), first(hosts), clumped)
+	for s := range asked {
+		f.sent = append(f.sent, 0)
+		f.bucket = min(large.Burst, f.bucket+large.Rate*step.Seconds())
+		for i := range held {
+			part := 1.0 / hosts
+			if sum := sumOf(asked, s-2*delay, s-delay, -1); sum > 0 {
+				part = sumOf(asked, s-2*delay, s-delay, i) / sum
+			}
+			held[i] = min(large.Burst*part+cost, held[i]+large.Rate*part*step.Seconds())
+		}
+		for _, i := range d(s, rng) {
+			asked[s][i] += cost
+			if f.bucket >= cost {
+				f.bucket, f.allowed = f.bucket-cost, f.allowed+cost
+			}
+			if held[i] >= cost {
+				held[i] -= cost
+				f.served += cost
+				f.sent[s] += cost
+			}
+		}
+	}
+	t.Logf("served %.3f of what is allowed, %.2f of the bound", f.served/f.allowed, f.excess(large, 0))
+	require.Less(t, f.served/f.allowed, 0.97)
+}
+
+// sumOf returns what was asked for at a host, or at all if it is -1, in some steps.
+func sumOf(asked [][71]float64, from, to, host int) (sum float64) {
+	for s := max(0, from); s < to; s++ {
+		for i, n := range asked[s] {
+			if host < 0 || i == host {
+				sum += n
+			}
+		}
+	}
+	return sum
+}
