--- a/jacinthd/internal/direct/quota_test.go
+++ b/jacinthd/internal/direct/quota_test.go
@@ -82,3 +82,26 @@
 	status, _ = s.statusOf(t, "k")
 	require.Equal(t, http.StatusTooManyRequests, status)
 }
+
+// TestCreditOfOtherHosts checks that credit which others don't need reaches a host through relays:
+// its own part never suffices for the request.
+func TestCreditOfOtherHosts(t *testing.T) {
+	limit := quota.Limit{Unit: quota.Tokens, Rate: 20, Burst: 20}
+	all := startHostsWith(t, 20, func(_ int, h *testHost) {
+		h.peers.Quotas = &quota.Keeper{Self: h.peers.Self}
+		h.peers.Quotas.SetLimits(boottime.Now(), map[string]quota.Limit{"a": limit})
+		h.peers.Quotas.Confirm(boottime.Now())
+	})
+	keeper := all[7].peers.Quotas
+	again := false
+	require.Eventually(t, func() bool {
+		decision := keeper.Reserve(boottime.Now(), "a", 10, again, false)
+		if _, wait := decision.(quota.Unknown); wait && !again {
+			keeper.Await("a", 10)
+			again = true
+		}
+		_, accepted := decision.(quota.Accepted)
+		return accepted
+	}, waitTimeout, 20*time.Millisecond)
+	require.True(t, again)
+}
