--- a/stage/quota/quota_test.go
+++ b/stage/quota/quota_test.go
@@ -69,6 +69,8 @@
 	allowed float64   // by one bucket with the limit
 	bucket  float64
 	served  float64
+	demand  demand   // while a disruption goes on
+	started []string // hosts in the list that a host finds at its start
 }
 
 func newFleet(seed uint64, hosts int, limit quota.Limit, cost int) *fleet {
@@ -80,7 +82,7 @@
 		all = append(all, relay.Host{Name: name, Region: "r"})
 		f.nodes = append(f.nodes, &node{name: name})
 	}
-	f.roster = relay.NewRoster(all)
+	f.roster, f.started = relay.NewRoster(all), f.names
 	for i := range hosts {
 		f.restart(i)
 	}
@@ -93,7 +95,7 @@
 func (f *fleet) restart(i int) {
 	n := f.nodes[i]
 	n.keeper, n.inbox = &quota.Keeper{Self: n.name, Start: uint64(f.step + 1), Bound: bound}, nil
-	n.keeper.SetHosts(f.now(), f.names)
+	n.keeper.SetHosts(f.now(), f.started)
 	n.keeper.SetLimits(f.now(), map[string]quota.Limit{"a": f.limit})
 	n.keeper.Confirm(f.now())
 }
@@ -341,6 +343,18 @@
 	"lose messages": func(f *fleet) {
 		f.link = func(int, int, int) bool { return f.rng.IntN(3) > 0 }
 	},
+	"restart and list one by one": func(f *fleet) {
+		f.started = nil
+		for i := range f.nodes {
+			f.restart(i)
+		}
+		f.started = f.names
+		for n := 1; n <= len(f.names); n += 1 + len(f.names)/10 {
+			f.list(f.names[:n])
+			f.run(20, f.demand)
+		}
+		f.list(f.names)
+	},
 	"fewer listed": func(f *fleet) { // other collectors; those without the store keep the former list
 		for _, i := range f.some(0.1) {
 			f.nodes[i].offStore = true
@@ -371,6 +385,7 @@
 			t.Run(fmt.Sprint(hosts, " hosts, seed ", seed), func(t *testing.T) {
 				f := newFleet(seed, hosts, []quota.Limit{large, small}[seed%2], 2000)
 				d := spread(f.limit.Rate*2, 2000, first(1+f.rng.IntN(hosts)), clumped)
+				f.demand = d
 				var happened []string
 				for range 10 {
 					name := names[f.rng.IntN(len(names))]
@@ -427,6 +442,9 @@
 	require.True(t, k.Send(now, &unlimited))
 
 	now = now.Add(1200 * time.Millisecond)
+	_, ok = reserve("a")
+	require.False(t, ok, "others may not know the host yet")
+	now = now.Add(900 * time.Millisecond)
 	r, ok := reserve("a")
 	require.True(t, ok)
 	_, ok = reserve("a")
--- a/stage/quota/share.go
+++ b/stage/quota/share.go
@@ -14,6 +14,10 @@
 	// unconfirmedLife is how long a host earns after its lease has ended. It is shorter than
 	// hostMemory: a host has stopped before others take over its part.
 	unconfirmedLife = 45 * time.Second
+	// joinTime is how long after a host is listed others may not know of it and divide the rate among
+	// fewer. It earns joinPart of its part until then.
+	joinTime = 1500 * time.Millisecond
+	joinPart = 0.25
 )
 
 // A roster is the hosts among which a rate is divided.
@@ -22,6 +26,7 @@
 	most        int       // number of hosts in the last hostMemory
 	countedAt   time.Time // when there were so many
 	listed      bool      // this host is one of them
+	listedAt    time.Time // since when it is
 	confirmedAt time.Time // when this host's lease was last valid
 }
 
@@ -30,7 +35,14 @@
 		r.most, r.countedAt = len(hosts), now
 	}
 	r.hosts = hosts
-	r.listed = slices.Contains(hosts, self)
+	listed := slices.Contains(hosts, self)
+	if listed && !r.listed {
+		r.listedAt = now
+	}
+	if listed && r.confirmedAt.IsZero() {
+		r.confirmedAt = now // a host is listed while its lease is valid
+	}
+	r.listed = listed
 }
 
 // part returns the part of each rate that this host earns.
@@ -38,6 +50,9 @@
 	if !r.listed || r.most == 0 || now.Sub(r.confirmedAt) > unconfirmedLife {
 		return 0
 	}
+	if now.Sub(r.listedAt) < joinTime {
+		return joinPart / float64(r.most)
+	}
 	return 1 / float64(r.most)
 }
 
