quota: hosts may owe credit while an account is far from its limit

The collector now lets each host owe what its pool bears, several times over, and little while requests wait; hosts pay with what they get next. From the review: a host's part follows the list at each confirmation, requests that no credit can ever cover are refused at once, amounts and senders of reports are bounded, credit of another unit is none, no credit goes to a collector that nobody has heard, limits are set before a configuration's accounts are served.

--- a/jacinthd/internal/daemon/apply.go
+++ b/jacinthd/internal/daemon/apply.go
@@ -11,6 +11,9 @@
 // apply passes a change of the platform to the dispatcher and logs it.
 func (p *Process) apply(event catalog.Event) {
 	before := p.dispatcher.Config()
+	if e, ok := event.(catalog.ConfigUpdated); ok && (before == nil || e.Config.Version > before.Version) {
+		p.applyQuotas(e.Config) // before its accounts are served
+	}
 	for _, t := range p.dispatcher.Apply(time.Now(), event) {
 		p.log.Info("target: ended", zap.String("target", t.Name), zap.Time("started", t.Started))
 		p.handler.Suspects.TargetEnded(t)
@@ -48,7 +51,6 @@
 	if before != nil && after.Version <= before.Version {
 		return
 	}
-	p.applyQuotas(after)
 	p.lifecycle.fire(configured)
 	p.handler.Metrics.ConfigVersion.Set(float64(after.Version))
 	p.log.Info("config: applied", zap.Uint64("version", after.Version), zap.Int("services", len(after.Services)))
--- a/jacinthd/internal/direct/quota.go
+++ b/jacinthd/internal/direct/quota.go
@@ -58,7 +58,7 @@
 // may have lapsed while it waited: if none comes in time, refuseOverQuota refuses the request and
 // returns true.
 func (req *callerRequest) refuseOverQuota() bool {
-	until := time.Now().Add(quota.ExchangeLimit)
+	until := time.Now().Add(min(quota.ExchangeLimit, time.Until(req.deadline)))
 	for !req.Quotas.Send(boottime.Now(), &req.reservation) {
 		if req.r.Context().Err() != nil || !time.Now().Before(until) {
 			if req.runs > 0 {
--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -39,6 +39,7 @@
 	held     balance
 	spare    balance   // credit from the collector's surplus, which isn't given back
 	earnedAt time.Time // until when this host's part has been earned
+	debt     float64   // that it owes for requests that it has sent
 	reserved float64   // for requests that are accepted and not sent yet
 	waiting  float64   // for requests that wait for credit
 	waiters  int       // number of these requests
@@ -54,11 +55,16 @@
 	candidates []Host
 	pool       balance // credit that other hosts gave to this one as the collector
 	needs      map[Host]*need
+	unmet      bool      // requests wait for credit, as far as the collector knows
+	allowedAt  time.Time // when the last allowance was published
 }
 
 // step returns the time within which credit isn't told apart.
 func (s *state) step() time.Duration { return s.life / creditSteps }
 
+// most returns the most credit that there can be at once.
+func (s *state) most() float64 { return s.limit.Rate * s.life.Seconds() }
+
 // earn adds what the host has earned since the last call. What was earned more than a lifetime ago
 // has lapsed.
 func (s *state) earn(now time.Time, part float64) {
@@ -74,6 +80,7 @@
 		duration := min(step, now.Sub(from))
 		s.held.add(credit{s.limit.Rate * part * duration.Seconds(), from.Add(s.life)}, s.step())
 	}
+	s.repay(now)
 }
 
 // asked records that a caller has asked for cost units.
--- a/stage/quota/collector.go
+++ b/stage/quota/collector.go
@@ -106,6 +106,7 @@
 	}
 	slices.SortFunc(order, func(x, y *need) int { return cmp.Or(x.servedAt.Compare(y.servedAt), cmp.Compare(x.host, y.host)) })
 	out, enough := s.serveWaiting(now, self, order)
+	s.unmet = !enough
 	if !enough {
 		return out
 	}
--- a/stage/quota/exchange.go
+++ b/stage/quota/exchange.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// roundInterval is the least time between two rounds in which credit is given away.
@@ -26,10 +29,11 @@
 
 // traffic is the reports that wait to be sent, and the hosts that are there.
 type traffic struct {
-	transit  []transit
-	alive    map[Host]sighting
-	aliveAt  time.Time // of this host's last Alive report
-	sequence uint64
+	transit    []transit
+	alive      map[Host]sighting
+	allowances map[allowanceKey]allowance
+	aliveAt    time.Time // of this host's last Alive report
+	sequence   uint64
 }
 
 // transit is a report that waits to be sent or passed on.
@@ -58,7 +62,8 @@
 			out = append(out, Report{Kind: Alive, From: h, Start: s.start, Sequence: s.sequence})
 		}
 	}
-	return append(out, k.traffic.takeTransit(now, route, maxReports-len(out))...)
+	out = append(out, k.traffic.takeAllowances(now, HashHost(k.Self), route)...)
+	return append(out, k.traffic.takeTransit(now, route, max(0, maxReports-len(out)))...)
 }
 
 // takeTransit removes and returns the reports that go a route.
@@ -161,7 +166,7 @@
 			return h, true
 		}
 	}
-	return s.candidates[0], true
+	return 0, false // credit for a host that isn't there would be lost
 }
 
 // settle gives an account's spare credit to the collector, or distributes it as the collector.
@@ -181,6 +186,7 @@
 		for _, r := range s.distribute(now, self) {
 			k.traffic.add(now, r)
 		}
+		k.publish(now, s)
 		return
 	}
 	k.give(now, s, collector, spare)
@@ -196,7 +202,8 @@
 	if s.expected(now) == 0 && firm > 0 {
 		firm = s.reserved + s.waiting - s.needed(now)
 	}
-	if s.reserved+s.waiting > 0 {
+	firm += s.debt
+	if s.reserved+s.waiting+s.debt > 0 {
 		firm += parcelRounding
 	}
 	r := Report{
@@ -225,10 +232,18 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	self := HashHost(k.Self)
-	for _, r := range all {
+	for _, r := range all[:min(len(all), maxReports)] {
+		r = r.bounded()
 		switch {
+		case r.From != 0 && !slices.Contains(k.roster.hosts, r.From):
+			// Its sender isn't one of the hosts, or isn't known yet.
 		case r.Kind == Alive:
 			k.traffic.see(now, r)
+		case r.Kind == Allowance && k.byHash[r.Account] == nil:
+			// This host knows another configuration.
+		case r.Kind == Allowance:
+			r.Amount = min(r.Amount, toMilli(k.byHash[r.Account].most()))
+			k.traffic.hearAllowance(now, r)
 		case r.To != self:
 			k.pass(now, r)
 		case k.byHash[r.Account] == nil:
@@ -241,6 +256,17 @@
 	}
 }
 
+// maxAmount is the largest amount in a report that counts, in thousandths of a unit.
+const maxAmount = 1 << 50
+
+// bounded returns the report with all its amounts up to maxAmount.
+func (r Report) bounded() Report {
+	for _, n := range []*uint64{&r.Amount, &r.Firm, &r.Want, &r.Spare, &r.Lump, &r.Received} {
+		*n = min(*n, maxAmount)
+	}
+	return r
+}
+
 // pass keeps a report for another host until a digest goes its way.
 func (k *Keeper) pass(now time.Time, r Report) {
 	if r.Amount > 0 {
@@ -252,7 +278,7 @@
 // creditOf returns the credit in a report, which lives no longer than any.
 func (s *state) creditOf(now time.Time, r Report) credit {
 	ttl := min(time.Duration(min(r.TTL, uint64(maxLife.Milliseconds())))*time.Millisecond-hopLoss, s.life)
-	return credit{float64(r.Amount) / milli, now.Add(ttl)}
+	return credit{min(float64(r.Amount)/milli, s.most()), now.Add(ttl)}
 }
 
 // collect takes in credit and the need of another host.
@@ -273,6 +299,7 @@
 	case r.Amount > 0:
 		s.received += float64(r.Amount) / milli
 		s.held.add(s.creditOf(now, r), s.step())
+		s.repay(now)
 	}
 	if r.Short > 0 {
 		s.shortAt, s.shortAfter = now, time.Duration(min(r.Short, uint64(maxRetryAfter.Milliseconds())))*time.Millisecond
--- a/stage/quota/keeper.go
+++ b/stage/quota/keeper.go
@@ -27,7 +27,10 @@
 type Reservation struct {
 	account *state
 	cost    float64
-	parts   []credit // set once the request was sent
+	owing   bool // accepted without credit
+	sent    bool
+	parts   []credit // that the request was sent with
+	owed    float64  // what it was sent with beyond them
 }
 
 // A Decision says whether a request is within its account's quota.
@@ -68,8 +71,8 @@
 			continue
 		}
 		s := former[name]
-		if s == nil {
-			s = &state{name: name, hash: uint32(xxhash.Sum64String(name)), earnedAt: now}
+		if s == nil || s.limit.Unit != limit.Unit {
+			s = &state{name: name, hash: hashAccount(name, limit.Unit), earnedAt: now}
 		}
 		s.earn(now, k.roster.part(now))
 		s.limit, s.life = limit, k.Bound.life(limit)
@@ -99,7 +102,11 @@
 func (k *Keeper) Confirm(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for _, s := range k.accounts {
+		s.earn(now, k.roster.part(now))
+	}
 	k.roster.confirmedAt = now
+	k.roster.set(now, HashHost(k.Self), k.roster.hosts)
 }
 
 // Reserve decides whether a request of an account may be sent, and reserves room for it. The
@@ -113,6 +120,9 @@
 	}
 	cost := s.limit.Cost(tokens)
 	s.earn(now, k.roster.part(now))
+	if cost > s.most() {
+		return Refused{After: maxRetryAfter, Missing: cost - s.most()} // there is never as much at once
+	}
 	if !again {
 		s.asked(now, cost)
 	}
@@ -121,6 +131,10 @@
 		s.reserved += cost
 		return Accepted{Reservation{account: s, cost: cost}}
 	}
+	if k.mayOwe(now, s, missing) {
+		s.reserved += cost
+		return Accepted{Reservation{account: s, cost: cost, owing: true}}
+	}
 	if !last && len(k.roster.hosts) > 1 && (again || s.maySoon(now)) {
 		return Unknown{Missing: missing}
 	}
@@ -150,32 +164,32 @@
 // Send counts a request as it is sent. It returns false if the credit for it has lapsed, or was
 // never reserved, and it must not be sent.
 func (k *Keeper) Send(now time.Time, r *Reservation) bool {
-	if r.account == nil || r.parts != nil {
+	if r.account == nil || r.sent {
 		return true
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := r.account
 	s.earn(now, k.roster.part(now))
-	if s.usable(now) < r.cost {
+	usable := s.usable(now)
+	if usable < r.cost && !r.owing {
 		return false
 	}
 	s.reserved -= r.cost
-	r.parts = s.spend(now, r.cost)
+	paid := min(usable, r.cost)
+	r.sent, r.parts, r.owed = true, s.spend(now, paid), r.cost-paid
+	s.debt += r.owed
 	return true
 }
 
 // Undo takes back Send, for a request that certainly didn't run and is sent once more.
 func (k *Keeper) Undo(r *Reservation) {
-	if r.account == nil || r.parts == nil {
+	if r.account == nil || !r.sent {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, c := range r.parts {
-		r.account.held.add(c, 0)
-	}
-	r.parts = nil
+	r.giveBack()
 	r.account.reserved += r.cost
 }
 
@@ -186,13 +200,26 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if r.parts == nil {
+	if !r.sent {
 		r.account.reserved -= r.cost
 	}
+	r.giveBack()
+	*r = Reservation{}
+}
+
+// giveBack takes back what the request was sent with. What it owed may have been paid meanwhile;
+// that is lost.
+func (r *Reservation) giveBack() {
 	for _, c := range r.parts {
 		r.account.held.add(c, 0)
 	}
-	*r = Reservation{}
+	r.account.debt = max(0, r.account.debt-r.owed)
+	r.sent, r.parts, r.owed = false, nil, 0
+}
+
+// hashAccount identifies an account with a limit in a unit: credit of one unit is none of another.
+func hashAccount(name string, unit Unit) uint32 {
+	return uint32(xxhash.Sum64String(name)) ^ uint32(unit)
 }
 
 // A Level is the state of one account on this host.
--- a/stage/quota/quota.go
+++ b/stage/quota/quota.go
@@ -69,21 +69,35 @@
 	// lifePart is the part of what the bound allows beyond the rate that credit may live for. The
 	// rest is for hosts that differ for a moment in how many they are, and for credit on its way
 	// while a host is frozen.
-	lifePart = 0.85
+	lifePart = 0.92
+	// debtPart is the part that all hosts together may always owe.
+	debtPart = 0.05
 	maxLife  = 30 * time.Second
 	// minLife is the least lifetime. A bound that allows less can't be kept, but for a host alone.
 	minLife = 250 * time.Millisecond
 )
 
+// window returns the bound's window.
+func (b Bound) window() time.Duration {
+	if b.Window <= 0 {
+		return DefaultWindow
+	}
+	return b.Window
+}
+
 // life returns how long credit under a limit lives: all that is sent in a window was earned in
 // the window or that time before it.
 func (b Bound) life(l Limit) time.Duration {
+	seconds := min(max(lifePart*b.beyond(l)/l.Rate, minLife.Seconds()), maxLife.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// beyond returns what the bound allows in a window beyond what is earned in it.
+func (b Bound) beyond(l Limit) float64 {
 	if b == (Bound{}) {
 		b = Bound{Window: DefaultWindow, Over: DefaultOver}
 	}
-	beyond := b.Over*l.Rate*b.Window.Seconds() + (1+b.Over)*l.Burst + b.Slack
-	seconds := min(max(lifePart*beyond/l.Rate, minLife.Seconds()), maxLife.Seconds())
-	return time.Duration(seconds * float64(time.Second))
+	return b.Over*l.Rate*b.Window.Seconds() + (1+b.Over)*l.Burst + b.Slack
 }
 
 // A Host identifies a host by the hash of its name.
@@ -97,10 +111,11 @@
 
 // The kinds of reports.
 const (
-	Alive   Kind = iota // From may be a collector and is there
-	Need                // From gives credit to a collector, and tells what it needs
-	Grant               // a collector gives credit to To
-	Surplus             // the same, of what would lapse otherwise
+	Alive     Kind = iota // From may be a collector and is there
+	Need                  // From gives credit to a collector, and tells what it needs
+	Grant                 // a collector gives credit to To
+	Surplus               // the same, of what would lapse otherwise
+	Allowance             // a collector lets each host owe Amount
 )
 
 // A Report is what one host tells another of the quota of an account. It may pass through others.
@@ -110,8 +125,8 @@
 	Kind     Kind
 	From, To Host
 	Start    uint64 // identifies the process of From; a later one has a greater number
-	Sequence uint64 // of Alive
-	Amount   uint64 // credit given, in thousandths of a unit
+	Sequence uint64 // of Alive and Allowance
+	Amount   uint64 // credit given or allowed, in thousandths of a unit
 	TTL      uint64 // milliseconds for which it is valid yet
 	Firm     uint64 // credit that From needs for requests that wait, beside what it has, in thousandths
 	Want     uint64 // the same, with that for requests that it expects
--- a/stage/quota/quota_test.go
+++ b/stage/quota/quota_test.go
@@ -65,6 +65,8 @@
 	link    link
 	step    int
 	waiters []waiter
+	asked   int // requests
+	waited  int // requests that waited
 	sent    []float64 // by step
 	allowed float64   // by one bucket with the limit
 	bucket  float64
@@ -193,6 +195,9 @@
 		return
 	}
 	last := time.Duration(f.step-w.since)*step >= quota.ExchangeLimit
+	if w.done == nil {
+		f.asked++
+	}
 	switch decision := k.Reserve(f.now(), "a", f.cost, w.done != nil, last).(type) {
 	case quota.Accepted:
 		if k.Send(f.now(), &decision.Reservation) {
@@ -202,6 +207,7 @@
 	case quota.Unknown:
 		if w.done == nil {
 			w.done = k.Await("a", f.cost)
+			f.waited++
 		}
 		f.waiters = append(f.waiters, w)
 		return
@@ -289,6 +295,27 @@
 	}
 }
 
+// TestQuietAccountsDontWait checks that the requests of an account below its limit seldom wait for
+// another host, also where a host's part is under one request.
+func TestQuietAccountsDontWait(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		limit      quota.Limit
+		hosts, met int
+	}{{"large, all of 71", large, 71, 71}, {"large, 3 of 71", large, 71, 3}, {"small, all of 71", small, 71, 71}, {"five times as large, all of 370", quota.Limit{Unit: quota.Tokens, Rate: 2_700_000, Burst: 2_700_000}, 370, 370}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(1, c.hosts, c.limit, 9200)
+			d := spread(c.limit.Rate*0.55, 9200, first(c.met), flat)
+			f.run(600, d)
+			f.asked, f.waited = 0, 0
+			f.run(1000, d)
+			t.Logf("%d of %d waited, %.2f of the bound", f.waited, f.asked, f.excess(c.limit, 0))
+			require.LessOrEqual(t, f.waited, f.asked/20)
+			require.LessOrEqual(t, f.excess(c.limit, 0), 1.0)
+		})
+	}
+}
+
 // TestEvenSplit is the baseline: each host has its part of rate and burst and no more. It serves
 // little of what is allowed where callers meet few hosts, or a part is less than a request.
 func TestEvenSplit(t *testing.T) {
