--- a/jacinthd/internal/peers/digest.go
+++ b/jacinthd/internal/peers/digest.go
@@ -9,9 +9,11 @@
 
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/host"
 	"jacinthstage/stage/mirror"
+	"jacinthstage/stage/quota"
 	"jacinthstage/stage/relay"
 )
 
@@ -49,17 +51,19 @@
 // A peerSet is the set of hosts in the assignment table, with their relays.
 type peerSet struct {
 	members map[string]host.Identity
+	names   map[quota.Host]string
 	hosts   []relay.Host
 	roster  *relay.Roster
 }
 
 // SetMembers sets the hosts of the system.
 func (p *Group) SetMembers(all []host.Identity) {
-	set := &peerSet{members: make(map[string]host.Identity, len(all))}
+	set := &peerSet{members: make(map[string]host.Identity, len(all)), names: make(map[quota.Host]string, len(all))}
 	hosts := make([]relay.Host, 0, len(all))
 	names := make([]string, 0, len(all))
 	for _, m := range all {
 		set.members[m.Name] = m
+		set.names[quota.HashHost(m.Name)] = m.Name
 		names = append(names, m.Name)
 		hosts = append(hosts, relay.Host{Name: m.Name, Region: p.Regions[m.Zone]})
 	}
@@ -70,6 +74,9 @@
 	if before := p.peerSet.Swap(set); before != nil {
 		p.forgetVersions(before, set)
 	}
+	if p.Quotas != nil {
+		p.Quotas.SetHosts(boottime.Now(), names)
+	}
 	p.askStarted(set)
 }
 
