--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -214,7 +214,7 @@
 		return err
 	}
 	if p.settings.Admin.IsValid() {
-		// A failure to serve metrics does not keep the host from serving callers.
+		// A host that can't listen for metrics still serves callers.
 		if err := p.listen(runCtx, listenErrs, &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: headerTimeout}, p.settings.Admin); err != nil {
 			p.log.Error("host: metrics not served", zap.Error(err))
 		}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -43,11 +43,11 @@
 	// set shorter ones.
 	defaultTimeout = 60 * time.Second
 	// unconfiguredRetryAfter is the time after which a caller may try again if the
-	// host has no configuration yet.
+	// host has no configuration yet, or another host has a newer one.
 	unconfiguredRetryAfter = 500 * time.Millisecond
 )
 
-// A Handler serves the requests of callers. All fields must be set.
+// A Handler serves the requests of callers. All fields but Memory must be set.
 type Handler struct {
 	Dispatcher *dispatch.Dispatcher
 	Headers    outbound.HeaderCodec
@@ -65,7 +65,7 @@
 	Stopping func() bool
 	// Wake is called when a runner may need an order.
 	Wake func()
-	// CatchUp makes sure that the Dispatcher knows of all targets. See Follower.
+	// CatchUp returns once the Dispatcher knows of all targets that the platform has acknowledged.
 	CatchUp func(ctx context.Context) error
 }
 
--- a/jacinthd/internal/origins/origins.go
+++ b/jacinthd/internal/origins/origins.go
@@ -26,7 +26,7 @@
 	staleBatchAge = 10 * time.Minute
 )
 
-// An Streams keeps the origins of recent streams in the store while a service has targets of
+// Streams keeps the origins of recent streams in the store while a service has targets of
 // several builds, so that the streams go on after the end of all hosts. The hosts that read the
 // store for the others of their region write what they know, each into one object. All exported
 // fields must be set.
--- a/jacinthd/internal/peers/extra.go
+++ b/jacinthd/internal/peers/extra.go
@@ -40,7 +40,8 @@
 	}}
 }
 
-// mergeExtra takes in what another host has told beside its digest.
+// mergeExtra takes in the speeds and quotas that another host has told beside its digest. What it
+// told of admissions counts like its loads, see applyDigest.
 func (p *Group) mergeExtra(now time.Time, m peer.Digest) {
 	p.Dispatcher.MergeSpeeds(now, m.Digest.From, m.Digest.ReportsToReceiver, m.Extra.Speeds)
 	if p.Quotas != nil && len(m.Extra.Quotas) > 0 {
--- a/jacinthd/internal/proxy/client.go
+++ b/jacinthd/internal/proxy/client.go
@@ -57,7 +57,7 @@
 // First implements Exchange.
 func (x OwnExchange) First() bool { return x.Exchange.First }
 
-// A Error is the failure of a request that a proxy sent.
+// An Error is the failure of a request that a proxy sent.
 type Error struct {
 	proxy string
 	cause string
--- a/stage/connection/connection.go
+++ b/stage/connection/connection.go
@@ -1,8 +1,9 @@
 // Package connection decides which connections of callers stay open when a process has as many as
-// it may have. A new connection then takes the place of one that has no whole request: first of
-// idle ones, then of those whose request hasn't arrived whole or whose answer isn't taken, each
-// time of the one that has made no progress for longest. Connections whose requests are being
-// served are never closed. If no other connection can be closed, the new one is.
+// it may have. A new connection then takes the place of an idle one; else of one whose request
+// hasn't arrived whole; else of one whose caller doesn't take its answer. Of each kind the one
+// without progress for longest goes first, the last two only after minAge without progress.
+// Connections whose requests are being served are never closed. If no other connection can be
+// closed, the new one is.
 package connection
 
 import (
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -13,7 +13,7 @@
 	// availability zone of the same region and to another region.
 	zoneDelay   = 3 * time.Millisecond
 	regionDelay = 65 * time.Millisecond
-	// loadHalfLife is the time after which a target's reported load counts half.
+	// loadHalfLife is twice the time after which a target's reported load counts half.
 	loadHalfLife = 2 * time.Second
 )
 
--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -163,7 +163,8 @@
 	return min(max(after, minRetryAfter), maxRetryAfter)
 }
 
-// The least and the greatest time after which a caller is told to come back.
+// The least and the greatest time after which a caller is told to come back, before the spread that
+// Reserve adds.
 const (
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
