--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -52,13 +52,11 @@
 	shortAfter time.Duration
 	shortAt    time.Time // when a collector said that credit is short
 
-	candidates   []Host
-	pool         balance // credit that other hosts gave to this one as the collector
-	needs        map[Host]*need
-	unmet        bool      // requests wait for credit, as far as the collector knows
-	allowedAt    time.Time // when the last allowance was published
-	collectsFrom time.Time // since when this host collects, and when it last did
-	collectsAt   time.Time
+	candidates []Host
+	pool       balance // credit that other hosts gave to this one as the collector
+	needs      map[Host]*need
+	unmet      bool      // requests wait for credit, as far as the collector knows
+	allowedAt  time.Time // when the last allowance was published
 }
 
 // step returns the time within which credit isn't told apart.
--- a/stage/quota/debt.go
+++ b/stage/quota/debt.go
@@ -15,9 +15,6 @@
 	// maxOverbooking is how many times over a collector allows its credit to be owed: seldom do all
 	// hosts have a request at the same moment.
 	maxOverbooking = 4
-	// settlingTime is how long a host has collected before it says what hosts may owe: until then it
-	// has got little of the credit that there is.
-	settlingTime = 1200 * time.Millisecond
 	// sparePool is the number of requests that a collector keeps beyond the demand of
 	// exchangeTime, where it allows each host to owe one.
 	sparePool = 3
@@ -69,25 +66,14 @@
 	return largest
 }
 
-// mayOwe reports whether a request may be sent that lacks credit. Where no collector says what a host
-// may owe, because one of them has just started or is out of reach, that is one request. A host alone
-// has nobody to get credit from.
+// mayOwe reports whether a request may be sent that lacks credit.
 func (k *Keeper) mayOwe(now time.Time, s *state, missing float64) bool {
-	if a, ok := k.allowance(now, s); ok {
-		return s.debt+missing <= a.amount
-	}
-	return len(k.roster.hosts) > 1 && s.debt+s.reserved == 0
-}
-
-// allowance returns what the account's collector lets this host owe. It returns false if that isn't
-// known.
-func (k *Keeper) allowance(now time.Time, s *state) (allowance, bool) {
 	collector, ok := k.collector(now, s)
 	if !ok {
-		return allowance{}, false
+		return false
 	}
 	a := k.traffic.allowances[allowanceKey{s.hash, collector}]
-	return a, now.Sub(a.at) <= allowanceLife
+	return now.Sub(a.at) <= allowanceLife && s.debt+missing <= a.amount
 }
 
 // repay pays what the host owes with the credit that it holds.
@@ -102,11 +88,7 @@
 
 // publish tells all hosts what they may owe, as the collector of the account.
 func (k *Keeper) publish(now time.Time, s *state) {
-	if now.Sub(s.collectsAt) > allowanceLife {
-		s.collectsFrom = now
-	}
-	s.collectsAt = now
-	if now.Sub(s.collectsFrom) < settlingTime || now.Sub(s.allowedAt) < allowanceInterval {
+	if now.Sub(s.allowedAt) < allowanceInterval {
 		return
 	}
 	s.allowedAt = now
