catalog: admission acts only where callers have client accounts

Routes of different priorities lead to one service there, so admission acted on deployments that haven't asked for it. Ruled out: speeds, which act where targets tell how contended they are.

--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -23,7 +23,6 @@
 	Accounts *account.Directory // nil if callers need no account
 
 	routes map[string]map[string]Route // by host name, then by path prefix
-	ranked map[string]bool             // services to which routes of different priorities lead
 }
 
 // Limits bounds the requests of callers.
@@ -107,7 +106,6 @@
 		Services: make(map[string]Service, len(services)),
 		Limits:   limits,
 		routes:   make(map[string]map[string]Route),
-		ranked:   make(map[string]bool),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -118,7 +116,6 @@
 		}
 		c.routes[r.Host][r.Prefix] = r
 	}
-	c.rankServices()
 	return c
 }
 
@@ -134,33 +131,9 @@
 	return Route{}, false
 }
 
-// Contended reports whether the requests for a service differ in who is to have room that is short:
-// callers have client accounts, or routes to the service have different priorities.
-func (c *Config) Contended(service string) bool {
-	return c != nil && (c.Accounts != nil || c.ranked[service])
-}
-
-// rankServices determines the services to which routes of different priorities lead.
-func (c *Config) rankServices() {
-	first := make(map[string]int)
-	for _, prefixes := range c.routes {
-		for _, r := range prefixes {
-			c.rankRoute(r, first)
-		}
-	}
-}
-
-func (c *Config) rankRoute(r Route, first map[string]int) {
-	for _, share := range r.Split {
-		priority, known := first[share.Service]
-		if !known {
-			first[share.Service] = r.Priority
-		}
-		if known && priority != r.Priority {
-			c.ranked[share.Service] = true
-		}
-	}
-}
+// Contended reports whether requests differ in who is to have room that is short, since callers
+// have client accounts. A nil Config has none.
+func (c *Config) Contended() bool { return c != nil && c.Accounts != nil }
 
 // ChooseService returns the service that a random number in [0, 1) selects from
 // the route's traffic split.
--- a/stage/dispatch/admission.go
+++ b/stage/dispatch/admission.go
@@ -16,7 +16,7 @@
 // service may have to go first. If it may not, best has the refusal. What was decided before isn't
 // decided again.
 func (d *Dispatcher) admits(now time.Time, r Request, best *candidate) bool {
-	if r.Admitted || r.InProgress || !d.config.Contended(r.Service) {
+	if r.Admitted || r.InProgress || !d.config.Contended() {
 		return true
 	}
 	if best.load {
@@ -66,7 +66,7 @@
 
 // rejectedForRoom counts an attempt that its target rejected since its queue is full.
 func (d *Dispatcher) rejectedForRoom(now time.Time, r Request) {
-	if d.config.Contended(r.Service) {
+	if d.config.Contended() {
 		d.admission.FoundNone(now, r.admission(admission.Slots, 0))
 	}
 }
@@ -75,7 +75,7 @@
 // answers.
 func (a *Attempt) leaves(now time.Time, pool admission.Pool) {
 	d, work := a.dispatcher, a.taken
-	if !d.config.Contended(a.request.Service) {
+	if !d.config.Contended() {
 		return
 	}
 	if pool == admission.Places {
@@ -92,7 +92,7 @@
 func (d *Dispatcher) WaitForRoom(now time.Time, r Request, refused Refuse, w *admission.Waiter) (*admission.Waiter, time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !refused.MayWait || !d.config.Contended(r.Service) {
+	if !refused.MayWait || !d.config.Contended() {
 		return w, time.Time{}, false
 	}
 	if d.queues == nil {
