host, quota, retry, admission: what stood twice

The largest number of listed hosts of the last minute was counted by the same rule in retry and quota: host.Count. The lowest rank stood in admission and in the metrics. A lease's confirmation sorted the list of hosts anew each second; it only counts them. A check in collector that its loop makes needless is gone. Behaviour is the same.

--- a/jacinthd/internal/metrics/admission.go
+++ b/jacinthd/internal/metrics/admission.go
@@ -6,12 +6,9 @@
 	"jacinthstage/stage/admission"
 )
 
-// lowestRank is the priority under which all less urgent ones are counted as well.
-const lowestRank = 7
-
 // AdmissionRefused counts a request that was refused since others go first.
 func (m *Host) AdmissionRefused(service, pool string, priority int) {
-	m.admissionRefused.WithLabelValues(service, pool, strconv.Itoa(min(max(priority, 0), lowestRank))).Inc()
+	m.admissionRefused.WithLabelValues(service, pool, strconv.Itoa(min(max(priority, 0), admission.LowestRank))).Inc()
 }
 
 // SetAdmission sets the part of the demand that has room. What isn't among all isn't asked for.
--- a/stage/admission/admission.go
+++ b/stage/admission/admission.go
@@ -50,8 +50,8 @@
 	// maxCells is the largest number of counts that one host keeps. Accounts beyond it share one
 	// count for each pool and rank.
 	maxCells = 256
-	// lowestRank is the least urgent rank. Requests of lower ones count as of this one.
-	lowestRank = 7
+	// LowestRank is the least urgent rank. Requests of lower ones count as of this one.
+	LowestRank = 7
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may return.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -180,7 +180,7 @@
 }
 
 func (s *State) keyOf(r Request) key {
-	k := key{pool{s.hash(r.Service), r.Pool}, uint8(min(max(r.Rank, 0), lowestRank)), 0}
+	k := key{pool{s.hash(r.Service), r.Pool}, uint8(min(max(r.Rank, 0), LowestRank)), 0}
 	if r.Account != "" {
 		k.account = min(s.hash(r.Account), otherAccounts-1)
 	}
--- a/stage/admission/change.go
+++ b/stage/admission/change.go
@@ -72,7 +72,7 @@
 // describe returns what is refused of the demand for a pool, with the accounts that are refused
 // most.
 func (s *State) describe(p pool, l level) Change {
-	c := Change{Service: s.names[p.service], Pool: p.kind, Room: l.room, Rank: lowestRank, Share: 1}
+	c := Change{Service: s.names[p.service], Pool: p.kind, Room: l.room, Rank: LowestRank, Share: 1}
 	var refused []key
 	for k, share := range l.shares {
 		if share < 1 {
--- a/stage/admission/report.go
+++ b/stage/admission/report.go
@@ -45,7 +45,7 @@
 	}
 	c := contribution{at: now, reporter: reporter, counts: make(map[key]count, len(all))}
 	for _, r := range all[:min(len(all), maxReports)] {
-		k := key{pool{r.Service, Pool(r.Pool)}, min(r.Rank, lowestRank), r.Account}
+		k := key{pool{r.Service, Pool(r.Pool)}, min(r.Rank, LowestRank), r.Account}
 		c.counts[k] = c.counts[k].add(r.count())
 	}
 	s.heard.set(from, c)
--- a/stage/admission/share.go
+++ b/stage/admission/share.go
@@ -110,7 +110,7 @@
 	}
 	minimum := minRankShare * room / total
 	rest := room - minimum*total
-	for rank := range uint8(lowestRank + 1) {
+	for rank := range uint8(LowestRank + 1) {
 		more := min(rest, (1-minimum)*ranks[rank])
 		rest -= more
 		divide(shares, demand, rank, minimum*ranks[rank]+more)
--- a/stage/quota/debt.go
+++ b/stage/quota/debt.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"jacinthstage/stage/host"
+)
 
 // An account that is far from its limit has credit to spare at its collector, but a request would wait
 // for it to arrive. The collector therefore allows each host to owe some: it sends at once, and pays
@@ -115,7 +119,7 @@
 // takeAllowances returns the allowances to pass on, and forgets old ones.
 func (t *traffic) takeAllowances(now time.Time, self Host, route Route) (out []Report) {
 	for key, a := range t.allowances {
-		if now.Sub(a.at) > hostMemory {
+		if now.Sub(a.at) > host.Memory {
 			delete(t.allowances, key)
 			continue
 		}
--- a/stage/quota/exchange.go
+++ b/stage/quota/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"jacinthstage/stage/host"
 )
 
 const (
@@ -150,7 +152,7 @@
 		t.alive[r.From] = sighting{r.Start, r.Sequence, now}
 	}
 	for h, s := range t.alive {
-		if now.Sub(s.at) > hostMemory {
+		if now.Sub(s.at) > host.Memory {
 			delete(t.alive, h)
 		}
 	}
@@ -158,9 +160,6 @@
 
 // collector returns the host that collects an account's credit, as far as this one knows.
 func (k *Keeper) collector(now time.Time, s *state) (Host, bool) {
-	if len(s.candidates) == 0 {
-		return 0, false
-	}
 	for _, h := range s.candidates {
 		if seen, ok := k.traffic.alive[h]; ok && now.Sub(seen.at) <= aliveLife {
 			return h, true
--- a/stage/quota/keeper.go
+++ b/stage/quota/keeper.go
@@ -106,7 +106,7 @@
 		s.earn(now, k.roster.part(now))
 	}
 	k.roster.confirmedAt = now
-	k.roster.set(now, HashHost(k.Self), k.roster.hosts)
+	k.roster.count.Update(now, len(k.roster.hosts))
 }
 
 // Reserve decides whether a request of an account may be sent, and reserves room for it. The
--- a/stage/quota/share.go
+++ b/stage/quota/share.go
@@ -5,14 +5,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jacinthstage/stage/host"
 )
 
 const (
-	// hostMemory is how long a host that is no longer listed counts among those that earn: it may
-	// still run, cut off from where the list is kept.
-	hostMemory = time.Minute
 	// unconfirmedLife is how long a host earns after its lease has ended. It is shorter than
-	// hostMemory: a host has stopped before others take over its part.
+	// host.Memory: a host has stopped before others take over its part.
 	unconfirmedLife = 45 * time.Second
 	// joinTime is how long after a host is listed others may not know of it and divide the rate among
 	// fewer. It earns joinPart of its part until then.
@@ -23,17 +22,14 @@
 // A roster is the hosts among which a rate is divided.
 type roster struct {
 	hosts       []Host
-	most        int       // number of hosts in the last hostMemory
-	countedAt   time.Time // when there were so many
-	listed      bool      // this host is one of them
-	listedAt    time.Time // since when it is
-	confirmedAt time.Time // when this host's lease was last valid
+	count       host.Count // of the listed hosts
+	listed      bool       // this host is one of them
+	listedAt    time.Time  // since when it is
+	confirmedAt time.Time  // when this host's lease was last valid
 }
 
 func (r *roster) set(now time.Time, self Host, hosts []Host) {
-	if len(hosts) >= r.most || now.Sub(r.countedAt) > hostMemory {
-		r.most, r.countedAt = len(hosts), now
-	}
+	r.count.Update(now, len(hosts))
 	r.hosts = hosts
 	listed := slices.Contains(hosts, self)
 	if listed && !r.listed {
@@ -47,13 +43,13 @@
 
 // part returns the part of each rate that this host earns.
 func (r *roster) part(now time.Time) float64 {
-	if !r.listed || r.most == 0 || now.Sub(r.confirmedAt) > unconfirmedLife {
+	if !r.listed || r.count.Most == 0 || now.Sub(r.confirmedAt) > unconfirmedLife {
 		return 0
 	}
 	if now.Sub(r.listedAt) < joinTime {
-		return joinPart / float64(r.most)
+		return joinPart / float64(r.count.Most)
 	}
-	return 1 / float64(r.most)
+	return 1 / float64(r.count.Most)
 }
 
 // maxCandidates is the number of hosts that may be an account's collector, in order: the first one
--- a/stage/retry/retry.go
+++ b/stage/retry/retry.go
@@ -11,6 +11,8 @@
 import (
 	"sync"
 	"time"
+
+	"jacinthstage/stage/host"
 )
 
 // The limits of a Budgets that sets none.
@@ -34,7 +36,7 @@
 	MinRetries float64 // retries allowed in the window regardless of requests; see SetHosts
 
 	mu       sync.Mutex
-	hosts    hostCount
+	hosts    host.Count
 	epoch    time.Time // start of second 0; steps of the time of day don't move it
 	services map[string]*window
 }
@@ -82,35 +84,19 @@
 	return max(0, int64(now.Sub(b.epoch)/time.Second))
 }
 
-// hostMemory is how long a host that is no longer listed counts: it may still serve
-// callers, cut off from where the list is kept.
-const hostMemory = time.Minute
-
-// A hostCount is the largest number of hosts in the last hostMemory.
-type hostCount struct {
-	most      int
-	countedAt time.Time // when there were so many
-}
-
-func (c *hostCount) update(now time.Time, hosts int) {
-	if hosts >= c.most || now.Sub(c.countedAt) > hostMemory {
-		c.most, c.countedAt = hosts, now
-	}
-}
-
 // SetHosts sets MinRetries to this host's part of the total that all hosts together have
 // regardless of requests. The argument hosts is the number of hosts that are listed, 0
 // if it is unknown: this host then has no part. It is safe while the budgets are in use.
 func (b *Budgets) SetHosts(now time.Time, total float64, hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hosts.update(now, hosts)
-	if b.hosts.most == 0 {
+	b.hosts.Update(now, hosts)
+	if b.hosts.Most == 0 {
 		b.MinRetries = 0
 		return
 	}
 	// A host that has just started isn't listed yet.
-	b.MinRetries = total / float64(b.hosts.most+1)
+	b.MinRetries = total / float64(b.hosts.Most+1)
 }
 
 func (b *Budgets) limits() (minRetries, ratio float64) {
