dispatch, direct, mirror: answers on an older version of an adapter are logged and counted

What operators could not see: which version a target held when a request began there, and how long ago it was replaced. No decision is changed: the newest version and its time are kept in stage/version now, with the other versions, and say the same.

--- a/jacinthd/internal/daemon/apply.go
+++ b/jacinthd/internal/daemon/apply.go
@@ -28,11 +28,20 @@
 			p.logTargetChange(e.Revision, c)
 		}
 	case catalog.VersionPublished:
-		p.log.Info("adapter: new version", zap.String("model", e.Model), zap.String("adapter", e.Adapter), zap.Int("version", e.Version))
+		p.log.Info("adapter: new version", zap.String("model", e.Model), zap.String("adapter", e.Adapter), zap.Int("version", e.Version), sinceKnown(e.After))
 	}
 	p.controller.Wake()
 }
 
+// sinceKnown returns the log field that says for how long a change may have been there unseen. It is left out if
+// that is unknown.
+func sinceKnown(after time.Time) zap.Field {
+	if after.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration("within", time.Since(after))
+}
+
 // targetsListed logs a list of targets. After the first one, the store's record tells which builds
 // have come and gone unseen.
 func (p *Process) targetsListed(e catalog.TargetsListed) {
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/contact"
 	"jacinthstage/jacinthd/internal/outbound"
@@ -154,9 +155,24 @@
 		req.Metrics.TargetSpoke(head.Notice)
 		contact.LogNotice(req.log, attempt.Target, head.Notice)
 	}
+	req.noteVersion(attempt, time.Now())
 	return req.forwardAnswer(ctx, attempt, x, head)
 }
 
+// noteVersion logs and counts an answer of a target that held, as far as this host knew when it
+// sent the request, a version of the adapter of which a newer one was published before the answer.
+func (req *callerRequest) noteVersion(attempt *dispatch.Attempt, now time.Time) {
+	older, ok := attempt.ReplacedBy()
+	if !ok {
+		return
+	}
+	req.Metrics.OlderVersions.Inc()
+	req.log.Info("request: began on an older version", zap.String("target", attempt.Target.Name), zap.String("adapter", req.call.Adapter),
+		zap.Int("version", attempt.Held), zap.Int("expected", attempt.Version), zap.Int("newer", older.Version),
+		zap.Duration("seen", now.Sub(older.Seen)), zap.Duration("after", now.Sub(older.After)), zap.Duration("sent", attempt.Age(now)),
+		zap.Duration("since", now.Sub(req.arrived)), zap.String("via", req.via))
+}
+
 // classifyError returns the outcome of an attempt that failed with err, and reports
 // it to the dispatcher.
 func (req *callerRequest) classifyError(ctx context.Context, attempt *dispatch.Attempt, err error) outcome {
--- a/jacinthd/internal/metrics/metrics.go
+++ b/jacinthd/internal/metrics/metrics.go
@@ -34,6 +34,7 @@
 	StoreEra        prometheus.Gauge
 	Cut             prometheus.Gauge
 	Indirect        *prometheus.CounterVec
+	OlderVersions   prometheus.Counter
 	Peers           *prometheus.GaugeVec
 	Unreadable      prometheus.Counter
 
@@ -86,6 +87,9 @@
 	m.Cut = prometheus.NewGauge(prometheus.GaugeOpts{Name: "jacinth_cut", Help: "1 while this host can't reach any target."})
 	m.Indirect = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jacinth_indirect_requests_total", Help: "Attempts that were sent through another host, by whether they got an answer."}, []string{"outcome"})
+	m.OlderVersions = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "jacinth_older_versions_total", Help: "Requests that began on a version of their adapter of which a newer one was known."})
+	r.MustRegister(m.OlderVersions)
 	m.Peers = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "jacinth_peers", Help: "Other hosts by the build and the protocol of their last connection."}, []string{"build", "protocol"})
 	m.Unreadable = prometheus.NewCounter(prometheus.CounterOpts{Name: "jacinth_peer_unreadable_total", Help: "Calls of other hosts that could not be read."})
--- a/stage/catalog/catalog.go
+++ b/stage/catalog/catalog.go
@@ -252,6 +252,8 @@
 	Model   string
 	Adapter string
 	Version int
+	// After is a time at which the version was certainly not published yet, zero if none is known.
+	After time.Time
 }
 
 func (ConfigUpdated) event()    {}
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	"jacinthstage/stage/residency"
 	"jacinthstage/stage/speed"
 	"jacinthstage/stage/usage"
+	"jacinthstage/stage/version"
 )
 
 // A Dispatcher selects targets from the state of all targets as known to one
@@ -48,7 +49,7 @@
 	processes     map[processID]*process // of targets, listed or not
 	doubtUntil    time.Time              // entries that contradict what was acknowledged don't count yet, since the store has come back from an older copy
 	services      map[string]map[string]*target
-	newest        map[residency.Key]adapterVersion
+	versions      version.Table                          // of adapters
 	owned         map[string]*target                     // runners that this host owns
 	pendingLoads  map[string]map[residency.Key]time.Time // by removed runner: loads that a new incarnation of the same name may still carry out, and until when
 	newerSince    time.Time                              // when another host was first seen with a newer configuration
@@ -70,13 +71,6 @@
 	demandByModel map[string]float64                     // exponentially decayed number of requests
 }
 
-// An adapterVersion is the newest version of an adapter and the time at which
-// this host first saw it.
-type adapterVersion struct {
-	version int
-	seenAt  time.Time
-}
-
 const (
 	// versionGrace is how long the previous version of an adapter is still
 	// accepted after a newer one was published.
@@ -142,7 +136,7 @@
 		d.applyChanges(now, e.Changes)
 		d.revision = max(d.revision, e.Revision)
 	case catalog.VersionPublished:
-		d.setNewestVersion(now, e)
+		d.versionPublished(now, e)
 	default:
 		panic("dispatch: unknown event")
 	}
@@ -177,20 +171,6 @@
 	return 0
 }
 
-func (d *Dispatcher) setNewestVersion(now time.Time, v catalog.VersionPublished) {
-	if d.newest == nil {
-		d.newest = make(map[residency.Key]adapterVersion)
-	}
-	k := residency.Key{Model: v.Model, Adapter: v.Adapter}
-	if v.Version <= d.newest[k].version {
-		return
-	}
-	d.newest[k] = adapterVersion{version: v.Version, seenAt: now}
-	for _, t := range d.owned {
-		t.residency.SetNewest(k, v.Version)
-	}
-}
-
 // loadTime returns the expected load time of an adapter, averaged over the
 // runners that this host owns.
 func (d *Dispatcher) loadTime(now time.Time) time.Duration {
--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -28,8 +28,8 @@
 		d.owned = make(map[string]*target)
 	}
 	d.owned[name] = t
-	for k, newest := range d.newest {
-		t.residency.SetNewest(k, newest.version)
+	for k, newest := range d.versions.AllNewest() {
+		t.residency.SetNewest(k, newest)
 	}
 }
 
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -97,6 +97,7 @@
 type Attempt struct {
 	Target   catalog.Target
 	Version  int             // adapter version that the target must hold; 0 accepts any
+	Held     int             // adapter version that the target was known to hold; 0 if that is unknown
 	Expected time.Duration   // expected time to the first byte
 	Loaded   <-chan struct{} // closed once the adapter is loaded or the wait ended; nil if this host does not load it
 	Running  int             // estimated number of requests running on the target
@@ -341,8 +342,8 @@
 
 // acceptsVersion reports whether a version of an adapter may serve new requests.
 func (d *Dispatcher) acceptsVersion(now time.Time, k residency.Key, version int) bool {
-	newest, ok := d.newest[k]
-	return !ok || version >= newest.version || now.Before(newest.seenAt.Add(versionGrace))
+	newest := d.versions.Newest(k)
+	return version >= newest.Version || now.Before(newest.Seen.Add(versionGrace))
 }
 
 // A loadEstimate is the expected cost and duration of loading an adapter onto a
@@ -426,12 +427,13 @@
 	attempt.tokens = max(0, r.Call.InputTokens-t.prefixCache.CachedTokens(r.Call, r.prefixKeys))
 	t.pendingPrefill += attempt.tokens
 	t.prefixCache.Add(r.Call, r.prefixKeys)
-	if newest, ok := d.newest[r.key()]; ok && r.Call.Adapter != "" && now.After(newest.seenAt.Add(versionGrace)) {
-		attempt.Version = newest.version
+	if newest := d.versions.Newest(r.key()); r.Call.Adapter != "" && now.After(newest.Seen.Add(versionGrace)) {
+		attempt.Version = newest.Version
 	}
 	if r.Call.Adapter == "" {
 		return attempt
 	}
+	attempt.Held = t.heldVersion(r.key())
 	t.usage.Begin(r.key())
 	switch {
 	case t.residency != nil:
--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -49,9 +49,9 @@
 	Revision uint64
 	Full     bool
 	Objects  []Object
-	// Unseen is set in a full page that is passed on: the last time before it at which the
-	// copy was certainly the newest state. Changes since then may be missing. It is zero in
-	// the first page.
+	// Unseen is the last time before the page at which the copy was certainly the newest state,
+	// zero in the first page: what is new in the page was written after it. In a full page,
+	// changes since then may be missing.
 	Unseen time.Time `cbor:"-"`
 }
 
@@ -98,9 +98,7 @@
 	case p.Revision < c.revision:
 		return true
 	}
-	if p.Full {
-		p.Unseen = c.currentAt
-	}
+	p.Unseen = later(p.Unseen, c.currentAt)
 	c.confirm(asOf, fromPeer)
 	switch {
 	case p.Full:
@@ -125,6 +123,13 @@
 	return true
 }
 
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 // confirm records that the copy was the newest state at asOf.
 func (c *Copy) confirm(asOf time.Time, fromPeer bool) {
 	if asOf.After(c.currentAt) {
@@ -227,7 +232,7 @@
 func (c *Copy) merge(p Page) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	newer := Page{Revision: c.revision}
+	newer := Page{Revision: c.revision, Unseen: c.currentAt}
 	for _, o := range p.Objects {
 		known, ok := c.objects[o.Name]
 		if c.order == nil || o.Removed || ok && c.order(o) <= c.order(known) {
