dispatch, version: each version of an adapter serves by its own publication

Cause: a host kept one time for each adapter, when it saw the newest version, and any older one served for 2.5 s after that. Each further version opened the door again for versions that were replaced long ago. And the time counted from when this host learned of the version: one that learned late added its own 2.5 s, and one that had just started took all versions for new.

Now stage/version keeps the publications, each with the last time at which the host's copy was certainly the newest without it. A version may serve by that of the first newer one: requests are sent for 0.6 of the bound, if they are expected to begin within 0.9 of it. What an answer or an owner says of a target counts with its version, and among targets those with the newest go first; a load elsewhere costs less than an older version.

Why it works: a further publication changes no time of an earlier one.

--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -224,7 +224,7 @@
 		case <-attempt.Loaded:
 		case <-ctx.Done():
 		}
-		loaded = attempt.Ready()
+		loaded = attempt.Ready(time.Now())
 	} else {
 		loaded = req.requestLoad(ctx, attempt)
 	}
--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -69,16 +69,34 @@
 func (Failed) result()    {}
 func (Canceled) result()  {}
 
-// Ready reports whether the adapter that the attempt waited for is loaded.
-func (a *Attempt) Ready() bool {
+// Ready reports whether the adapter that the attempt waited for is loaded. If so, it is in use by the
+// request from then on.
+func (a *Attempt) Ready(now time.Time) bool {
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if a.target.residency == nil {
 		return false
 	}
-	state, _, _ := a.target.residency.Lookup(a.request.key())
-	return state == residency.Resident
+	state, held, _ := a.target.residency.Lookup(a.request.key())
+	if state != residency.Resident {
+		return false
+	}
+	a.Held = held
+	a.beginUse(now)
+	return true
+}
+
+// beginUse counts the use of the adapter, once it is loaded.
+func (a *Attempt) beginUse(now time.Time) {
+	if a.using {
+		return
+	}
+	a.using = true
+	a.target.usage.Begin(a.request.key())
+	if a.target.residency != nil {
+		a.target.residency.BeginUse(now, a.request.key())
+	}
 }
 
 // An OwnerReply is the answer of a runner's owner to a request to load or confirm
@@ -121,7 +139,8 @@
 		return false
 	case Loaded:
 		t.noteCached(now, key)
-		t.notePresent(now, key)
+		t.notePresent(now, key, 0)
+		a.beginUse(now)
 		return true
 	case Denied:
 		if a.Confirm && !r.Absent {
@@ -142,15 +161,6 @@
 	}
 }
 
-// notePresent records that a runner held an adapter.
-func (t *target) notePresent(now time.Time, k residency.Key) {
-	delete(t.absentAt, k)
-	if t.presentAt == nil {
-		t.presentAt = make(map[residency.Key]time.Time)
-	}
-	t.presentAt[k] = now
-}
-
 // noteAbsent records that a runner did not hold an adapter.
 func (t *target) noteAbsent(now time.Time, k residency.Key) {
 	delete(t.presentAt, k)
@@ -185,7 +195,7 @@
 		t.setLoad(now, r.Load)
 		a.prefillDone(now, r)
 		if a.request.Call.Adapter != "" {
-			t.notePresent(now, a.request.key())
+			t.notePresent(now, a.request.key(), max(a.Version, a.Held))
 		}
 		return
 	case Streamed:
@@ -248,11 +258,16 @@
 	t.pendingPrefill -= a.tokens
 	a.tokens = 0
 	t.probing = false
-	t.usage.End(a.request.key())
-	if t.residency != nil {
-		if a.Loaded != nil {
-			t.residency.CancelLoadRequest(a.request.key())
-		}
+	if a.using {
+		t.usage.End(a.request.key())
+	}
+	if t.residency == nil {
+		return
+	}
+	if a.Loaded != nil {
+		t.residency.CancelLoadRequest(a.request.key())
+	}
+	if a.using {
 		t.residency.EndUse(a.request.key())
 	}
 }
--- a/stage/dispatch/dispatch.go
+++ b/stage/dispatch/dispatch.go
@@ -72,9 +72,6 @@
 }
 
 const (
-	// versionGrace is how long the previous version of an adapter is still
-	// accepted after a newer one was published.
-	versionGrace = 2500 * time.Millisecond
 	// initialLoadTime is the expected load time of an adapter before any load was
 	// observed.
 	initialLoadTime = 260 * time.Millisecond
@@ -100,7 +97,7 @@
 	residency           *residency.Manager // nil unless this host owns the runner
 	usage               usage.Adapters
 	absentAt            map[residency.Key]time.Time // when an adapter was last found missing
-	presentAt           map[residency.Key]time.Time // when an adapter was last found loaded
+	presentAt           map[residency.Key]presence  // when an adapter was last found loaded
 	cachedAt            map[residency.Key]time.Time // adapters assumed to be cached on the runner, and when each was last seen loaded
 	noLoadsUntil        time.Time                   // no load is requested before this time
 	loads               usage.Loads                 // asked of the runner's owner
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -220,7 +220,7 @@
 // grace period and only the new version after that.
 func TestNewVersion(t *testing.T) {
 	d := newDispatcher("host-0", "north-a", 1, map[int][]string{0: {"a"}})
-	d.Apply(at(0), catalog.VersionPublished{Model: model, Adapter: "a", Version: 2})
+	d.Apply(at(0), published(2, 0))
 	a := newAttempt(t, d, request("a", 100, 1000), 1000)
 	require.Zero(t, a.Version)
 	require.True(t, a.Confirm)
@@ -254,7 +254,7 @@
 			t.Fatal("still waiting for the load")
 		}
 	}
-	require.True(t, a.Ready())
+	require.True(t, a.Ready(at(14)))
 	require.True(t, d.Resident(at(14), "runner-0", residency.Key{Model: model, Adapter: "a"}))
 
 	d.Release("runner-0")
@@ -581,11 +581,11 @@
 	two := newAttempt(t, d, request("two", 100, 11), 11)
 	d.HandleReply(at(12), "runner-0", call.Applied)
 	<-one.Loaded
-	require.True(t, one.Ready())
+	require.True(t, one.Ready(at(100)))
 	tasks, _ = d.Tasks(at(14))
 	require.Len(t, tasks, 1)
 	require.Equal(t, "two", tasks[0].Action.(residency.SendOrder).Order.Adapter)
-	require.False(t, two.Ready())
+	require.False(t, two.Ready(at(100)))
 }
 
 // TestApplyReturnsEndedTargets checks that a target whose entry is removed, or replaced
--- a/stage/dispatch/estimate.go
+++ b/stage/dispatch/estimate.go
@@ -96,6 +96,11 @@
 	// cachedLoadCost that of loading one that is cached on the runner.
 	loadCost       = 0.30
 	cachedLoadCost = 0.03
+	// olderCost is the cost of an older version of the adapter, which will not do for long: it is more
+	// than that of a load elsewhere, so that the newest is there before all requests need it.
+	olderCost = 0.4
+	// replaceCost is the cost of a load in place of an older version: its requests may not have ended.
+	replaceCost = 0.1
 	// spreadCost is the largest random cost of a brittle target: hosts that know as little of
 	// each other's requests must not all send to the same one.
 	spreadCost = 0.05
--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -121,13 +121,13 @@
 }
 
 // Willing reports whether the attempt's target still takes the request, which has waited
-// for its adapter.
+// for its adapter, and may still begin it in the version that it holds.
 func (a *Attempt) Willing(now time.Time) bool {
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := a.target.process
-	return !p.notice.Leaving() && !p.notice.Quiet(now)
+	return !p.notice.Leaving() && !p.notice.Quiet(now) && a.fixVersion(now)
 }
 
 // Heard records what a target said of itself in an answer to no attempt of this host, such as
--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -196,8 +196,14 @@
 	if t == nil {
 		return false
 	}
-	state, version, _ := t.residency.Lookup(k)
-	return state == residency.Resident && d.acceptsVersion(now, k, version)
+	return d.serves(now, t, k)
+}
+
+// serves reports whether a runner that this host owns holds an adapter in a version that may serve
+// new requests.
+func (d *Dispatcher) serves(now time.Time, t *target, k residency.Key) bool {
+	state, held, _ := t.residency.Lookup(k)
+	return state == residency.Resident && d.versions.Accepts(now, now, k, held)
 }
 
 // Loading reports whether a runner that this host owns is loading an adapter.
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -107,6 +107,7 @@
 	Owner   Owner
 	Confirm bool
 
+	using    bool    // the use of the adapter is counted
 	answered bool    // the target has begun to answer, so that the request had a slot
 	taken    float64 // what the request takes of the target, as the admission counts it
 
@@ -129,6 +130,7 @@
 	pause    float64       // part of cost: late pauses in streams
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
+	older    bool          // the target holds an older version of the adapter, which will still do
 	slotWait time.Duration // wait for an adapter slot if load is set
 	refusal  Refuse        // of the admission
 }
@@ -202,7 +204,7 @@
 	if best.target == nil {
 		return nil, len(all) > 0
 	}
-	if holders = eligible(now, holders, r); len(holders) > 0 {
+	if holders = newest(eligible(now, holders, r)); len(holders) > 0 {
 		if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
 			return drawn, true
 		}
@@ -233,6 +235,18 @@
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.fault > lowest+drawMargin || now.Add(c.latency).After(r.Deadline) })
 }
 
+// newest drops the candidates with an older version that cost no less than one with the newest, so that
+// those are drawn for which the older versions are given up.
+func newest(all []candidate) []candidate {
+	lowest := math.Inf(1)
+	for _, c := range all {
+		if !c.older {
+			lowest = min(lowest, c.cost)
+		}
+	}
+	return slices.DeleteFunc(all, func(c candidate) bool { return c.older && c.cost >= lowest })
+}
+
 // draw returns the cheapest of some candidates that are drawn at random, so that hosts that don't know of each
 // other's newest requests yet don't all choose the same target.
 func (d *Dispatcher) draw(from []candidate) *candidate {
@@ -301,15 +315,8 @@
 		c.cost += transferCost * float64(r.Size) / transferUnit
 	}
 	c.fault = c.cost
-	if r.needsEngine() && !d.holds(now, t, r.key()) {
-		l, ok := d.estimateLoad(now, t, r.key(), rank)
-		if !ok {
-			return c, false
-		}
-		c.load = true
-		c.slotWait = l.slotWait
-		c.latency += l.slotWait + l.duration
-		c.cost += l.cost
+	if r.needsEngine() && !d.evaluateAdapter(now, &c, r.key(), rank) {
+		return c, false
 	}
 	c.cost += speed.LatencyCost(c.latency, r.Objective.Sub(now))
 	if t.process.notice.Brittle() {
@@ -318,32 +325,27 @@
 	return c, true
 }
 
-// holds reports whether a target is assumed to hold a model or adapter, in a
-// version that may serve new requests.
-func (d *Dispatcher) holds(now time.Time, t *target, k residency.Key) bool {
-	if t.residency != nil && t.residency.Synced() && k.Adapter != "" {
-		state, version, _ := t.residency.Lookup(k)
-		return state == residency.Resident && d.acceptsVersion(now, k, version)
-	}
-	if at, ok := t.absentAt[k]; ok && now.Sub(at) < observationAge {
-		return false
-	}
-	resident, ok := t.Models[k.Model]
-	if !ok || k.Adapter == "" {
-		return ok
-	}
-	version, ok := resident.Adapters[k.Adapter]
-	if ok {
-		return d.acceptsVersion(now, k, version)
-	}
-	at, ok := t.presentAt[k]
-	return ok && now.Sub(at) < observationAge
-}
-
-// acceptsVersion reports whether a version of an adapter may serve new requests.
-func (d *Dispatcher) acceptsVersion(now time.Time, k residency.Key, version int) bool {
-	newest := d.versions.Newest(k)
-	return version >= newest.Version || now.Before(newest.Seen.Add(versionGrace))
+// evaluateAdapter adds to a candidate what its adapter costs. It returns false if the request can't be
+// sent to the target: it neither holds the adapter in a version that will do, nor can load it.
+func (d *Dispatcher) evaluateAdapter(now time.Time, c *candidate, k residency.Key, rank func(*target) int) bool {
+	h := d.holding(now, c.target, k)
+	switch {
+	case h.present && d.isNewest(k, h):
+		return true
+	case h.present && d.versions.Accepts(now, now.Add(startFactor*c.latency), k, h.version):
+		c.older = true
+		c.cost += olderCost
+		return true
+	}
+	l, ok := d.estimateLoad(now, c.target, k, rank)
+	if h.present {
+		l.cost += replaceCost
+	}
+	c.load = true
+	c.slotWait = l.slotWait
+	c.latency += l.slotWait + l.duration
+	c.cost += l.cost
+	return ok
 }
 
 // A loadEstimate is the expected cost and duration of loading an adapter onto a
@@ -396,6 +398,8 @@
 	}
 	state, _, due := s.Lookup(k)
 	switch state {
+	case residency.Resident: // an older version, in whose slot the newest is loaded
+		return l, true
 	case residency.Loading:
 		return loadEstimate{duration: max(0, due.Sub(now))}, true
 	case residency.Requested:
@@ -427,24 +431,22 @@
 	attempt.tokens = max(0, r.Call.InputTokens-t.prefixCache.CachedTokens(r.Call, r.prefixKeys))
 	t.pendingPrefill += attempt.tokens
 	t.prefixCache.Add(r.Call, r.prefixKeys)
-	if newest := d.versions.Newest(r.key()); r.Call.Adapter != "" && now.After(newest.Seen.Add(versionGrace)) {
-		attempt.Version = newest.Version
-	}
 	if r.Call.Adapter == "" {
 		return attempt
 	}
-	attempt.Held = t.heldVersion(r.key())
-	t.usage.Begin(r.key())
+	if !c.load {
+		attempt.Held = d.holding(now, t, r.key()).version
+		attempt.beginUse(now)
+	}
+	attempt.fixVersion(now)
 	switch {
+	case t.residency != nil && c.load:
+		attempt.Loaded = t.residency.RequestLoad(now, r.key())
 	case t.residency != nil:
-		if c.load {
-			attempt.Loaded = t.residency.RequestLoad(now, r.key())
-		}
-		t.residency.BeginUse(now, r.key())
 	case c.load:
 		attempt.Owner = d.owners[t.Name]
 		t.loads.Note(now, r.key())
-	case !d.inOtherRegion(t) && !d.isRemoteZone(d.owners[t.Name].Zone) && now.Sub(t.presentAt[r.key()]) > confirmationAge && !d.ownerSilent(now, t):
+	case !d.inOtherRegion(t) && !d.isRemoteZone(d.owners[t.Name].Zone) && now.Sub(t.presentAt[r.key()].at) > confirmationAge && !d.ownerSilent(now, t):
 		attempt.Owner = d.owners[t.Name]
 		attempt.Confirm = true
 	}
--- a/stage/version/version.go
+++ b/stage/version/version.go
@@ -24,12 +24,26 @@
 	Seen    time.Time // when this host learned of it
 }
 
-// maxPublications is the number of publications of one adapter that a Table keeps.
-const maxPublications = 32
+const (
+	// maxPublications is the number of publications of one adapter that a Table keeps.
+	maxPublications = 32
+	// DefaultBound is the Bound of a Table that sets none.
+	DefaultBound = 5 * time.Second
+	// sendShare and startShare are the parts of the bound within which a request may be sent to a
+	// target that holds an older version, and within which it must have begun there. The rest is
+	// for the way to the target, and for a host that stood still in between: its clock may not have
+	// counted that time.
+	sendShare  = 0.6
+	startShare = 0.9
+)
 
 // A Table holds the publications of all adapters. The zero value is empty. A Table is not
 // safe for concurrent use.
 type Table struct {
+	// Bound is how long after the publication of a newer version a request may begin on an
+	// older one; 0 stands for DefaultBound.
+	Bound time.Duration
+
 	adapters map[residency.Key][]Publication // in ascending order of versions; the oldest stands for all before it
 }
 
@@ -72,6 +86,29 @@
 	return Publication{}, false
 }
 
+// Accepts reports whether a request that is sent now, and is expected to begin at begin, may go to
+// a target that holds the given version. Version 0 stands for one that is unknown: all have to do.
+func (t *Table) Accepts(now, begin time.Time, k residency.Key, version int) bool {
+	p, replaced := t.Successor(k, version)
+	return !replaced || now.Before(t.within(p, sendShare)) && begin.Before(t.within(p, startShare))
+}
+
+// Expired reports whether a request that has not begun yet may no longer do so on the given
+// version, which is 0 if it is unknown.
+func (t *Table) Expired(now time.Time, k residency.Key, version int) bool {
+	p, replaced := t.Successor(k, version)
+	return replaced && !now.Before(t.within(p, startShare))
+}
+
+// within returns the end of a part of the bound that counts from a publication.
+func (t *Table) within(p Publication, share float64) time.Time {
+	bound := t.Bound
+	if bound == 0 {
+		bound = DefaultBound
+	}
+	return p.After.Add(time.Duration(share * float64(bound)))
+}
+
 // AllNewest returns the newest version of each adapter of which one was published.
 func (t *Table) AllNewest() iter.Seq2[residency.Key, int] {
 	return func(yield func(residency.Key, int) bool) {
