residency: an adapter in use isn't replaced on its runner

What callers saw: with each new version of a busy adapter its requests were refused for seconds, and requests for other adapters found no place.

Cause: the owner ordered the newest version at once onto every runner that held an older one. A runner that has accepted such an order refuses new requests for the adapter until its runs on the old version have ended (503, not run), and all other orders (409). The manager believed that the runner doesn't count the order; it does, so that each following order failed as well. A refused request made the manager order the old version again.

Now the newest version is loaded in place of an older one only while no request uses that; a request for an adapter whose older version is in use may load the newest on another runner. A replacement counts as a load and no other order is sent meanwhile. Requests that wait for a load don't count as uses of what they replace; an adapter is kept 0.8 s for them, since its use is told after it. Older versions are evicted first.

TestReplacementDoesNotBlockOrders asked for the belief above: it let the replacement be sent, and expected the runner not to count it. It asks now that none is sent in use, that other loads go on, and for the count that the runner reports.

--- a/jacinthd/internal/peers/peers.go
+++ b/jacinthd/internal/peers/peers.go
@@ -166,7 +166,7 @@
 	key := residency.Key{Model: m.Model, Adapter: m.Adapter}
 	loaded, reason := p.Dispatcher.RequestLoad(time.Now(), m.Runner, key)
 	if loaded == nil {
-		return peer.LoadResponse{Reason: reason, Absent: reason == dispatch.NoSlot}
+		return peer.LoadResponse{Reason: reason, Absent: reason == dispatch.NoSlot || reason == residency.OlderInUse}
 	}
 	defer p.Dispatcher.CancelLoadRequest(m.Runner, key)
 	p.Wake()
--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -161,7 +161,11 @@
 	case d.cut:
 		return nil, "runner not reached"
 	}
-	if reason := t.residency.UnavailableReason(now, k); reason != "" {
+	reason = t.residency.UnavailableReason(now, k)
+	if (reason == "" || reason == residency.OlderInUse) && d.serves(now, t, k) {
+		return t.residency.Keep(now, k), ""
+	}
+	if reason != "" {
 		return nil, reason
 	}
 	if state, _, _ := t.residency.Lookup(k); state == residency.Absent && t.residency.SlotWait(now) > maxPeerSlotWait {
--- a/stage/residency/entry.go
+++ b/stage/residency/entry.go
@@ -8,8 +8,8 @@
 type entry struct {
 	state   State
 	version int
-	// replaceAfter is when a replacement by the newest version may be ordered again.
-	replaceAfter time.Time
+	// replaces says that a Requested or Loading adapter takes the place of an older version of it.
+	replaces bool
 	// due is when a Loading adapter is expected to be resident, when an Unloading
 	// one is checked, or when a Requested one is given up.
 	due          time.Time
@@ -38,7 +38,7 @@
 // occupiesSlot reports whether an adapter occupies a slot on the runner, or may
 // do so.
 func (m *Manager) occupiesSlot(e *entry) bool {
-	return e.state == Loading || e.state == Resident || e.state == Unloading || !e.uncertainUntil.IsZero() || !e.reservedUntil.IsZero()
+	return e.replaces || e.state == Loading || e.state == Resident || e.state == Unloading || !e.uncertainUntil.IsZero() || !e.reservedUntil.IsZero()
 }
 
 // keep protects an adapter from eviction for a request that is about to use it.
@@ -69,9 +69,12 @@
 	return e
 }
 
-// inUse reports whether a request of any host uses an adapter.
-func (e *entry) inUse(now time.Time) bool {
-	if e.active > 0 || now.Before(e.keepUntil) {
+// inUse reports whether a request of any host uses an adapter, or is about to.
+func (e *entry) inUse(now time.Time) bool { return now.Before(e.keepUntil) || e.isRunning(now) }
+
+// isRunning reports whether a request of any host uses an adapter.
+func (e *entry) isRunning(now time.Time) bool {
+	if e.active > 0 {
 		return true
 	}
 	for from, p := range e.peers {
--- a/stage/residency/manager.go
+++ b/stage/residency/manager.go
@@ -8,6 +8,10 @@
 // until then the slot that it may occupy stays reserved. Where the count is
 // uncertain, a report of the runner settles it.
 //
+// A newer version of an adapter takes the place of an older one on the same runner only
+// once no request uses that: until its runs have ended, the runner would refuse all
+// requests for the adapter and all other orders.
+//
 // An adapter is evicted only if no request of this host uses it and no other host
 // reports that it uses it. The runner itself lets the requests of other hosts
 // finish before it unloads an adapter.
@@ -41,8 +45,9 @@
 	loadTimeSampleWeight = 0.3
 	// maxReportLag is how much older than its answer a report may be.
 	maxReportLag = 300 * time.Millisecond
-	// replaceRetryDelay is the time between two orders for the same replacement.
-	replaceRetryDelay = 300 * time.Millisecond
+	// replaceUse is how recently an adapter of which a newer version is published must have
+	// been used for that to be loaded before a request asks for it.
+	replaceUse = 10 * time.Second
 	// staleReportWindow is the time after the last order in which a report that
 	// shows fewer orders is taken to be merely outdated.
 	staleReportWindow = time.Second
@@ -59,7 +64,7 @@
 	replyTimeout = 2 * time.Second
 	// keepDuration is how long an adapter that a request asked for is not evicted,
 	// so that the request still finds it.
-	keepDuration = 500 * time.Millisecond
+	keepDuration = 800 * time.Millisecond
 	// peerUseTTL is how long another host's report of its use counts.
 	peerUseTTL = 2 * time.Second
 	// cachedLoadTime is the expected load time of an adapter that is cached on the
@@ -160,6 +165,8 @@
 		return "runner lost to another owner"
 	case now.Before(m.NotBefore):
 		return "not yet in turn"
+	case state == Resident && m.isOlder(k) && m.entries[k].isRunning(now):
+		return OlderInUse
 	case state == Loading || state == Resident || state == Requested:
 		return ""
 	case !m.synced:
@@ -170,13 +177,26 @@
 	return ""
 }
 
+// OlderInUse is the reason for which an adapter can't be had while requests use an older version
+// of it on the runner.
+const OlderInUse = "an older version is in use"
+
+// isOlder reports whether a newer version of an adapter is published than the one on the runner.
+func (m *Manager) isOlder(k Key) bool { return m.entries[k].version < m.newest[k] }
+
 // SetNewest records the newest version of an adapter. An older version than the
 // one recorded before is ignored.
 func (m *Manager) SetNewest(k Key, version int) {
 	if m.newest == nil {
 		m.newest = make(map[Key]int)
 	}
-	m.newest[k] = max(m.newest[k], version)
+	if version <= m.newest[k] {
+		return
+	}
+	m.newest[k] = version
+	if e := m.entries[k]; e != nil {
+		e.lastResident = time.Time{} // the runner caches the weights of an older version
+	}
 }
 
 // UncertainLoads returns the loads that got no answer, and until when each may
--- a/stage/residency/manager_test.go
+++ b/stage/residency/manager_test.go
@@ -84,24 +84,76 @@
 	require.EqualValues(t, 6, nextOrder(t, m, 400).AcceptedOrders, "nor one for a resident adapter")
 }
 
-// TestReplacementDoesNotBlockOrders checks that other orders are sent while the
-// replacement of an adapter in use waits on the runner for the runs of the old
-// version to end.
+// TestReplacementDoesNotBlockOrders guards against a runner that refuses all requests for an adapter
+// and all orders for as long as a replacement waits for the runs of the old version: none is
+// ordered while the adapter is in use, and other adapters are loaded at once.
 func TestReplacementDoesNotBlockOrders(t *testing.T) {
 	m := newSynced(t, 3, "hot")
+	m.BeginUse(at(1), key("hot"))
 	m.SetNewest(key("hot"), 2)
-	o := nextOrder(t, m, 10)
-	require.Equal(t, 2, o.Version)
-	m.HandleReply(at(11), call.Accepted)
-	require.Equal(t, residency.Resident, state(m, "hot"))
+	requireIdle(t, m, 10)
 
 	m.RequestLoad(at(20), key("a"))
-	o = nextOrder(t, m, 20)
+	o := nextOrder(t, m, 20)
 	require.Equal(t, "a", o.Adapter)
-	require.EqualValues(t, 5, o.AcceptedOrders, "the runner does not count a replacement that waits")
+	require.EqualValues(t, 5, o.AcceptedOrders)
 	m.HandleReply(at(21), call.Accepted)
-	o = nextOrder(t, m, 330)
-	require.Contains(t, []string{"hot", "a"}, o.Adapter)
+
+	m.EndUse(key("hot"))
+	o = nextOrder(t, m, 30)
+	require.Equal(t, call.Order{Kind: call.Load, Model: model, Adapter: "hot", Version: 2, Holder: "host-0", Fence: 7, AcceptedOrders: 6, Target: "runner-0"}, o)
+	m.HandleReply(at(31), call.Accepted)
+	require.Equal(t, residency.Loading, state(m, "hot"))
+
+	m.RequestLoad(at(40), key("b"))
+	requireIdle(t, m, 40)
+	o = nextOrder(t, m, 290)
+	require.Equal(t, "hot", o.Adapter, "the runner takes no other order meanwhile")
+	require.EqualValues(t, 7, o.AcceptedOrders, "it counts a replacement once, when it is ordered")
+	m.HandleReply(at(291), call.Applied)
+	require.Equal(t, residency.Resident, state(m, "hot"))
+	require.Equal(t, "a", nextOrder(t, m, 292).Adapter)
+}
+
+// TestOlderVersionIsReplacedOnRequest checks that a request for an adapter that is there in an older
+// version waits for the newest, unless requests use the older one.
+func TestOlderVersionIsReplacedOnRequest(t *testing.T) {
+	m := newSynced(t, 1, "a")
+	m.SetNewest(key("a"), 2)
+	m.RecordPeerUse(at(5), key("a"), "host-1", 1, 1)
+	require.Equal(t, residency.OlderInUse, m.UnavailableReason(at(6), key("a")))
+	m.RecordPeerUse(at(7), key("a"), "host-1", 0, 0)
+	require.Empty(t, m.UnavailableReason(at(8), key("a")))
+
+	done := m.RequestLoad(at(10), key("a"))
+	require.Equal(t, 2, nextOrder(t, m, 10).Version)
+	m.HandleReply(at(11), call.Accepted)
+	require.False(t, closed(done))
+	nextOrder(t, m, 261)
+	m.HandleReply(at(262), call.Applied)
+	require.True(t, closed(done))
+	_, held, _ := m.Lookup(key("a"))
+	require.Equal(t, 2, held)
+}
+
+// TestMissOfOlderVersionIsNotLoadedAgain guards against an order that names the version that a newer
+// one has replaced.
+func TestMissOfOlderVersionIsNotLoadedAgain(t *testing.T) {
+	m := newSynced(t, 2)
+	m.RequestLoad(at(10), key("a"))
+	nextOrder(t, m, 10)
+	m.HandleReply(at(11), call.Accepted)
+	nextOrder(t, m, 262)
+	m.HandleReply(at(263), call.Applied)
+	m.BeginUse(at(264), key("a"))
+	m.SetNewest(key("a"), 2)
+	m.RecordMiss(at(300), key("a"), 10*time.Millisecond)
+	for ms := 300; ms < 3000; ms += 50 {
+		if action, _ := m.Next(at(ms)); action != nil {
+			require.Equal(t, residency.PollReport{}, action)
+			m.HandleReportFailure(at(ms))
+		}
+	}
 }
 
 // TestEvictsLeastUsed checks that the adapter with the least recent use is
--- a/stage/residency/order.go
+++ b/stage/residency/order.go
@@ -97,31 +97,28 @@
 // nextOrder returns the next order. The load order of an adapter that should be
 // resident by now is sent again, since the reply shows whether it is.
 func (m *Manager) nextOrder(now time.Time) (call.Order, bool) {
+	replacing := m.isReplacing()
 	for k, e := range m.entries {
-		if e.state == Loading && !now.Before(e.due) {
+		if e.state == Loading && !now.Before(e.due) && (e.replaces || !replacing) {
 			return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: e.version}, true
 		}
 	}
 	if len(m.models) == 0 {
 		return m.baseOrder(now)
 	}
-	if o, ok := m.replacementOrder(now); ok {
-		return o, true
-	}
-	loading := 0
-	for _, e := range m.entries {
-		if e.state == Loading && now.Sub(e.ordered) < 2*maxLoadTimeSample {
-			loading++
-		}
-	}
-	if loading >= m.loadLimit(now) {
+	if replacing || m.loadsInProgress(now) >= m.loadLimit(now) {
 		return call.Order{}, false
 	}
 	if len(m.requested) == 0 {
-		return call.Order{}, false
+		return m.replacementOrder(now)
 	}
 	k := m.mostRequested()
-	if k.Adapter == "" || m.occupiedSlots() < m.Slots {
+	e := m.entries[k]
+	if e.replaces && e.isRunning(now) {
+		m.setAbsent(k, e)
+		return m.nextOrder(now)
+	}
+	if k.Adapter == "" || e.replaces || m.occupiedSlots() < m.Slots {
 		return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: m.newest[k]}, true
 	}
 	if victim, ok := m.victim(now); ok {
@@ -130,6 +127,28 @@
 	return call.Order{}, false
 }
 
+// isReplacing reports whether an adapter is loading in place of an older version. The runner takes no
+// other order meanwhile.
+func (m *Manager) isReplacing() bool {
+	for _, e := range m.entries {
+		if e.state == Loading && e.replaces {
+			return true
+		}
+	}
+	return false
+}
+
+// loadsInProgress returns the number of adapters that are loading.
+func (m *Manager) loadsInProgress(now time.Time) int {
+	n := 0
+	for _, e := range m.entries {
+		if e.state == Loading && now.Sub(e.ordered) < 2*maxLoadTimeSample {
+			n++
+		}
+	}
+	return n
+}
+
 // baseOrder returns the order that loads a model onto an empty runner.
 func (m *Manager) baseOrder(now time.Time) (call.Order, bool) {
 	state, _, _ := m.Lookup(Key{Model: m.Base})
@@ -153,12 +172,12 @@
 	return true
 }
 
-// replacementOrder returns the order that replaces a resident adapter by its
-// newest version.
+// replacementOrder returns the order that loads the newest version of an adapter that was used
+// lately in place of an older one.
 func (m *Manager) replacementOrder(now time.Time) (call.Order, bool) {
 	for k, version := range m.newest {
 		e := m.entries[k]
-		if e != nil && e.state == Resident && e.version < version && !now.Before(e.replaceAfter) {
+		if e != nil && e.state == Resident && e.version < version && !e.inUse(now) && now.Sub(e.lastUsed) < replaceUse {
 			return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: version}, true
 		}
 	}
--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -66,19 +66,14 @@
 		return
 	}
 	m.removeRequest(k)
-	if reply == call.Accepted && e.state == Resident {
-		// A replacement waits until the runs of the old version end; the runner
-		// does not count the order before.
-		m.orders--
-		e.replaceAfter = now.Add(replaceRetryDelay)
-		return
-	}
+	e.replaces = e.replaces || e.state == Resident
 	e.version = max(e.version, m.inFlight.Version, 1)
 	switch {
 	case reply == call.Applied:
 		m.orders--
 		m.updateLoadTime(now, k, e)
 		e.state = Resident
+		e.replaces = false
 		e.keep(now)
 		e.endWait()
 		if k.Adapter == "" {
--- a/stage/residency/report.go
+++ b/stage/residency/report.go
@@ -56,6 +56,9 @@
 		}
 	}
 	for k, e := range m.entries {
+		if !reported[k] {
+			e.replaces = false
+		}
 		if !reported[k] && e.state != Requested && !(k.Adapter == "" && e.state == Loading) {
 			e.endWait()
 			e.state = Absent
@@ -70,11 +73,12 @@
 // being unloaded stays Unloading.
 func (m *Manager) setResident(k Key, version int) {
 	e := m.entry(k)
-	m.removeRequest(k)
-	if e.state == Unloading {
+	if e.state == Unloading || e.state == Requested && e.replaces && version == e.version {
 		return
 	}
+	m.removeRequest(k)
 	e.state = Resident
+	e.replaces = false
 	e.version = version
 	e.endWait()
 }
--- a/stage/residency/request.go
+++ b/stage/residency/request.go
@@ -14,18 +14,36 @@
 	}
 	done := e.done
 	e.waiters++
-	if e.state == Absent {
-		e.state = Requested
-		e.due = now.Add(loadRequestTimeout)
-		m.requested = append(m.requested, k)
-	}
-	if e.state == Resident {
+	switch {
+	case e.state == Resident && m.isOlder(k) && !e.isRunning(now):
+		e.replaces = true
+		m.request(now, k, e)
+	case e.state == Resident:
 		e.keep(now)
 		e.endWait()
+	case e.state == Absent:
+		m.request(now, k, e)
 	}
 	return done
 }
 
+func (m *Manager) request(now time.Time, k Key, e *entry) {
+	e.state = Requested
+	e.due = now.Add(loadRequestTimeout)
+	m.requested = append(m.requested, k)
+}
+
+// Keep keeps a resident adapter for a request that is about to use it, in whatever version. The
+// returned channel is closed. Each Keep must be followed by a CancelLoadRequest.
+func (m *Manager) Keep(now time.Time, k Key) <-chan struct{} {
+	e := m.entry(k)
+	e.waiters++
+	e.keep(now)
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
 // CancelLoadRequest ends one wait for an adapter. The load of an adapter without
 // waiters is not ordered.
 func (m *Manager) CancelLoadRequest(k Key) {
@@ -78,7 +96,7 @@
 		return
 	}
 	switch {
-	case e.state == Resident && now.Sub(e.ordered) < maxOrderDelay/4:
+	case e.state == Resident && now.Sub(e.ordered) < maxOrderDelay/4 && !m.isOlder(k):
 		e.state = Loading
 		e.due = now.Add(retryAfter)
 	case e.state == Resident:
@@ -86,17 +104,16 @@
 	}
 }
 
-// setAbsent marks an adapter as Absent, ends the wait for it and drops its load
-// request.
+// setAbsent ends the wait for an adapter and drops its load request. The adapter is Absent then, or
+// still there in the version that it should have replaced.
 func (m *Manager) setAbsent(k Key, e *entry) {
 	e.endWait()
 	e.state = Absent
-	for i, other := range m.requested {
-		if other == k {
-			m.requested = append(m.requested[:i], m.requested[i+1:]...)
-			break
-		}
+	if e.replaces {
+		e.state = Resident // the older version
+		e.replaces = false
 	}
+	m.removeRequest(k)
 }
 
 // mostRequested returns the requested adapter with the most waiters; among equals
--- a/stage/residency/slot.go
+++ b/stage/residency/slot.go
@@ -89,7 +89,11 @@
 		if k.Adapter == "" || e.state != Resident || e.inUse(now) {
 			continue
 		}
-		if w := e.weight(now); !found || w < least || w == least && k.Adapter < best.Adapter {
+		w := e.weight(now)
+		if m.isOlder(k) {
+			w = 0
+		}
+		if !found || w < least || w == least && k.Adapter < best.Adapter {
 			best, found, least = k, true, w
 		}
 	}
