direct, version: a request that waits at its target ends before its version may serve no more

What callers could see: a request that was sent in time waits at its target, in a burst or at a slow one, and begins there on a version that was replaced over 5 s before.

Cause: nothing bounded the time of sending and the wait together.

The bound is a setting, versions.bound, which the platform's version_ms fills.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -126,6 +126,7 @@
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
 	metrics.RegisterMemory(registry, &p.memory, &p.connections.Table)
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
+	p.dispatcher.SetVersionBound(s.VersionBound)
 	p.pool = &outbound.Pool{Dial: outbound.Dialer(s.Source).DialContext, OnOpen: counters.Opened.Inc}
 	suspects := &contact.Suspects{Ready: p.dispatcher.ReadyAddresses, Pool: p.pool, Store: deps.Store, Metrics: counters, Log: log}
 	p.reach = &contact.Reach{Pool: p.pool, Dispatcher: p.dispatcher, Suspects: suspects, Metrics: counters, Log: log}
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -63,12 +63,14 @@
 func (req *callerRequest) sendTo(ctx context.Context, attempt *dispatch.Attempt) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	start := limitStart(attempt, cancel)
+	defer start.stop()
 	w := &watchdog{}
 	if timeout := req.headTimeout(attempt); timeout > 0 {
 		w.start(timeout, func() { req.switchTarget(w, attempt, cancel) })
 		defer w.stop()
 	}
-	return req.roundTrip(ctx, attempt, w)
+	return req.roundTrip(ctx, attempt, w, start)
 }
 
 // A watchdog checks for another target while a request waits for the head of its
@@ -125,7 +127,7 @@
 }
 
 // roundTrip sends the request and waits for the head of the answer.
-func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w *watchdog) outcome {
+func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w *watchdog, start *startLimit) outcome {
 	remaining := time.Until(req.deadline)
 	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.priority(), Accounts: req.accounts, Account: req.account.Name, Version: attempt.Version, LastEventID: req.lastEventID}
 	if req.call.Budget > 0 {
@@ -140,8 +142,8 @@
 		return req.classifyError(ctx, attempt, err)
 	}
 	defer x.Close()
-	if !w.stop() {
-		return req.classifyError(ctx, attempt, ctx.Err())
+	if !start.stop() || !w.stop() {
+		return req.classifyError(ctx, attempt, context.Canceled)
 	}
 	status := x.Response().StatusCode
 	head := req.Headers.ParseAnswer(status, x.Response().Header)
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -53,6 +53,7 @@
 		c.Segments = append(c.Segments, call.Segment{ID: id, Tokens: 10})
 	}
 	c.Key = account.Key(h.Get("Key"))
+	c.Model, c.Adapter = h.Get("Model"), h.Get("Adapter")
 	return c, nil
 }
 
--- a/jacinthd/settings/direct.go
+++ b/jacinthd/settings/direct.go
@@ -31,6 +31,7 @@
 	QuotaWindow   time.Duration // time over which QuotaRatio and QuotaSlack hold
 	QuotaRatio    float64       // fraction by which all hosts together may exceed the limit of a client account
 	QuotaSlack    float64       // units by which they may exceed it beyond that
+	VersionBound  time.Duration // after the publication of a version of an adapter, until which a request may begin on an older one
 	GracePeriod   time.Duration // from the stop signal to the end of the process
 	MemoryLimitMB float64       // memory limit of the process in MB; 0 means no limit
 	Descriptors   int           // file descriptors that the process may open; 0 means the limit that the system sets
@@ -94,6 +95,7 @@
 		{section: "quotas", key: "window", fallback: "10s", set: duration(&d.QuotaWindow, 0, maxBound)},
 		{section: "quotas", key: "share", fallback: "0.1", set: decimal(&d.QuotaRatio, 0, maxQuotaRatio)},
 		{section: "quotas", key: "slack", fallback: "0", set: decimal(&d.QuotaSlack, 0, maxQuotaSlack)},
+		{section: "versions", key: "bound", fallback: "5s", set: duration(&d.VersionBound, 0, maxBound)},
 		{section: "stop", key: "grace", fallback: "8s", set: duration(&d.GracePeriod, 0, maxBound)},
 		{section: "limits", key: "held", fallback: "0", set: decimal(&d.HeldMB, 0, maxMemory)},
 		{section: "limits", key: "callers", fallback: "0", set: integer(&d.Connections, 0, maxDescriptors)},
--- a/jacinthd/settings/platform_test.go
+++ b/jacinthd/settings/platform_test.go
@@ -140,6 +140,7 @@
 	require.Equal(t, 10*time.Second, want.QuotaWindow)
 	require.Equal(t, 0.1, want.QuotaRatio)
 	require.Zero(t, want.QuotaSlack)
+	require.Equal(t, 5*time.Second, want.VersionBound)
 
 	cases := []struct {
 		path  string
@@ -161,6 +162,9 @@
 		{"bounds.quotaOver", 0, func(d *settings.Direct) { d.QuotaRatio = 0 }},
 		{"bounds.quotaSlack", 110000, func(d *settings.Direct) { d.QuotaSlack = 110000 }},
 		{"bounds.quotaSlack", nil, func(d *settings.Direct) { d.QuotaSlack = 0 }},
+		{"bounds.version_ms", 2500.5, func(d *settings.Direct) { d.VersionBound = 2500500 * time.Microsecond }},
+		{"bounds.version_ms", undefined, func(d *settings.Direct) { d.VersionBound = 5 * time.Second }},
+		{"bounds.version_ms", nil, func(d *settings.Direct) { d.VersionBound = 5 * time.Second }},
 		{"bounds.leaseMs", 2500.5, func(d *settings.Direct) { d.OrderInterval = 2500500 * time.Microsecond }},
 		{"bounds.leaseMs", 3600000, func(d *settings.Direct) { d.OrderInterval = time.Hour }},
 		{"bounds.leaseMs", 0, func(d *settings.Direct) { d.OrderInterval = 0 }},
--- a/stage/dispatch/versions.go
+++ b/stage/dispatch/versions.go
@@ -20,6 +20,14 @@
 	version int // at least, as versions on a target don't go back; 0 if unknown
 }
 
+// SetVersionBound sets how long after the publication of a newer version of an adapter a request
+// may begin on an older one.
+func (d *Dispatcher) SetVersionBound(bound time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions.Bound = bound
+}
+
 func (d *Dispatcher) versionPublished(now time.Time, v catalog.VersionPublished) {
 	k := residency.Key{Model: v.Model, Adapter: v.Adapter}
 	if !d.versions.Publish(k, version.Publication{Version: v.Version, After: v.After, Seen: now}) {
@@ -92,6 +100,19 @@
 // to begin.
 const startFactor = 2
 
+// LastStart returns until when the request may begin at its target, since a newer version of its
+// adapter was published. It returns false if there is no such time, or the request has begun.
+func (a *Attempt) LastStart() (time.Time, bool) {
+	d := a.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := a.request.key()
+	if a.answered || k.Adapter == "" {
+		return time.Time{}, false
+	}
+	return d.versions.LastStart(k, max(a.Version, a.Held))
+}
+
 // ReplacedBy returns the publication that replaced the version that the attempt's target was
 // known to hold. It returns false if that version is unknown, or no newer one was published.
 func (a *Attempt) ReplacedBy() (version.Publication, bool) {
--- a/stage/version/version.go
+++ b/stage/version/version.go
@@ -93,11 +93,14 @@
 	return !replaced || now.Before(t.within(p, sendShare)) && begin.Before(t.within(p, startShare))
 }
 
-// Expired reports whether a request that has not begun yet may no longer do so on the given
-// version, which is 0 if it is unknown.
-func (t *Table) Expired(now time.Time, k residency.Key, version int) bool {
+// LastStart returns until when a request that was sent may begin on the given version, which is 0 if
+// it is unknown. It returns false if no newer version was published yet.
+func (t *Table) LastStart(k residency.Key, version int) (time.Time, bool) {
 	p, replaced := t.Successor(k, version)
-	return replaced && !now.Before(t.within(p, startShare))
+	if !replaced {
+		return time.Time{}, false
+	}
+	return t.within(p, startShare), true
 }
 
 // within returns the end of a part of the bound that counts from a publication.
--- a/stage/version/version_test.go
+++ b/stage/version/version_test.go
@@ -45,7 +45,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			require.Equal(t, c.accepted, table.Accepts(at(c.now), at(c.begin), key, c.version))
-			require.Equal(t, c.expire, table.Expired(at(c.now), key, c.version))
+			last, replaced := table.LastStart(key, c.version)
+			require.Equal(t, c.expire, replaced && !at(c.now).Before(last))
 		})
 	}
 	require.Equal(t, 5, table.Newest(key).Version)
@@ -93,9 +94,9 @@
 			if table.Accepts(at(now), at(now), key, v) {
 				require.Less(t, now-successor, bound)
 			}
-			if now-successor >= bound {
-				require.True(t, table.Expired(at(now), key, v))
-			}
+			last, ok := table.LastStart(key, v)
+			require.True(t, ok)
+			require.True(t, last.Before(at(successor+bound)))
 		}
 	})
 }
