version: requests that a starting host sent before it knew of versions aren't cut

A host that has just started sends requests before it has the list of versions. The first list doesn't say when each was published, which counted as long ago: such requests were ended though the target may hold the newest version. Found by reading. A Table that drops its oldest publication keeps its time for the next one, so that none becomes unknown by that.

--- a/stage/version/version.go
+++ b/stage/version/version.go
@@ -59,8 +59,9 @@
 	}
 	known = append(known, p)
 	if len(known) > maxPublications {
+		first := known[0].After // since when versions before it may have been replaced
 		known = slices.Delete(known, 0, 1)
-		known[0].After = time.Time{} // versions before it may have been replaced at any time
+		known[0].After = first
 	}
 	t.adapters[k] = known
 	return true
@@ -94,10 +95,11 @@
 }
 
 // LastStart returns until when a request that was sent may begin on the given version, which is 0 if
-// it is unknown. It returns false if no newer version was published yet.
+// it is unknown. It returns false if there is no such time: no newer version was published yet, or
+// this host has just started and can't know when.
 func (t *Table) LastStart(k residency.Key, version int) (time.Time, bool) {
 	p, replaced := t.Successor(k, version)
-	if !replaced {
+	if !replaced || p.After.IsZero() {
 		return time.Time{}, false
 	}
 	return t.within(p, startShare), true
