--- a/stage/version/version_test.go
+++ b/stage/version/version_test.go
@@ -60,6 +60,8 @@
 	table.Publish(key, version.Publication{Version: 2, Seen: at(0)})
 	require.False(t, table.Accepts(at(1), at(1), key, 1))
 	require.False(t, table.Accepts(at(1), at(1), key, 0))
+	_, ok := table.LastStart(key, 0)
+	require.False(t, ok, "a request that was sent before may wait on the newest")
 }
 
 // TestVersionsInQuickSuccession draws publications, of which the host learns late or which it misses,
