--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -204,7 +204,7 @@
 	if best.target == nil {
 		return nil, len(all) > 0
 	}
-	if holders = newest(eligible(now, holders, r)); len(holders) > 0 {
+	if holders = preferNewest(eligible(now, holders, r)); len(holders) > 0 {
 		if drawn := d.draw(holders); !best.load || drawn.worthLoad() <= best.worthLoad() {
 			return drawn, true
 		}
@@ -235,9 +235,9 @@
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.fault > lowest+drawMargin || now.Add(c.latency).After(r.Deadline) })
 }
 
-// newest drops the candidates with an older version that cost no less than one with the newest, so that
+// preferNewest drops the candidates with an older version that cost no less than one with the newest, so that
 // those are drawn for which the older versions are given up.
-func newest(all []candidate) []candidate {
+func preferNewest(all []candidate) []candidate {
 	lowest := math.Inf(1)
 	for _, c := range all {
 		if !c.older {
