residency: a replacement that is asked for while its adapter is being unloaded

A host ended with a nil pointer in nextOrder (Tasks). When the runner then accepted that order, the adapter became Unloading or Absent and stayed in the queue of requests; the next report dropped its entry, and the next order was to be made of none. Its mark that it replaces an older version stayed, too, which took a slot.

TestReplacementAskedForDuringUnload fails on the code before: where the runner still has runs of the adapter, the manager orders a load that the runner refuses (409); without that check, nil pointer in nextOrder.

Ruled out: replies to loads take the adapter out of the queue themselves, and a wait that ends makes the adapter resident again, so that it isn't in the queue either.

Now an adapter that is gone at once stays requested, and its newest version is loaded into the free slot; one with runs leaves the queue, and those who wait for it learn from the next report that it is absent, as for any adapter that is requested while it is unloaded.

--- a/stage/residency/manager_test.go
+++ b/stage/residency/manager_test.go
@@ -156,6 +156,32 @@
 	}
 }
 
+// TestReplacementAskedForDuringUnload guards against a crash: a request asked for the newest version of an adapter, of
+// which the runner held an older one, while the order to unload that was on its way.
+func TestReplacementAskedForDuringUnload(t *testing.T) {
+	askedFor := func(reply call.Reply) *residency.Manager {
+		m := newSynced(t, 1, "a")
+		m.SetNewest(key("a"), 2)
+		m.RequestLoad(at(10), key("b"))
+		require.Equal(t, call.Unload, nextOrder(t, m, 10).Kind)
+		m.RequestLoad(at(11), key("a"))
+		m.CancelLoadRequest(key("b"))
+		m.HandleReply(at(12), reply)
+		return m
+	}
+	o := nextOrder(t, askedFor(call.Applied), 13)
+	require.Equal(t, call.Load, o.Kind)
+	require.Equal(t, 2, o.Version)
+
+	m := askedFor(call.Accepted)
+	requireIdle(t, m, 13)
+	action, _ := m.Next(at(500))
+	require.Equal(t, residency.PollReport{}, action)
+	m.HandleReport(at(501), call.Report{AcceptedOrders: 6, Models: []call.ResidentModel{{Model: model, Version: 1}}})
+	require.Equal(t, residency.Absent, state(m, "a"))
+	requireIdle(t, m, 502)
+}
+
 // TestEvictsLeastUsed checks that the adapter with the least recent use is
 // evicted among those that are not in use, and none that another host uses.
 func TestEvictsLeastUsed(t *testing.T) {
--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -56,13 +56,7 @@
 		other.uncertainUntil = time.Time{}
 	}
 	if m.inFlight.Kind == call.Unload {
-		e.lastResident = now
-		if reply == call.Applied {
-			e.state = Absent
-			return
-		}
-		e.state = Unloading
-		e.due = now.Add(recheckInterval)
+		m.unloaded(now, k, e, reply)
 		return
 	}
 	m.removeRequest(k)
@@ -95,6 +89,22 @@
 	}
 }
 
+// unloaded processes the reply Accepted or Applied to the order to unload an adapter. If its newest version was
+// requested meanwhile, that is loaded next, unless runs of the older one keep it on the runner.
+func (m *Manager) unloaded(now time.Time, k Key, e *entry, reply call.Reply) {
+	e.lastResident = now
+	e.replaces = false
+	switch {
+	case reply == call.Applied && e.state == Requested:
+	case reply == call.Applied:
+		e.state = Absent
+	default:
+		m.removeRequest(k)
+		e.state = Unloading
+		e.due = now.Add(recheckInterval)
+	}
+}
+
 // updateLoadTime updates the estimate of the load time by the load of an adapter
 // that came from the weight store. Loads of cached adapters don't count.
 func (m *Manager) updateLoadTime(now time.Time, k Key, e *entry) {
