--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -92,7 +92,9 @@
 // unloaded processes the reply Accepted or Applied to the order to unload an adapter. If its newest version was
 // requested meanwhile, that is loaded next, unless runs of the older one keep it on the runner.
 func (m *Manager) unloaded(now time.Time, k Key, e *entry, reply call.Reply) {
-	e.lastResident = now
+	if !m.isOlder(k) {
+		e.lastResident = now // of the weights that a later load takes
+	}
 	e.replaces = false
 	switch {
 	case reply == call.Applied && e.state == Requested:
