direct: an answer that breaks off is reset for a caller of HTTP/1.0

Cause: the handler is aborted with http.ErrAbortHandler, and net/http closes the connection in an orderly way. HTTP/1.1 misses its last chunk then; HTTP/1.0 has no chunks, and the end of the connection is the end of the answer.

Ruled out: HTTP/1.1, where the same ends are visible (TestBrokenStreamIsVisible, TestLargeAnswer).

Fix: the connection of a caller below HTTP/1.1 is taken over and reset, so that its read fails. What has arrived before can still be read.

--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -12,6 +12,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -193,13 +194,35 @@
 		zap.Duration("after", after), zap.NamedError("write", err))
 }
 
-// abort ends an answer that has begun by closing the connection, so that the
-// caller can tell that the answer is incomplete.
+// abort ends an answer that has begun so that the caller can tell that it is incomplete.
 func (req *callerRequest) abort(reason string) {
 	req.finish("request: answer aborted", req.status, zap.String("reason", reason), zap.String("last", req.lastEventID))
+	req.breakOff()
+}
+
+// breakOff ends the answer without its last chunk. HTTP/1.0 has no chunks, so that an orderly end
+// of the connection would complete the answer: breakOff resets the connection.
+func (req *callerRequest) breakOff() {
+	if !req.r.ProtoAtLeast(1, 1) {
+		if err := resetConnection(req.w); err != nil {
+			req.log.Warn("request: connection of a broken answer not reset", zap.Error(err))
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection closes the connection of an answer with a reset.
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		err = c.SetLinger(0)
+	}
+	return cmp.Or(err, conn.Close())
+}
+
 // finish logs the end of the request and records it in the metrics.
 func (req *callerRequest) finish(message string, status int, fields ...zap.Field) {
 	duration := time.Since(req.arrived)
