direct: a stream cut since its caller half-closed doesn't look complete

What callers saw: a caller that had closed its own side of the connection and read on got the events until then and a complete ending, with the last chunk (ORDER).

Cause: net/http cancels the request's context as soon as it reads the end of the caller's side. The request ended as "caller left" and its handler returned, and net/http completes the answer of a handler that returns.

Ruled out: serving on for such a caller. It can't be told from one that has left, whose request has to end at its target (GONE).

Fix: an answer that has begun is broken off where its caller has left, as at a deadline.

--- a/jacinthd/internal/direct/brokenstream_test.go
+++ b/jacinthd/internal/direct/brokenstream_test.go
@@ -71,3 +71,23 @@
 		}
 	}
 }
+
+// TestHalfClosedCallerSeesCutStream guards against a stream that ends as if it were complete for a
+// caller that has closed its own side of the connection and still reads (ORDER).
+func TestHalfClosedCallerSeesCutStream(t *testing.T) {
+	for _, version := range []string{"1.1", "1.0"} {
+		t.Run(version, func(t *testing.T) {
+			s := newTestSystem(t, 2, func(w http.ResponseWriter, r *http.Request, _ int) {
+				succeed(w, begunEvents)
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})
+			response := s.openRaw(t, version, "/resumed/")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.NoError(t, response.Body.Close())
+			text, err := io.ReadAll(response.Body)
+			require.Error(t, err, "the stream looks complete")
+			require.Equal(t, begunEvents, string(text))
+		})
+	}
+}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -200,6 +200,15 @@
 	req.breakOff()
 }
 
+// callerLeft ends a request whose caller has left. A caller may have closed its own side of the
+// connection only and still read, so that an answer that has begun must not look complete.
+func (req *callerRequest) callerLeft(fields ...zap.Field) {
+	req.finish("request: caller left", req.status, fields...)
+	if req.headSent {
+		req.breakOff()
+	}
+}
+
 // breakOff ends the answer without its last chunk. HTTP/1.0 has no chunks, so that an orderly end
 // of the connection would complete the answer: breakOff resets the connection.
 func (req *callerRequest) breakOff() {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -165,7 +165,7 @@
 		req.answered()
 		return false
 	case callerGone:
-		req.finish("request: caller left", req.status, zap.String("target", attempt.Target.Name))
+		req.callerLeft(zap.String("target", attempt.Target.Name))
 		return false
 	case deadlinePassed:
 		req.runs++
@@ -276,7 +276,7 @@
 func (req *callerRequest) adapterNotLoaded(ctx context.Context, attempt *dispatch.Attempt) bool {
 	attempt.Report(time.Now(), dispatch.Canceled{})
 	if req.r.Context().Err() != nil {
-		req.finish("request: caller left", 0, zap.String("target", attempt.Target.Name))
+		req.callerLeft(zap.String("target", attempt.Target.Name))
 		return false
 	}
 	if ctx.Err() != nil {
@@ -297,7 +297,7 @@
 func (req *callerRequest) fail(reason string, after time.Duration) {
 	switch {
 	case req.r.Context().Err() != nil:
-		req.finish("request: caller left", req.status, zap.String("reason", reason))
+		req.callerLeft(zap.String("reason", reason))
 	case req.runs == 0:
 		req.refuse(http.StatusServiceUnavailable, reason, max(after, defaultRetryAfter))
 	case !time.Now().Before(req.deadline):
