direct: a stream goes on only with events that follow those its caller has

What callers saw: a stream had begun and broke off, and the next target sent a signed 200 that was no continuation. The same for a stream that a caller takes up, and the same through another host.

Cause: any signed 200 with the request's id was taken for the rest, and any lines before an empty one for an event. Ids were remembered for Last-Event-Id only.

Ruled out: error answers (404, 421, 429, 500, 503, 3xx, 204, 206), unsigned ones, other ids, bytes that are no HTTP and answers cut in their head or body, framed in any way, after a 1xx or before a late copy: these cases passed before, but behind a first answer that itself ends with an error; nothing of them reached the caller. Dropping events that the caller has, so that a target that starts again is of use: its events would be of two runs.

Fix: the rest must have the media type that the caller was told; each event an id after the last one, the next number where all were consecutive; and there must be one, unless the answer before may have been whole. Lines without the name of a field end a stream as broken off. What doesn't fit is a failed attempt, so that another target may go on, or the stream ends as incomplete.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/body"
+	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
@@ -37,8 +37,6 @@
 	// clearingTime is how long after its first event a stream shows that the request does
 	// not crash its target.
 	clearingTime = 500 * time.Millisecond
-	// maxEventBytes is the maximum size of a stream's event, in bytes.
-	maxEventBytes = 256 << 10
 )
 
 // forwardAnswer sends a target's answer to the caller if it is usable.
@@ -64,11 +62,26 @@
 		return mayHaveRun{reason: "unusable answer, status " + strconv.Itoa(status)}
 	}
 	if _, ok := req.route.Kind.(catalog.Stream); ok && status == http.StatusOK {
+		if kind := mediaType(x.Response().Header); req.headSent && !req.hasMediaType(kind) {
+			return req.unusable(attempt, "answer of type "+strconv.Quote(kind)+" in place of the rest")
+		}
 		return req.forwardStream(ctx, attempt, x)
 	}
 	return req.forwardBody(ctx, attempt, x)
 }
 
+// hasMediaType reports whether the answer that has begun is of a media type, or declared none.
+func (req *callerRequest) hasMediaType(kind string) bool {
+	began := mediaType(req.w.Header())
+	return began == "" || began == kind
+}
+
+// unusable reports an answer that doesn't go on with the stream, and returns its outcome.
+func (req *callerRequest) unusable(attempt *dispatch.Attempt, reason string) outcome {
+	attempt.Report(time.Now(), dispatch.Failed{Connected: true})
+	return mayHaveRun{reason: reason}
+}
+
 // discardBody reads the rest of an answer, so that its connection can be reused. It
 // doesn't wait long, since the request has to go elsewhere.
 func (req *callerRequest) discardBody(x proxy.Exchange) {
@@ -157,13 +170,21 @@
 }
 
 // forwardStream sends the events of a stream to the caller as they arrive. It
-// sends only complete events.
+// sends only complete events, and those of a stream that was begun elsewhere only if they
+// follow the ones that the caller has.
 func (req *callerRequest) forwardStream(ctx context.Context, attempt *dispatch.Attempt, x proxy.Exchange) outcome {
 	reader := bufio.NewReaderSize(x, 4<<10)
 	var gaps speed.Gaps
 	var last time.Time
+	goesOn, begun, empty := req.events.last != "", req.headSent, true
 	for {
 		event, err := readEvent(reader)
+		if err == nil && goesOn {
+			err = req.events.check(event)
+		}
+		if err == io.EOF && begun && empty && !req.mayBeWhole {
+			return req.unusable(attempt, "no event of the rest")
+		}
 		if err == io.EOF {
 			if req.via == "" && !gaps.Full() {
 				attempt.Report(time.Now(), dispatch.Streamed{Gaps: gaps})
@@ -173,9 +194,15 @@
 			req.logAnswered(attempt, req.status, nil)
 			return answered{}
 		}
+		if errors.Is(err, errNoEvent) {
+			return req.unusable(attempt, err.Error())
+		}
 		if err != nil {
+			req.mayBeWhole = errors.Is(err, outbound.ErrCutOff)
 			return req.classifyError(ctx, attempt, errors.Wrap(err, "stream"))
 		}
+		empty = empty && event.comment
+		req.mayBeWhole = req.mayBeWhole && empty
 		req.startStream(x.Response())
 		req.streamBegan(attempt.Target)
 		now := time.Now()
@@ -187,13 +214,11 @@
 		if req.lastEventTime.Sub(req.headTime) > clearingTime {
 			req.answered()
 		}
-		if _, err := (answerWriter{req: req}).Write(event); err != nil {
+		if _, err := (answerWriter{req: req}).Write(event.text); err != nil {
 			attempt.Report(time.Now(), dispatch.Canceled{})
 			return callerGone{}
 		}
-		if id := eventID(event); id != "" {
-			req.lastEventID = id
-		}
+		req.events.add(event)
 		req.connection.Set(time.Now(), connection.Writing)
 		if err := http.NewResponseController(req.w).Flush(); err != nil {
 			attempt.Report(time.Now(), dispatch.Canceled{})
@@ -218,35 +243,3 @@
 		req.w.WriteHeader(response.StatusCode)
 	}
 }
-
-// readEvent reads an event and the empty line that ends it. It returns io.EOF if
-// the stream ended after a complete event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for len(event) < maxEventBytes {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull:
-			continue
-		case err == io.EOF && len(event) > 0:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
-		}
-	}
-	return nil, errors.New("event too large")
-}
-
-// eventID returns the ID of an event, or an empty string if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -129,7 +129,7 @@
 // roundTrip sends the request and waits for the head of the answer.
 func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w *watchdog, start *startLimit) outcome {
 	remaining := time.Until(req.deadline)
-	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.priority(), Accounts: req.accounts, Account: req.account.Name, Version: attempt.Version, LastEventID: req.lastEventID}
+	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.priority(), Accounts: req.accounts, Account: req.account.Name, Version: attempt.Version, LastEventID: req.events.last}
 	if req.call.Budget > 0 {
 		send.Remaining = remaining
 	}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -110,7 +110,8 @@
 	lastFailure   string            // description of the last failed attempt
 	via           string            // host through which the last attempt was sent; empty if it was sent from here
 	reserved      *dispatch.Attempt // reserved on another target for the next attempt; nil if none is
-	lastEventID   string            // ID of the last event sent to the caller
+	events        eventOrder        // those that the caller has
+	mayBeWhole    bool              // the stream ended between two events, and its target may have ended with it before its end
 	admitted      bool              // the request may use room that is short
 	bound         bool              // only targets of build may run the request
 	build         string            // that began the stream
@@ -196,7 +197,7 @@
 
 // abort ends an answer that has begun so that the caller can tell that it is incomplete.
 func (req *callerRequest) abort(reason string) {
-	req.finish("request: answer aborted", req.status, zap.String("reason", reason), zap.String("last", req.lastEventID))
+	req.finish("request: answer aborted", req.status, zap.String("reason", reason), zap.String("last", req.events.last))
 	req.breakOff()
 }
 
--- a/jacinthd/internal/direct/stream.go
+++ b/jacinthd/internal/direct/stream.go
@@ -43,6 +43,7 @@
 		req.service = began.Service
 	}
 	req.bound, req.build = true, began.Build
+	req.events.last = req.call.LastEventID
 	return true
 }
 
