direct: a stream doesn't go on behind events without an id

What callers saw: a stream whose last events bear no id broke off, and these events came twice, or the stream from its start (ORDER).

Cause: the next target was asked with the id of the last event that has one, or with none.

Ruled out: comments, which bear no id and may come again.

Fix: where events without an id came after the last one that has one, no other target is asked, and the stream ends as incomplete.

--- a/jacinthd/internal/direct/brokenstream_test.go
+++ b/jacinthd/internal/direct/brokenstream_test.go
@@ -302,6 +302,31 @@
 	}
 }
 
+// TestEventsWithoutIDsComeOnce guards against events that come twice (ORDER): where the last ones
+// that the caller has bear no id, no other target can go on after them.
+func TestEventsWithoutIDsComeOnce(t *testing.T) {
+	for _, first := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		t.Run(first, func(t *testing.T) {
+			s := newTestSystem(t, 2, func(w http.ResponseWriter, r *http.Request, count int) {
+				switch {
+				case count == 1:
+					succeed(w, first)
+					_ = http.NewResponseController(w).Flush()
+					abortAnswer()
+				case r.Header.Get("After") == "":
+					succeed(w, first+"data: c\n\n")
+				default:
+					succeed(w, "data: b\n\ndata: c\n\n")
+				}
+			})
+			_, text, complete := s.callRaw(t, "1.1", "/resumed/")
+			require.False(t, complete, text)
+			require.Equal(t, first, text)
+			require.EqualValues(t, 1, s.runs.Load())
+		})
+	}
+}
+
 // TestTakenUpStreamThatStartsAgain guards against events that come twice over a caller's requests
 // (ORDER): the stream that it takes up goes on at a target that starts it again.
 func TestTakenUpStreamThatStartsAgain(t *testing.T) {
--- a/jacinthd/internal/direct/event.go
+++ b/jacinthd/internal/direct/event.go
@@ -83,6 +83,7 @@
 // target goes on after them. Its zero value is that of a stream without events.
 type eventOrder struct {
 	last        string // ID of the last event that has one
+	withoutID   bool   // other events came after it, so that no target can go on after them
 	consecutive int    // IDs that are the number after the one before
 	gaps        bool   // not all are
 }
@@ -90,6 +91,7 @@
 // add records an event that was sent to the caller.
 func (o *eventOrder) add(e event) {
 	if e.id == "" {
+		o.withoutID = o.withoutID || !e.comment
 		return
 	}
 	if isNext(o.last, e.id) {
@@ -97,7 +99,7 @@
 	} else if o.last != "" {
 		o.gaps = true
 	}
-	o.last = e.id
+	o.last, o.withoutID = e.id, false
 }
 
 // check returns an error if an event of a target that goes on with the stream isn't one that
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -189,7 +189,7 @@
 		req.sends++
 		req.runs++
 		req.avoid[attempt.Target.Name] = true
-		return req.allowRetry(req.route.Retryable() && req.runs < req.route.MaxAttempts, true, o.reason)
+		return req.allowRetry(req.route.Retryable() && req.runs < req.route.MaxAttempts && !req.events.withoutID, true, o.reason)
 	default:
 		panic(fmt.Sprintf("direct: unknown outcome %T", o))
 	}
