residency: the load of the newest version is confirmed as such

An owner that doesn't know of a version yet orders a load without naming one; the runner loads the newest. When the load is due, the order is sent again, and named version 1, the least that it can be. So a runner that held version 2 by then was told to go back to 1 (PROTOCOL: a load with a version loads or replaces).

TestLoadOfNewestIsConfirmedAsSuch fails on the code before: the order sent again names version 1.

An order that is sent again now names what the first one named. Not shown: whether the platform's runners go back when they are told to; the fake runners of the test do.

--- a/stage/residency/entry.go
+++ b/stage/residency/entry.go
@@ -7,7 +7,9 @@
 // An entry is the state of one adapter.
 type entry struct {
 	state   State
-	version int
+	version int // at least
+	// named is the version that the order to load it named, or that the runner reported; 0 for the newest.
+	named int
 	// replaces says that a Requested or Loading adapter takes the place of an older version of it.
 	replaces bool
 	// due is when a Loading adapter is expected to be resident, when an Unloading
--- a/stage/residency/manager_test.go
+++ b/stage/residency/manager_test.go
@@ -182,6 +182,17 @@
 	requireIdle(t, m, 502)
 }
 
+// TestLoadOfNewestIsConfirmedAsSuch guards against an order that has a runner go back to an older version: the load of the
+// newest one was ordered before this host learned of it.
+func TestLoadOfNewestIsConfirmedAsSuch(t *testing.T) {
+	m := newSynced(t, 2)
+	m.RequestLoad(at(10), key("a"))
+	require.Zero(t, nextOrder(t, m, 10).Version)
+	m.HandleReply(at(11), call.Accepted)
+	m.SetNewest(key("a"), 2)
+	require.Zero(t, nextOrder(t, m, 262).Version)
+}
+
 // TestEvictsLeastUsed checks that the adapter with the least recent use is
 // evicted among those that are not in use, and none that another host uses.
 func TestEvictsLeastUsed(t *testing.T) {
--- a/stage/residency/order.go
+++ b/stage/residency/order.go
@@ -100,7 +100,7 @@
 	replacing := m.isReplacing()
 	for k, e := range m.entries {
 		if e.state == Loading && !now.Before(e.due) && (e.replaces || !replacing) {
-			return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: e.version}, true
+			return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: e.named}, true
 		}
 	}
 	if len(m.models) == 0 {
--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -61,7 +61,7 @@
 	}
 	m.removeRequest(k)
 	e.replaces = e.replaces || e.state == Resident
-	e.version = max(e.version, m.inFlight.Version, 1)
+	e.version, e.named = max(e.version, m.inFlight.Version, 1), m.inFlight.Version
 	switch {
 	case reply == call.Applied:
 		m.orders--
--- a/stage/residency/report.go
+++ b/stage/residency/report.go
@@ -50,7 +50,7 @@
 		if e := m.entry(k); e.state != Loading {
 			m.removeRequest(k)
 			e.state = Loading
-			e.version = a.Version
+			e.version, e.named = a.Version, a.Version
 			e.ordered = now
 			e.due = now.Add(m.ExpectedLoadTime(now))
 		}
@@ -79,6 +79,6 @@
 	m.removeRequest(k)
 	e.state = Resident
 	e.replaces = false
-	e.version = version
+	e.version, e.named = version, version
 	e.endWait()
 }
