daemon, direct: a request that comes whole late in the grace isn't passed on

Callers saw: in a planned stop, a request whose body came whole late in the grace was passed on, and its connection ended with the process, without an answer (LOST, also for requests that may run once).

Cause: net/http's Shutdown, 3 s after the signal, refuses only requests whose head it hasn't read. A request whose head came before, and whose body may take 5 s, was served as at any other time. A new connection whose request was read after Shutdown was closed without an answer; on a busy machine that may be more than 200 ms after the request was sent.

Ruled out: Shutdown closes no idle connection whose request has been passed on. The server reads whether it shuts down after it has set the connection active, and Shutdown says so before it looks for idle ones.

Fix: after 2.7 s the host is draining: each request that isn't whole yet is refused as not run, with Retry-After and Connection: close, before and after its body is read. The listener stays open 0.5 s longer, so that what was sent before gets this answer. 2.7 s, since the rule's 3 s count from the sending of the signal.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -55,8 +55,15 @@
 	// maxHeaderBytes limits the size of a request's headers, in bytes.
 	maxHeaderBytes = 64 << 10
 	// shutdownDelay is how long a stopping host continues to accept requests, so
-	// that the load balancer can detect that the host is not ready.
-	shutdownDelay = 3 * time.Second
+	// that the load balancer can detect that the host is not ready. Only requests sent within 3 s
+	// after the stop signal may be unfinished at the end; the signal arrives later than it was sent.
+	shutdownDelay = 2700 * time.Millisecond
+	// refusalTime is how long it answers further requests with a refusal, until it closes its
+	// listener and idle connections. A request that arrived before then but was read late, on a
+	// busy machine, gets an answer.
+	refusalTime = 500 * time.Millisecond
+	// refusalShare is the largest share of the grace period that this may take, as a divisor.
+	refusalShare = 16
 	// shutdownMargin is the time by which a planned stop ends before the grace
 	// period does.
 	shutdownMargin = 400 * time.Millisecond
@@ -168,7 +175,7 @@
 		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory, Quotas: p.quotas,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
-		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
+		Stopping: p.lifecycle.isStopping, Draining: p.lifecycle.isDraining, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
 	}
 	return p, nil
 }
@@ -380,6 +387,11 @@
 	case <-time.After(min(shutdownDelay, limit/2)):
 	case <-ctx.Done():
 	}
+	p.lifecycle.fire(drain)
+	select {
+	case <-time.After(min(refusalTime, p.settings.GracePeriod/refusalShare)):
+	case <-ctx.Done():
+	}
 	err := callers.Shutdown(ctx)
 	p.proxy.Wait(ctx)
 	p.lifecycle.fire(ended)
--- a/jacinthd/internal/daemon/lifecycle.go
+++ b/jacinthd/internal/daemon/lifecycle.go
@@ -14,6 +14,7 @@
 	starting phase = "starting" // no configuration yet: callers are refused and may try again
 	serving  phase = "serving"
 	stopping phase = "stopping" // not ready, but still accepting requests
+	draining phase = "draining" // finishing the requests in progress, refusing others
 	stopped  phase = "stopped"
 )
 
@@ -24,6 +25,7 @@
 const (
 	configured trigger = "configured"
 	stop       trigger = "stop"
+	drain      trigger = "drain"
 	ended      trigger = "ended"
 )
 
@@ -38,8 +40,9 @@
 	m := stateless.NewStateMachine(starting)
 	m.Configure(starting).Permit(configured, serving).Permit(stop, stopping)
 	m.Configure(serving).Ignore(configured).Permit(stop, stopping)
-	m.Configure(stopping).Ignore(configured).Ignore(stop).Permit(ended, stopped)
-	m.Configure(stopped).Ignore(configured).Ignore(stop).Ignore(ended)
+	m.Configure(stopping).Ignore(configured).Ignore(stop).Permit(drain, draining)
+	m.Configure(draining).Ignore(configured).Ignore(stop).Ignore(drain).Permit(ended, stopped)
+	m.Configure(stopped).Ignore(configured).Ignore(stop).Ignore(drain).Ignore(ended)
 	return &lifecycle{machine: m, log: log}
 }
 
@@ -61,7 +64,10 @@
 func (l *lifecycle) ready() bool { return l.phase() == serving }
 
 // isStopping reports whether a planned stop has begun.
-func (l *lifecycle) isStopping() bool {
+func (l *lifecycle) isStopping() bool { return l.phase() == stopping || l.isDraining() }
+
+// isDraining reports whether the host passes no further requests on.
+func (l *lifecycle) isDraining() bool {
 	p := l.phase()
-	return p == stopping || p == stopped
+	return p == draining || p == stopped
 }
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -208,7 +208,7 @@
 	handler := &direct.Handler{
 		Reach: reach, Memory: &s.memory, Quotas: &s.quotas,
 		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects, Peers: s.peers,
-		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Wake: func() {}, CatchUp: s.catchUp,
+		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Draining: func() bool { return false }, Wake: func() {}, CatchUp: s.catchUp,
 	}
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.CloseClientConnections)
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -63,6 +63,9 @@
 	Memory *memory.Budget
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
+	// Draining reports whether requests that have not arrived whole are refused, since the process
+	// ends soon.
+	Draining func() bool
 	// Wake is called when a runner may need an order.
 	Wake func()
 	// CatchUp returns once the Dispatcher knows of all targets that the platform has acknowledged.
@@ -140,6 +143,9 @@
 // accept sends the refusal and returns false.
 func (req *callerRequest) accept() bool {
 	req.limitReadTime()
+	if req.refuseLate() {
+		return false
+	}
 	var err error
 	req.call, err = req.Headers.ParseCall(req.r.Header)
 	if err != nil {
@@ -171,7 +177,17 @@
 			req.deadline = req.arrived.Add(limit)
 		}
 	}
-	return req.reserveQuota() && req.readBody(config.Limits.MaxBody)
+	return req.reserveQuota() && req.readBody(config.Limits.MaxBody) && !req.refuseLate()
+}
+
+// refuseLate refuses a request that arrives too late in a planned stop, and reports whether it has.
+func (req *callerRequest) refuseLate() bool {
+	if !req.Draining() {
+		return false
+	}
+	req.w.Header().Set("Connection", "close")
+	req.refuse(http.StatusServiceUnavailable, "the host is stopping", defaultRetryAfter)
+	return true
 }
 
 // refuse sends an answer that this host generates itself, and logs the reason. If
--- a/jacinthd/internal/direct/stop_test.go
+++ b/jacinthd/internal/direct/stop_test.go
@@ -59,15 +59,25 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// startProcess starts a process that sends to the target, and returns the address for callers and
-// a function that begins its planned stop and waits for its end.
-func startProcess(t *testing.T, target catalog.Target, grace time.Duration) (caller netip.AddrPort, stop func()) {
-	route := catalog.Route{
-		Name: "once", Host: "one.example", Prefix: "/once/", Kind: catalog.AtMostOnce{}, MaxAttempts: 1,
-		Timeout: 5 * time.Second, LatencyObjective: time.Second, Split: []catalog.TrafficShare{{Service: "s", Weight: 1}},
+// A hostProcess is a running process of a host.
+type hostProcess struct {
+	caller netip.AddrPort // for callers
+	stop   func()         // begins the planned stop
+	ended  <-chan error   // receives the result of Run
+}
+
+// startProcess starts a process that sends to the target.
+func startProcess(t *testing.T, target catalog.Target, grace time.Duration) *hostProcess {
+	routes := []catalog.Route{
+		{Name: "once", Prefix: "/once/", Kind: catalog.AtMostOnce{}, MaxAttempts: 1},
+		{Name: "stream", Prefix: "/stream/", Kind: catalog.Stream{}, MaxAttempts: 1},
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].Timeout, routes[i].LatencyObjective = "one.example", 5*time.Second, time.Second
+		routes[i].Split = []catalog.TrafficShare{{Service: "s", Weight: 1}}
 	}
 	follower := fixedFollower{
-		catalog.ConfigUpdated{Config: catalog.NewConfig(1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})},
+		catalog.ConfigUpdated{Config: catalog.NewConfig(1, routes, []catalog.Service{{Name: "s"}}, catalog.Limits{})},
 		catalog.TargetsListed{Revision: 1, Targets: []catalog.Target{target}},
 	}
 	d := settings.Direct{
@@ -88,10 +98,8 @@
 		answer, err := http.Get(fmt.Sprintf("http://%s/ready", d.Ready))
 		return err == nil && answer.Body.Close() == nil && answer.StatusCode == http.StatusOK
 	}, waitTimeout, 20*time.Millisecond)
-	return d.Caller, func() {
-		cancel()
-		require.NoError(t, <-ended)
-	}
+	t.Cleanup(cancel)
+	return &hostProcess{caller: d.Caller, stop: cancel, ended: ended}
 }
 
 // TestPlannedStopUnderLoad guards against requests that are cut off without an answer since their
@@ -113,7 +121,7 @@
 	}))
 	defer server.Close()
 	target := catalog.Target{Name: "t", Service: "s", Zone: "z", Slots: callers, Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
-	address, stop := startProcess(t, target, grace)
+	host := startProcess(t, target, grace)
 
 	var done atomic.Bool
 	var answered, cut atomic.Int32
@@ -125,7 +133,7 @@
 			defer transport.CloseIdleConnections()
 			for n := 0; !done.Load(); n++ {
 				id := fmt.Sprint(i, "-", n)
-				r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/once/", address), strings.NewReader("x"))
+				r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/once/", host.caller), strings.NewReader("x"))
 				if err != nil {
 					panic(err)
 				}
@@ -151,7 +159,8 @@
 	}
 	time.Sleep(time.Second)
 	before := answered.Load()
-	stop()
+	host.stop()
+	require.NoError(t, <-host.ended)
 	done.Store(true)
 	loops.Wait()
 	require.Positive(t, before)
