daemon, direct: what is unfinished at the end of a planned stop is answered

Callers saw: a request that its target still worked on, or hadn't begun, 0.4 s before the end of the grace was cut with the process, without an answer. A request that waited at a busy target isn't excused by its target's work.

Cause: after the wait for requests in progress the process ended with whatever connections were open.

Fix: 0.6 s before the end of the grace the contexts of all requests end with a cause of their own, which isn't taken for a caller that left. A request that was sent gets 502, one that wasn't 503 (not run) with Retry-After. A stream that has begun is closed incomplete, as before. Nothing is sent again, and no target gets the blame: the outcome is one of its own. 0.2 s remain to write the answers.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -67,6 +67,9 @@
 	// shutdownMargin is the time by which a planned stop ends before the grace
 	// period does.
 	shutdownMargin = 400 * time.Millisecond
+	// answerMargin is the time by which the requests in progress end before it. Most of it remains
+	// to answer them.
+	answerMargin = 600 * time.Millisecond
 	// leaseReleaseTimeout limits the time in which a planned stop releases the
 	// lease and the runners.
 	leaseReleaseTimeout = 2 * time.Second
@@ -116,6 +119,7 @@
 
 	memory        memory.Budget
 	connections   callers.Connections
+	endRequests   context.CancelCauseFunc // ends the contexts of all requests of callers
 	noMemory      shortage
 	noConnections shortage
 }
@@ -209,7 +213,11 @@
 	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
 		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()), zap.Strings("ignored", p.settings.Ignored))
 	p.applyLimits()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	p.endRequests = endRequests
+	defer endRequests(nil)
 	server := &http.Server{
+		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: p.connections.Accept, ConnState: p.connections.Changed,
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
@@ -373,13 +381,15 @@
 
 // stop performs a planned stop. The host reports that it is not ready
 // immediately, continues to accept requests for a while, and then waits for all
-// requests in progress to end.
+// requests in progress to end. Those that don't are answered before the process ends.
 func (p *Process) stop(callers *http.Server) error {
 	start := boottime.Now()
 	p.lifecycle.fire(stop)
 	limit := p.settings.GracePeriod - shutdownMargin
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	ending := time.AfterFunc(p.settings.GracePeriod-answerMargin, func() { p.endRequests(direct.ErrStopped) })
+	defer ending.Stop()
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaseReleaseTimeout)
 	defer cancelLeave()
 	go p.controller.Leave(leaveCtx)
--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -42,6 +42,9 @@
 // callerGone means that the caller closed its connection.
 type callerGone struct{}
 
+// hostStopped means that this host's process ends before the answer has come.
+type hostStopped struct{ sent bool }
+
 // deadlinePassed means that the request's deadline passed.
 type deadlinePassed struct{}
 
@@ -57,6 +60,8 @@
 
 func (callerGone) outcome() {}
 
+func (hostStopped) outcome() {}
+
 func (deadlinePassed) outcome() {}
 
 // sendTo sends the request to the attempt's target and forwards the answer.
@@ -185,7 +190,10 @@
 		return connectFailed{cause: err}
 	}
 	switch {
-	case req.r.Context().Err() != nil:
+	case req.stopped():
+		attempt.Report(now, dispatch.Canceled{})
+		return hostStopped{sent: fault == nil || fault.Verdict != verdict.NotRun}
+	case req.callerLeft():
 		attempt.Report(now, dispatch.Canceled{})
 		return callerGone{}
 	case !now.Before(req.deadline):
@@ -216,6 +224,8 @@
 		return "unreached: " + o.cause.Error()
 	case callerGone:
 		return "caller left"
+	case hostStopped:
+		return ErrStopped.Error()
 	case deadlinePassed:
 		return "timeout"
 	default:
--- a/jacinthd/internal/direct/grace_test.go
+++ b/jacinthd/internal/direct/grace_test.go
@@ -159,3 +159,34 @@
 	}
 	require.NoError(t, <-host.ended)
 }
+
+// TestUnfinishedAtEndOfGrace guards against requests that have no answer when the process ends.
+func TestUnfinishedAtEndOfGrace(t *testing.T) {
+	const grace = 2 * time.Second
+	target := startSlowTarget(t)
+	host := startProcess(t, target.Target, grace)
+	once, stream := openConnection(t, host), openConnection(t, host)
+	once.write(head("/once/", "once", time.Minute) + "xx")
+	stream.write(head("/stream/", "stream", time.Minute) + "xx")
+	require.Eventually(t, func() bool { return len(target.reachedIDs()) == 2 }, waitTimeout, 10*time.Millisecond)
+
+	host.stop()
+	answers := make(chan callerAnswer, 2)
+	go func() { answers <- once.readAnswer() }()
+	go func() { answers <- stream.readAnswer() }()
+	require.NoError(t, <-host.ended)
+	for range cap(answers) {
+		select {
+		case a := <-answers:
+			require.NotNil(t, a.Response, "%v", a.err)
+			if a.StatusCode == http.StatusOK {
+				require.ErrorIs(t, a.err, io.ErrUnexpectedEOF, "a stream that is cut is incomplete")
+				continue
+			}
+			require.NoError(t, a.err)
+			require.Equal(t, http.StatusBadGateway, a.StatusCode, "it may have run")
+		case <-time.After(100 * time.Millisecond):
+			require.Fail(t, "no answer when the process ends")
+		}
+	}
+}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -20,6 +20,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/callers"
@@ -47,6 +48,10 @@
 	unconfiguredRetryAfter = 500 * time.Millisecond
 )
 
+// ErrStopped is the cause with which the context of a request ends if the request must be answered
+// now, since the process ends. Without this cause, the caller has left.
+var ErrStopped = errors.New("the host has stopped")
+
 // A Handler serves the requests of callers. All fields but Memory must be set.
 type Handler struct {
 	Dispatcher *dispatch.Dispatcher
@@ -190,6 +195,14 @@
 	return true
 }
 
+// stopped reports whether the request must be answered now, since the process ends.
+func (req *callerRequest) stopped() bool {
+	return errors.Is(context.Cause(req.r.Context()), ErrStopped)
+}
+
+// callerLeft reports whether the caller has closed its connection.
+func (req *callerRequest) callerLeft() bool { return req.r.Context().Err() != nil && !req.stopped() }
+
 // refuse sends an answer that this host generates itself, and logs the reason. If
 // the answer has begun already, refuse aborts it.
 func (req *callerRequest) refuse(status int, reason string, after time.Duration) {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -171,6 +171,14 @@
 		req.runs++
 		req.fail("timeout", 0)
 		return false
+	case hostStopped:
+		if o.sent {
+			req.runs++
+		} else {
+			req.notSent()
+		}
+		req.fail(ErrStopped.Error(), defaultRetryAfter)
+		return false
 	case connectFailed:
 		req.notSent()
 		req.dialFailures++
@@ -275,10 +283,14 @@
 // if another attempt is to follow.
 func (req *callerRequest) adapterNotLoaded(ctx context.Context, attempt *dispatch.Attempt) bool {
 	attempt.Report(time.Now(), dispatch.Canceled{})
-	if req.r.Context().Err() != nil {
+	if req.callerLeft() {
 		req.finish("request: caller left", 0, zap.String("target", attempt.Target.Name))
 		return false
 	}
+	if req.stopped() {
+		req.fail(ErrStopped.Error(), defaultRetryAfter)
+		return false
+	}
 	if ctx.Err() != nil {
 		req.fail("adapter not loaded in time", defaultRetryAfter)
 		return false
@@ -296,7 +308,7 @@
 // request ran.
 func (req *callerRequest) fail(reason string, after time.Duration) {
 	switch {
-	case req.r.Context().Err() != nil:
+	case req.callerLeft():
 		req.finish("request: caller left", req.status, zap.String("reason", reason))
 	case req.runs == 0:
 		req.refuse(http.StatusServiceUnavailable, reason, max(after, defaultRetryAfter))
