daemon: with a short grace, requests aren't ended long before its end

Callers saw: with a grace of 1 s, requests in progress 0.6 s after the signal were cut (before the last commit) or got 502.

Cause: the margins before the end are fixed (0.4 and 0.6 s); what is ended before the last sixth of the grace isn't excused by the rule.

With a grace of 8 s nothing changes. A grace of 0 leaves no time for answers.

Fix: each margin takes a share of the grace at most, the one of answers an eighth. The deadlines of a stop are in one place, in a file of its own.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
 	"jacinthstage/jacinthd/internal/callers"
 	"jacinthstage/jacinthd/internal/contact"
@@ -54,25 +53,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the size of a request's headers, in bytes.
 	maxHeaderBytes = 64 << 10
-	// shutdownDelay is how long a stopping host continues to accept requests, so
-	// that the load balancer can detect that the host is not ready. Only requests sent within 3 s
-	// after the stop signal may be unfinished at the end; the signal arrives later than it was sent.
-	shutdownDelay = 2700 * time.Millisecond
-	// refusalTime is how long it answers further requests with a refusal, until it closes its
-	// listener and idle connections. A request that arrived before then but was read late, on a
-	// busy machine, gets an answer.
-	refusalTime = 500 * time.Millisecond
-	// refusalShare is the largest share of the grace period that this may take, as a divisor.
-	refusalShare = 16
-	// shutdownMargin is the time by which a planned stop ends before the grace
-	// period does.
-	shutdownMargin = 400 * time.Millisecond
-	// answerMargin is the time by which the requests in progress end before it. Most of it remains
-	// to answer them.
-	answerMargin = 600 * time.Millisecond
-	// leaseReleaseTimeout limits the time in which a planned stop releases the
-	// lease and the runners.
-	leaseReleaseTimeout = 2 * time.Second
 	// peerIdleTimeout is the time without packets after which the connection to a
 	// peer is closed.
 	peerIdleTimeout = 1500 * time.Millisecond
@@ -378,33 +358,3 @@
 	}
 	return max(1, lowest/hosts)
 }
-
-// stop performs a planned stop. The host reports that it is not ready
-// immediately, continues to accept requests for a while, and then waits for all
-// requests in progress to end. Those that don't are answered before the process ends.
-func (p *Process) stop(callers *http.Server) error {
-	start := boottime.Now()
-	p.lifecycle.fire(stop)
-	limit := p.settings.GracePeriod - shutdownMargin
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	ending := time.AfterFunc(p.settings.GracePeriod-answerMargin, func() { p.endRequests(direct.ErrStopped) })
-	defer ending.Stop()
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaseReleaseTimeout)
-	defer cancelLeave()
-	go p.controller.Leave(leaveCtx)
-	select {
-	case <-time.After(min(shutdownDelay, limit/2)):
-	case <-ctx.Done():
-	}
-	p.lifecycle.fire(drain)
-	select {
-	case <-time.After(min(refusalTime, p.settings.GracePeriod/refusalShare)):
-	case <-ctx.Done():
-	}
-	err := callers.Shutdown(ctx)
-	p.proxy.Wait(ctx)
-	p.lifecycle.fire(ended)
-	p.log.Info("host: process ends", zap.Duration("took", boottime.Now().Sub(start)), zap.Error(err))
-	return nil
-}
--- a/jacinthd/internal/direct/grace_test.go
+++ b/jacinthd/internal/direct/grace_test.go
@@ -190,3 +190,23 @@
 		}
 	}
 }
+
+// TestShortGrace guards against requests that a process with a short grace cuts long before its end.
+func TestShortGrace(t *testing.T) {
+	const grace = time.Second
+	target := startSlowTarget(t)
+	host := startProcess(t, target.Target, grace)
+	c := openConnection(t, host)
+	c.write(head("/once/", "x", 700*time.Millisecond) + "xx")
+	require.Eventually(t, func() bool { return len(target.reachedIDs()) == 1 }, waitTimeout, time.Millisecond)
+	host.stop()
+	answer := make(chan callerAnswer, 1)
+	go func() { answer <- c.readAnswer() }()
+	require.NoError(t, <-host.ended)
+	select {
+	case a := <-answer:
+		require.Equal(t, "whole", a.text, "%v", a.err)
+	case <-time.After(50 * time.Millisecond):
+		require.Fail(t, "no answer when the process ends")
+	}
+}
