direct: a stopping host selects a target by the time that it still has

Callers saw: a request, new or repeated, or one that waited for an adapter or for room, was sent to a target that was expected to answer only after the host had ended, and got no answer of use.

Cause: the target is selected by the deadline of the request alone.

Evidence: TestTooLongForGrace (requests end in 20 ms, a target is expected to take 40 ms) failed before: the request reached the target. It holds now, also with -race.

Fix: while a host stops, the target's answer must begin before the requests in progress end; otherwise the request is refused at once, as not run.

Limits: what is expected is the time to the first byte. The length of a stream isn't expected at all.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -99,7 +100,8 @@
 
 	memory        memory.Budget
 	connections   callers.Connections
-	endRequests   context.CancelCauseFunc // ends the contexts of all requests of callers
+	stopping      atomic.Pointer[stopSchedule] // nil until a planned stop begins
+	endRequests   context.CancelCauseFunc      // ends the contexts of all requests of callers
 	noMemory      shortage
 	noConnections shortage
 }
@@ -159,7 +161,7 @@
 		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory, Quotas: p.quotas,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
-		Stopping: p.lifecycle.isStopping, Draining: p.lifecycle.isDraining, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
+		Stopping: p.lifecycle.isStopping, Draining: p.lifecycle.isDraining, LastAnswer: p.lastAnswer, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
 	}
 	return p, nil
 }
--- a/jacinthd/internal/daemon/stop.go
+++ b/jacinthd/internal/daemon/stop.go
@@ -56,12 +56,21 @@
 	}
 }
 
+// lastAnswer returns when the requests in progress end, the zero time if no planned stop has begun.
+func (p *Process) lastAnswer() time.Time {
+	if schedule := p.stopping.Load(); schedule != nil {
+		return schedule.answer
+	}
+	return time.Time{}
+}
+
 // stop performs a planned stop. The host reports that it is not ready
 // immediately, continues to accept requests for a while, and then waits for all
 // requests in progress to end. Those that don't are answered before the process ends.
 func (p *Process) stop(callers *http.Server) error {
 	start := boottime.Now()
 	schedule := scheduleStop(time.Now(), p.settings.GracePeriod)
+	p.stopping.Store(&schedule)
 	p.lifecycle.fire(stop)
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.end)
 	defer cancel()
--- a/jacinthd/internal/direct/direct_test.go
+++ b/jacinthd/internal/direct/direct_test.go
@@ -112,12 +112,21 @@
 	runs       atomic.Int32 // requests that reached a target
 	lastTarget atomic.Value // name of the target that the last of them reached
 	stop       atomic.Bool
+	lastAnswer atomic.Pointer[time.Time] // when a planned stop ends all requests; nil if none has begun
 	memory     budget.Budget
 	targets    []catalog.Target
 	// missed is applied when the host catches up with the platform; it fails if unknown.
 	missed atomic.Pointer[missedChanges]
 }
 
+// endsRequests is the LastAnswer of the handler.
+func (s *testSystem) endsRequests() time.Time {
+	if last := s.lastAnswer.Load(); last != nil {
+		return *last
+	}
+	return time.Time{}
+}
+
 // missedChanges is what a host of a testSystem finds when it catches up with the platform: an
 // event, unless it is nil, or that the platform doesn't answer.
 type missedChanges struct {
@@ -208,7 +217,8 @@
 	handler := &direct.Handler{
 		Reach: reach, Memory: &s.memory, Quotas: &s.quotas,
 		Dispatcher: s.dispatcher, Headers: testHeaders{}, Pool: s.suspects.Pool, Budgets: &retry.Budgets{}, Suspects: s.suspects, Peers: s.peers,
-		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Draining: func() bool { return false }, Wake: func() {}, CatchUp: s.catchUp,
+		Metrics: s.suspects.Metrics, Log: zap.NewNop(), Stopping: s.stop.Load, Draining: func() bool { return false }, LastAnswer: s.endsRequests,
+		Wake: func() {}, CatchUp: s.catchUp,
 	}
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.CloseClientConnections)
--- a/jacinthd/internal/direct/grace_test.go
+++ b/jacinthd/internal/direct/grace_test.go
@@ -210,3 +210,18 @@
 		require.Fail(t, "no answer when the process ends")
 	}
 }
+
+// TestTooLongForGrace guards against requests that are passed on although their target is expected to
+// answer only after the process has ended.
+func TestTooLongForGrace(t *testing.T) {
+	s := newTestSystem(t, 1, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "late") })
+	last := time.Now().Add(20 * time.Millisecond) // a target is expected to take longer
+	s.lastAnswer.Store(&last)
+	sent := time.Now()
+	answer, text, err := s.send(t, http.MethodPost, "/once/", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, text)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+	require.Zero(t, s.runs.Load())
+	require.Less(t, time.Since(sent), waitTimeout/10)
+}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -71,6 +71,9 @@
 	// Draining reports whether requests that have not arrived whole are refused, since the process
 	// ends soon.
 	Draining func() bool
+	// LastAnswer returns the time by which a planned stop that has begun ends all requests, else the
+	// zero time.
+	LastAnswer func() time.Time
 	// Wake is called when a runner may need an order.
 	Wake func()
 	// CatchUp returns once the Dispatcher knows of all targets that the platform has acknowledged.
@@ -200,6 +203,14 @@
 	return errors.Is(context.Cause(req.r.Context()), ErrStopped)
 }
 
+// answerDeadline returns the time by which the answer must begin for the caller to get it.
+func (req *callerRequest) answerDeadline() time.Time {
+	if last := req.LastAnswer(); !last.IsZero() && last.Before(req.deadline) {
+		return last
+	}
+	return req.deadline
+}
+
 // callerLeft reports whether the caller has closed its connection.
 func (req *callerRequest) callerLeft() bool { return req.r.Context().Err() != nil && !req.stopped() }
 
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -123,7 +123,7 @@
 	return dispatch.Request{
 		Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
 		Call: req.call, Service: req.service, Size: len(req.body),
-		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.deadline, Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
+		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.answerDeadline(), Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
 		Bound: req.bound, Build: req.build, Pause: req.route.PauseObjective(),
 	}
 }
