proxy: a stopping host doesn't panic when another host's request comes

Callers saw: a host in a planned stop could end by a panic instead of a status of 0. A request of another host that it would have refused as not sent then broke off there, so its caller got 502 in place of a try through a third host.

Cause: Wait and new requests shared a sync.WaitGroup, which panics if its count rises from zero before a Wait has returned. Other hosts go on sending until they hear of the stop.

Ruled out: requests of this host's own callers aren't cut by it, they have ended before Wait is called.

Fix: a count under a mutex, and a channel that is closed once it gets to zero.

--- a/jacinthd/internal/direct/indirect_test.go
+++ b/jacinthd/internal/direct/indirect_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthstage/jacinthd/internal/proxy"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/notice"
@@ -189,3 +191,28 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// TestProxyStopsWhileRequestsCome guards against a stopping host that ends by a panic, since another
+// host's request comes as the last one ends for which it waits.
+func TestProxyStopsWhileRequestsCome(t *testing.T) {
+	const callers = 16
+	s, hosts := newCutSystem(t, 2, 1, func(w http.ResponseWriter, _ *http.Request, _ int) { succeed(w, "a") })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var loops sync.WaitGroup
+	for range callers {
+		loops.Go(func() {
+			for ctx.Err() == nil {
+				_, _, _ = s.send(t, http.MethodPost, "/once/x", "body")
+			}
+		})
+	}
+	waits := 0
+	for ctx.Err() == nil {
+		hosts[1].peers.Proxy.(*proxy.Server).Wait(ctx)
+		waits++
+	}
+	loops.Wait()
+	require.Positive(t, waits)
+	require.Positive(t, s.runs.Load())
+}
--- a/jacinthd/internal/proxy/server.go
+++ b/jacinthd/internal/proxy/server.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/textproto"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,19 +41,37 @@
 	Stopping func() bool
 	Memory   *memory.Budget // may be nil
 
-	active atomic.Int32
-	open   sync.WaitGroup
+	mu     sync.Mutex
+	active int
+	idle   chan struct{} // closed when active gets to 0; nil if nobody waits for that
+}
+
+// begin counts a request in progress, and returns how many there are. Unlike with a sync.WaitGroup,
+// requests may begin while Wait runs.
+func (p *Server) begin() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active++
+	return p.active
+}
+
+func (p *Server) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active--
+	if p.active == 0 && p.idle != nil {
+		close(p.idle)
+		p.idle = nil
+	}
 }
 
 // Serve implements peers.Proxy. It sends a request for another host and passes the answer on.
 func (p *Server) Serve(ctx context.Context, from string, m peer.ProxyRequest, stream *peer.Stream) {
-	p.open.Add(1)
-	defer p.open.Done()
-	defer p.active.Add(-1)
-	active := p.active.Add(1)
+	active := p.begin()
+	defer p.end()
 	target := catalog.Target{Name: m.Target, Service: m.Service, Address: m.Address, Started: time.UnixMilli(m.Started)}
 	log := p.Reach.Log.With(zap.String("id", m.ID), zap.String("host", from), zap.String("target", m.Target))
-	if refusal := p.refusal(int(active), m, target); refusal != nil {
+	if refusal := p.refusal(active, m, target); refusal != nil {
 		log.Info("proxy: request of another host not sent", zap.String("cause", refusal.Cause))
 		_ = stream.Send(*refusal)
 		return
@@ -161,17 +178,27 @@
 
 // Wait waits until the requests of other hosts that are in progress have ended, or ctx ends.
 func (p *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		p.open.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-p.untilIdle():
 	case <-ctx.Done():
 	}
 }
 
+// untilIdle returns a channel that is closed once no request is in progress.
+func (p *Server) untilIdle() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(chan struct{})
+	}
+	idle := p.idle
+	if p.active == 0 {
+		close(p.idle)
+		p.idle = nil
+	}
+	return idle
+}
+
 // receiveBody receives a body of a size. The buffer grows with what arrives. Without memory, the rest
 // is received and dropped, so that the other host has sent all and reads the refusal.
 func receiveBody(stream *peer.Stream, held *memory.Holding, size int) ([]byte, error) {
