--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -23,7 +24,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/internal/boottime"
 	"jacinthstage/jacinthd/internal/build"
 	"jacinthstage/jacinthd/internal/callers"
 	"jacinthstage/jacinthd/internal/contact"
@@ -54,15 +54,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the size of a request's headers, in bytes.
 	maxHeaderBytes = 64 << 10
-	// shutdownDelay is how long a stopping host continues to accept requests, so
-	// that the load balancer can detect that the host is not ready.
-	shutdownDelay = 3 * time.Second
-	// shutdownMargin is the time by which a planned stop ends before the grace
-	// period does.
-	shutdownMargin = 400 * time.Millisecond
-	// leaseReleaseTimeout limits the time in which a planned stop releases the
-	// lease and the runners.
-	leaseReleaseTimeout = 2 * time.Second
 	// peerIdleTimeout is the time without packets after which the connection to a
 	// peer is closed.
 	peerIdleTimeout = 1500 * time.Millisecond
@@ -109,6 +100,8 @@
 
 	memory        memory.Budget
 	connections   callers.Connections
+	stopping      atomic.Pointer[stopSchedule] // nil until a planned stop begins
+	endRequests   context.CancelCauseFunc      // ends the contexts of all requests of callers
 	noMemory      shortage
 	noConnections shortage
 }
@@ -168,7 +161,7 @@
 		Peers: p.peers, Suspects: suspects, Reach: p.reach, Memory: &p.memory, Quotas: p.quotas,
 		Dispatcher: p.dispatcher, Headers: deps.Headers, Pool: p.pool, Metrics: counters, Log: log,
 		Budgets:  &retry.Budgets{Ratio: s.RetryRatio},
-		Stopping: p.lifecycle.isStopping, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
+		Stopping: p.lifecycle.isStopping, Draining: p.lifecycle.isDraining, LastAnswer: p.lastAnswer, Wake: p.controller.Wake, CatchUp: deps.Follower.CatchUp,
 	}
 	return p, nil
 }
@@ -202,7 +195,11 @@
 	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
 		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()), zap.Strings("ignored", p.settings.Ignored))
 	p.applyLimits()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	p.endRequests = endRequests
+	defer endRequests(nil)
 	server := &http.Server{
+		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: p.connections.Accept, ConnState: p.connections.Changed,
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
@@ -363,26 +360,3 @@
 	}
 	return max(1, lowest/hosts)
 }
-
-// stop performs a planned stop. The host reports that it is not ready
-// immediately, continues to accept requests for a while, and then waits for all
-// requests in progress to end.
-func (p *Process) stop(callers *http.Server) error {
-	start := boottime.Now()
-	p.lifecycle.fire(stop)
-	limit := p.settings.GracePeriod - shutdownMargin
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaseReleaseTimeout)
-	defer cancelLeave()
-	go p.controller.Leave(leaveCtx)
-	select {
-	case <-time.After(min(shutdownDelay, limit/2)):
-	case <-ctx.Done():
-	}
-	err := callers.Shutdown(ctx)
-	p.proxy.Wait(ctx)
-	p.lifecycle.fire(ended)
-	p.log.Info("host: process ends", zap.Duration("took", boottime.Now().Sub(start)), zap.Error(err))
-	return nil
-}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/callers"
@@ -48,6 +49,10 @@
 	unconfiguredRetryAfter = 500 * time.Millisecond
 )
 
+// ErrStopped is the cause with which the context of a request ends if the request must be answered
+// now, since the process ends. Without this cause, the caller has left.
+var ErrStopped = errors.New("the host has stopped")
+
 // A Handler serves the requests of callers. All fields but Memory must be set.
 type Handler struct {
 	Dispatcher *dispatch.Dispatcher
@@ -64,6 +69,12 @@
 	Memory *memory.Budget
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
+	// Draining reports whether requests that have not arrived whole are refused, since the process
+	// ends soon.
+	Draining func() bool
+	// LastAnswer returns the time by which a planned stop that has begun ends all requests, else the
+	// zero time.
+	LastAnswer func() time.Time
 	// Wake is called when a runner may need an order.
 	Wake func()
 	// CatchUp returns once the Dispatcher knows of all targets that the platform has acknowledged.
@@ -142,6 +153,9 @@
 // accept sends the refusal and returns false.
 func (req *callerRequest) accept() bool {
 	req.limitReadTime()
+	if req.refuseLate() {
+		return false
+	}
 	var err error
 	req.call, err = req.Headers.ParseCall(req.r.Header)
 	if err != nil {
@@ -173,9 +187,35 @@
 			req.deadline = req.arrived.Add(limit)
 		}
 	}
-	return req.reserveQuota() && req.readBody(config.Limits.MaxBody)
+	return req.reserveQuota() && req.readBody(config.Limits.MaxBody) && !req.refuseLate()
+}
+
+// refuseLate refuses a request that arrives too late in a planned stop, and reports whether it has.
+func (req *callerRequest) refuseLate() bool {
+	if !req.Draining() {
+		return false
+	}
+	req.w.Header().Set("Connection", "close")
+	req.refuse(http.StatusServiceUnavailable, "the host is stopping", defaultRetryAfter)
+	return true
 }
 
+// stopped reports whether the request must be answered now, since the process ends.
+func (req *callerRequest) stopped() bool {
+	return errors.Is(context.Cause(req.r.Context()), ErrStopped)
+}
+
+// answerDeadline returns the time by which the answer must begin for the caller to get it.
+func (req *callerRequest) answerDeadline() time.Time {
+	if last := req.LastAnswer(); !last.IsZero() && last.Before(req.deadline) {
+		return last
+	}
+	return req.deadline
+}
+
+// callerLeft reports whether the caller has closed its connection.
+func (req *callerRequest) callerLeft() bool { return req.r.Context().Err() != nil && !req.stopped() }
+
 // refuse sends an answer that this host generates itself, and logs the reason. If
 // the answer has begun already, refuse aborts it.
 func (req *callerRequest) refuse(status int, reason string, after time.Duration) {
@@ -201,9 +241,9 @@
 	req.breakOff()
 }
 
-// callerLeft ends a request whose caller has left. A caller may have closed its own side of the
+// abandon ends a request whose caller has left. A caller may have closed its own side of the
 // connection only and still read, so that an answer that has begun must not look complete.
-func (req *callerRequest) callerLeft(fields ...zap.Field) {
+func (req *callerRequest) abandon(fields ...zap.Field) {
 	req.finish("request: caller left", req.status, fields...)
 	if req.headSent {
 		req.breakOff()
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -123,7 +123,7 @@
 	return dispatch.Request{
 		Priority: req.priority(), Account: req.account.Name, Admitted: req.admitted,
 		Call: req.call, Service: req.service, Size: len(req.body),
-		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.deadline, Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
+		Objective: req.arrived.Add(req.route.LatencyObjective), Deadline: req.answerDeadline(), Exclude: req.avoid, InProgress: req.runs > 0 || req.adapterLoading || req.bound,
 		Bound: req.bound, Build: req.build, Pause: req.route.PauseObjective(),
 	}
 }
@@ -165,12 +165,20 @@
 		req.answered()
 		return false
 	case callerGone:
-		req.callerLeft(zap.String("target", attempt.Target.Name))
+		req.abandon(zap.String("target", attempt.Target.Name))
 		return false
 	case deadlinePassed:
 		req.runs++
 		req.fail("timeout", 0)
 		return false
+	case hostStopped:
+		if o.sent {
+			req.runs++
+		} else {
+			req.notSent()
+		}
+		req.fail(ErrStopped.Error(), defaultRetryAfter)
+		return false
 	case connectFailed:
 		req.notSent()
 		req.dialFailures++
@@ -275,8 +283,12 @@
 // if another attempt is to follow.
 func (req *callerRequest) adapterNotLoaded(ctx context.Context, attempt *dispatch.Attempt) bool {
 	attempt.Report(time.Now(), dispatch.Canceled{})
-	if req.r.Context().Err() != nil {
-		req.callerLeft(zap.String("target", attempt.Target.Name))
+	if req.callerLeft() {
+		req.abandon(zap.String("target", attempt.Target.Name))
+		return false
+	}
+	if req.stopped() {
+		req.fail(ErrStopped.Error(), defaultRetryAfter)
 		return false
 	}
 	if ctx.Err() != nil {
@@ -296,8 +308,8 @@
 // request ran.
 func (req *callerRequest) fail(reason string, after time.Duration) {
 	switch {
-	case req.r.Context().Err() != nil:
-		req.callerLeft(zap.String("reason", reason))
+	case req.callerLeft():
+		req.abandon(zap.String("reason", reason))
 	case req.runs == 0:
 		req.refuse(http.StatusServiceUnavailable, reason, max(after, defaultRetryAfter))
 	case !time.Now().Before(req.deadline):
