proxy, daemon: a stopping host ends the requests of other hosts with a word

Callers saw: a request that a stopping host had sent for another host, and that was unfinished at the end of the grace, ended there only when the link's idle time-out had passed (1.5 s), or its own deadline.

Cause: the process ended and told the other host nothing.

Evidence: TestProxyEndsRequests failed without the new line: 504 at the route's timeout of 2 s in place of 502 at once (in the test the process lives on; the 1.5 s is read from the code, not measured).

Fix: such requests end with those of the host's own callers, 0.6 s before the end of the grace, and the other host gets the end of the answer: it may have run.

--- a/jacinthd/internal/daemon/daemon.go
+++ b/jacinthd/internal/daemon/daemon.go
@@ -101,7 +101,8 @@
 	memory        memory.Budget
 	connections   callers.Connections
 	stopping      atomic.Pointer[stopSchedule] // nil until a planned stop begins
-	endRequests   context.CancelCauseFunc      // ends the contexts of all requests of callers
+	requests      context.Context              // ends when all requests in progress must be answered
+	endRequests   context.CancelCauseFunc
 	noMemory      shortage
 	noConnections shortage
 }
@@ -117,6 +118,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	counters := metrics.New(registry)
 	p := &Process{settings: s, deps: deps, log: log, sink: sink, registry: registry, lifecycle: newLifecycle(log)}
+	p.requests, p.endRequests = context.WithCancelCause(context.Background())
 	metrics.RegisterMemory(registry, &p.memory, &p.connections.Table)
 	p.dispatcher = &dispatch.Dispatcher{Holder: s.Name, Zone: s.Zone, Regions: s.Regions}
 	p.dispatcher.SetVersionBound(s.VersionBound)
@@ -144,7 +146,7 @@
 		OnMembers: p.peers.SetMembers, OnOwned: counters.SetOwned,
 		LeaseTiming: lease.Timing{Duration: leaseDuration, RenewInterval: leaseRenewInterval, ClockMargin: leaseClockMargin},
 	}
-	p.proxy = &proxy.Server{Headers: deps.Headers, Reach: p.reach, Memory: &p.memory, Stopping: p.lifecycle.isStopping}
+	p.proxy = &proxy.Server{Headers: deps.Headers, Reach: p.reach, Memory: &p.memory, Stopping: p.lifecycle.isStopping, Requests: p.requests}
 	p.peers.Proxy = p.proxy
 	p.peers.Era = deps.Store.Era
 	p.origins = &origins.Streams{Self: s.Name, Store: deps.Store, Dispatcher: p.dispatcher, Peers: p.peers, Log: log}
@@ -195,11 +197,9 @@
 	p.log.Info("host: process starts", zap.String("zone", p.settings.Zone), zap.Stringer("caller", p.settings.Caller),
 		zap.String("build", build.Commit()), zap.Strings("protocols", peer.Protocols()), zap.Strings("ignored", p.settings.Ignored))
 	p.applyLimits()
-	requests, endRequests := context.WithCancelCause(context.Background())
-	p.endRequests = endRequests
-	defer endRequests(nil)
+	defer p.endRequests(nil)
 	server := &http.Server{
-		BaseContext: func(net.Listener) context.Context { return requests },
+		BaseContext: func(net.Listener) context.Context { return p.requests },
 		ConnContext: p.connections.Accept, ConnState: p.connections.Changed,
 		Handler: p.callerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
--- a/jacinthd/internal/direct/indirect_test.go
+++ b/jacinthd/internal/direct/indirect_test.go
@@ -192,6 +192,28 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
+// TestProxyEndsRequests guards against requests whose host waits for the time-out of its link, since the
+// process of the host that sends them has ended without a word.
+func TestProxyEndsRequests(t *testing.T) {
+	started := make(chan bool, 1)
+	ctx, end := context.WithCancel(context.Background())
+	hosts := startHostsWith(t, 2, func(_ int, h *testHost) { h.peers.Proxy.(*proxy.Server).Requests = ctx })
+	s := cutFirst(t, hosts, 1, func(_ http.ResponseWriter, r *http.Request, _ int) {
+		started <- true
+		<-r.Context().Done()
+	})
+	ended := make(chan time.Time, 1)
+	go func() {
+		<-started
+		ended <- time.Now()
+		end()
+	}()
+	answer, _, err := s.sendWithin(t, waitTimeout, http.MethodGet, "/once/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode, "it may have run")
+	require.Less(t, time.Since(<-ended), time.Second)
+}
+
 // TestProxyStopsWhileRequestsCome guards against a stopping host that ends by a panic, since another
 // host's request comes as the last one ends for which it waits.
 func TestProxyStopsWhileRequestsCome(t *testing.T) {
--- a/jacinthd/internal/proxy/server.go
+++ b/jacinthd/internal/proxy/server.go
@@ -39,7 +39,8 @@
 	Headers  outbound.HeaderCodec
 	Reach    *contact.Reach
 	Stopping func() bool
-	Memory   *memory.Budget // may be nil
+	Memory   *memory.Budget  // may be nil
+	Requests context.Context // ends when all requests in progress must end; nil means never
 
 	mu     sync.Mutex
 	active int
@@ -78,6 +79,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.Left)*time.Millisecond)
 	defer cancel()
+	if p.Requests != nil {
+		defer context.AfterFunc(p.Requests, cancel)()
+	}
 	end, err := p.forward(ctx, m, target, stream)
 	if err != nil {
 		log.Info("proxy: request of another host ended", zap.Error(err))
