direct, duration: a stopping host doesn't pass on what takes longer than it lives

Callers saw: requests of routes that take longer than what is left of the grace, streams too, were passed on and got 502 or were cut midway, also where they may run once only.

Cause: the dispatcher expects the time to the first byte, and of a plain service a usual one at first. How long the requests of a route take wasn't known.

Evidence: TestRouteTooLongForGrace (grace 3 s, routes whose requests take 2.5 s, sent 1 s after the signal) failed with the check switched off: 502. With it, both kinds of request get 503 at once and don't reach the target; also with -race.

Fix: each host keeps the mean duration of the answered requests of each route. While it stops, a request that hasn't run and would probably end after the requests in progress do is refused as not run, with a short Retry-After.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -152,6 +152,7 @@
 }
 
 func (req *callerRequest) logAnswered(attempt *dispatch.Attempt, status int, err error) {
+	req.durations.Add(req.route.Name, attempt.Age(time.Now()))
 	req.finish("request: answered", status, zap.String("target", attempt.Target.Name), zap.String("build", attempt.Target.Build), zap.Duration("expected", attempt.Expected),
 		zap.Int("running", attempt.Running), zap.Bool("loaded", attempt.Loaded != nil), zap.NamedError("write", err))
 }
--- a/jacinthd/internal/direct/grace_test.go
+++ b/jacinthd/internal/direct/grace_test.go
@@ -39,14 +39,16 @@
 	s.reached.Store(r.Header.Get("Id"), true)
 	_, _ = io.Copy(io.Discard, r.Body) // the server sees that the host closes its connection only then
 	w.Header().Set("Id", r.Header.Get("Id"))
+	answer := "whole"
 	if strings.HasPrefix(r.RequestURI, "/stream/") {
+		answer = "id: 2\n\n"
 		succeed(w, "id: 1\n\n")
 		_ = http.NewResponseController(w).Flush()
 	}
 	work, _ := time.ParseDuration(r.Header.Get("Work"))
 	select {
 	case <-time.After(work):
-		succeed(w, "whole")
+		succeed(w, answer)
 	case <-r.Context().Done():
 	}
 }
@@ -225,3 +227,32 @@
 	require.Zero(t, s.runs.Load())
 	require.Less(t, time.Since(sent), waitTimeout/10)
 }
+
+// TestRouteTooLongForGrace guards against requests that are passed on although those of their route take
+// longer than the process still lives.
+func TestRouteTooLongForGrace(t *testing.T) {
+	const (
+		grace = 3 * time.Second
+		work  = 2500 * time.Millisecond
+	)
+	paths := []string{"/once/", "/stream/"}
+	target := startSlowTarget(t)
+	host := startProcess(t, target.Target, grace)
+	var calls sync.WaitGroup
+	for _, path := range paths {
+		c := openConnection(t, host)
+		c.write(head(path, "first"+path, work) + "xx")
+		calls.Go(func() { c.readAnswer() })
+	}
+	calls.Wait()
+	host.stop()
+	time.Sleep(time.Second)
+	for _, path := range paths {
+		c := openConnection(t, host)
+		c.write(head(path, "late"+path, work) + "xx")
+		sent := time.Now()
+		target.requireRefused(t, c, "late"+path)
+		require.Less(t, time.Since(sent), 500*time.Millisecond)
+	}
+	require.NoError(t, <-host.ended)
+}
--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -20,7 +20,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/callers"
@@ -33,6 +32,7 @@
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/connection"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/duration"
 	"jacinthstage/stage/memory"
 	"jacinthstage/stage/quota"
 	"jacinthstage/stage/retry"
@@ -48,10 +48,6 @@
 	unconfiguredRetryAfter = 500 * time.Millisecond
 )
 
-// ErrStopped is the cause with which the context of a request ends if the request must be answered
-// now, since the process ends. Without this cause, the caller has left.
-var ErrStopped = errors.New("the host has stopped")
-
 // A Handler serves the requests of callers. All fields but Memory must be set.
 type Handler struct {
 	Dispatcher *dispatch.Dispatcher
@@ -78,6 +74,8 @@
 	Wake func()
 	// CatchUp returns once the Dispatcher knows of all targets that the platform has acknowledged.
 	CatchUp func(ctx context.Context) error
+
+	durations duration.Means // of answered requests, from when they were sent
 }
 
 // A callerRequest is one request of a caller, with the state of its attempts.
@@ -188,32 +186,6 @@
 	return req.reserveQuota() && req.readBody(config.Limits.MaxBody) && !req.refuseLate()
 }
 
-// refuseLate refuses a request that arrives too late in a planned stop, and reports whether it has.
-func (req *callerRequest) refuseLate() bool {
-	if !req.Draining() {
-		return false
-	}
-	req.w.Header().Set("Connection", "close")
-	req.refuse(http.StatusServiceUnavailable, "the host is stopping", defaultRetryAfter)
-	return true
-}
-
-// stopped reports whether the request must be answered now, since the process ends.
-func (req *callerRequest) stopped() bool {
-	return errors.Is(context.Cause(req.r.Context()), ErrStopped)
-}
-
-// answerDeadline returns the time by which the answer must begin for the caller to get it.
-func (req *callerRequest) answerDeadline() time.Time {
-	if last := req.LastAnswer(); !last.IsZero() && last.Before(req.deadline) {
-		return last
-	}
-	return req.deadline
-}
-
-// callerLeft reports whether the caller has closed its connection.
-func (req *callerRequest) callerLeft() bool { return req.r.Context().Err() != nil && !req.stopped() }
-
 // refuse sends an answer that this host generates itself, and logs the reason. If
 // the answer has begun already, refuse aborts it.
 func (req *callerRequest) refuse(status int, reason string, after time.Duration) {
--- a/jacinthd/internal/direct/serve.go
+++ b/jacinthd/internal/direct/serve.go
@@ -48,7 +48,7 @@
 	}
 	for {
 		req.trial = false
-		if req.refuseSuspect() {
+		if req.refuseSuspect() || req.refuseTooLong() {
 			return
 		}
 		attempt := req.pick()
@@ -149,7 +149,7 @@
 	if !attempt.Willing(time.Now()) {
 		return req.adapterNotLoaded(ctx, attempt)
 	}
-	if req.refuseSuspect() || req.refuseRevoked() || req.refuseOverQuota() {
+	if req.refuseSuspect() || req.refuseTooLong() || req.refuseRevoked() || req.refuseOverQuota() {
 		attempt.Report(time.Now(), dispatch.Canceled{})
 		return false
 	}
