direct: a stream doesn't stall on the body of an error in place of its rest

What callers saw: a stream had begun and broke off, the next target answered with an error whose body didn't end, and the stream stood still until the request's deadline, though another target could have gone on.

Cause: the body of an answer other than 200 was read, up to 1 MB, before the answer was found to be of no use.

Ruled out: answers before the stream has begun, which are read since they may be the caller's.

Fix: the status decides as soon as the head is read; of the body only what arrives within 20 ms is read, to keep the connection, as behind a refusal. A target that ends in the middle of such a body counts as one that answered with an error.

--- a/jacinthd/internal/direct/answer.go
+++ b/jacinthd/internal/direct/answer.go
@@ -67,6 +67,11 @@
 		}
 		return req.forwardStream(ctx, attempt, x)
 	}
+	if req.headSent {
+		req.discardBody(x)
+		attempt.Report(time.Now(), dispatch.Completed{Failed: true})
+		return mayHaveRun{reason: "status " + strconv.Itoa(status) + " in place of the rest"}
+	}
 	return req.forwardBody(ctx, attempt, x)
 }
 
@@ -107,10 +112,6 @@
 		attempt.Report(time.Now(), dispatch.Completed{Failed: true})
 		return mayHaveRun{reason: "status " + strconv.Itoa(status) + " of a request that may have run"}
 	}
-	if req.headSent {
-		attempt.Report(time.Now(), dispatch.Completed{Failed: true})
-		return mayHaveRun{reason: "status " + strconv.Itoa(status) + " in place of the rest"}
-	}
 	attempt.Report(time.Now(), dispatch.Completed{Failed: status >= http.StatusInternalServerError})
 	if status >= http.StatusInternalServerError && req.mayRetry(attempt) {
 		return retryableFailure{status: status}
--- a/jacinthd/internal/direct/brokenstream_test.go
+++ b/jacinthd/internal/direct/brokenstream_test.go
@@ -378,3 +378,30 @@
 	require.Equal(t, wholeStream, text)
 	require.EqualValues(t, 2, runs.Load())
 }
+
+// TestErrorWithoutEndInPlaceOfTheRest guards against a stream that stalls until its deadline, since
+// the body of the error that its next target answers with doesn't end.
+func TestErrorWithoutEndInPlaceOfTheRest(t *testing.T) {
+	for _, status := range []int{404, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			s := newTestSystem(t, 5, func(w http.ResponseWriter, r *http.Request, count int) {
+				if count == 1 {
+					sendRaw(t, w, firstAnswers["in an event"])
+					return
+				}
+				w.Header().Set("Signed", "s")
+				w.WriteHeader(status)
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, "x")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			start := time.Now()
+			_, text, complete := s.callRaw(t, "1.1", "/resumed/")
+			require.Less(t, time.Since(start), time.Second, "the caller has 1.5 s")
+			require.False(t, complete, text)
+			require.Equal(t, begunEvents, text)
+		})
+	}
+}
