proxy: the end of an answer that may be whole is known through another host

What callers saw: let a whole stream without a length or chunks, whose target had ended with it, end as incomplete where it came through another host (complete before, and still without one).

Cause: a next target without further events confirms that the stream was whole only after outbound.ErrCutOff, and a failure at another host carries that error's text only.

Fix: the failure is ErrCutOff if its text is.

--- a/jacinthd/internal/proxy/client.go
+++ b/jacinthd/internal/proxy/client.go
@@ -67,6 +67,11 @@
 // Error returns the cause.
 func (e *Error) Error() string { return "through " + e.proxy + ": " + e.cause }
 
+// Is reports whether the failure is outbound.ErrCutOff at the proxy. Hosts tell each other its text.
+func (e *Error) Is(target error) bool {
+	return target == outbound.ErrCutOff && e.cause == outbound.ErrCutOff.Error()
+}
+
 // ErrNoProxy means that no host took a request for another one.
 var ErrNoProxy = errors.New("no host sends it instead")
 
