outbound: errors don't repeat what a faulty target sent

Callers saw a 502 of 245,795 bytes (245,811 through another host) where a target had sent 60 KiB that are no head.

Cause: net/http quotes in its errors what it can't read, up to four bytes for each byte of a head of at most 64 KiB; the text becomes the reason of the failure, is logged twice and sent to the caller and to the other host.

Fix: the text of an error in reading a head or a body is cut to 200 bytes. The error wraps its cause, so what is tested with errors.Is stays.

Ruled out: the size of the head itself, which TestBytesWithoutEnd bounds already.

--- a/jacinthd/internal/outbound/conn.go
+++ b/jacinthd/internal/outbound/conn.go
@@ -44,7 +44,7 @@
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, request)
 	c.source.remaining = math.MaxInt64
-	return response, err
+	return response, shorten(err)
 }
 
 // A limitedReader reads from a connection and fails after a number of bytes, unlike
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -87,6 +87,7 @@
 	if err == io.EOF {
 		err = x.ended()
 	}
+	err = shorten(err)
 	x.end = err
 	return n, err
 }
