--- a/jacinthd/internal/outbound/pool.go
+++ b/jacinthd/internal/outbound/pool.go
@@ -179,8 +179,9 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// Prune closes the idle connections that have expired and those to addresses for
-// which wanted returns false.
+// Prune closes the idle connections that have expired, have ended or received bytes, and
+// those to addresses for which wanted returns false. What a target sends on an idle connection
+// takes memory until the connection is closed.
 func (p *Pool) Prune(wanted func(netip.AddrPort) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -188,7 +189,7 @@
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if wanted(address) && now.Before(c.expires) {
+			if wanted(address) && now.Before(c.expires) && reusable(c.Conn) {
 				kept = append(kept, c)
 				continue
 			}
