outbound: a head has 256 lines at most

Cause: a head is limited to 64 KiB, but short lines that all differ take some 30 times their size once they are parsed, and once more in the copy for the caller, for as long as the body lasts. The account of memory knows bodies only.

Fix: reading a head ends after 256 lines, and a head that has more is refused as a broken answer. The lines are counted as they arrive, so one that trickles in doesn't hold more either. What is behind the head isn't counted.

Evidence: TestHeadOfManyLines failed before at 300 and 8000 lines (accepted); TestSlowHeadOfManyLines read all 2000 lines, 999 allowed. A head of 250 lines with a body of 4000 lines is accepted before and after.

--- a/jacinthd/internal/outbound/conn.go
+++ b/jacinthd/internal/outbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"math"
 	"net"
 	"net/http"
@@ -41,12 +42,26 @@
 
 // readHead reads the status line and the header of a response.
 func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
-	c.source.remaining = maxHeadBytes
+	c.source.remaining, c.source.inHead, c.source.lines = maxHeadBytes, true, 0
 	response, err := http.ReadResponse(c.reader, request)
-	c.source.remaining = math.MaxInt64
+	c.source.remaining, c.source.inHead = math.MaxInt64, false
+	if err == nil && headerLines(response.Header) > maxHeadLines {
+		return nil, errTooManyLines
+	}
 	return response, shorten(err)
 }
 
+// errTooManyLines means that a header has too many lines.
+var errTooManyLines = errors.Errorf("header of more than %d lines", maxHeadLines)
+
+func headerLines(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // A limitedReader reads from a connection and fails after a number of bytes, unlike
 // io.LimitReader, which ends as if the connection were closed.
 type limitedReader struct {
@@ -54,6 +69,8 @@
 	remaining int64
 	address   netip.AddrPort
 	watcher   Watcher // may be nil
+	inHead    bool    // a header is being read
+	lines     int     // of the header
 	heard     bool    // bytes have arrived
 	inBody    bool    // fails once the connection is lost, before the system does
 }
@@ -63,8 +80,15 @@
 	if r.remaining <= 0 {
 		return 0, errors.Errorf("header larger than %d bytes", maxHeadBytes)
 	}
+	if r.inHead && r.lines > maxHeadLines {
+		return 0, errTooManyLines
+	}
 	n, err := r.readConn(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
+	if r.inHead {
+		// More is read only if the header hasn't ended, so that only the last read holds other lines.
+		r.lines += bytes.Count(p[:n], []byte("\n"))
+	}
 	if n > 0 && r.watcher != nil {
 		if !r.heard {
 			r.watcher.Connected(r.address)
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -55,6 +55,9 @@
 	// either without end.
 	maxHeadBytes = 64 << 10
 	maxStrayBody = 1 << 20
+	// maxHeadLines is the maximum number of lines of a response's header. Short lines take many
+	// times their size in memory once they are parsed.
+	maxHeadLines = 256
 	// carriedRetention is how long a connection remembers a request that it has carried. No
 	// request is sent again after that time.
 	carriedRetention = time.Minute
