--- a/jacinthd/serve.go
+++ b/jacinthd/serve.go
@@ -33,6 +33,9 @@
 // storeIdleTimeout is how long an idle connection to the store stays open.
 const storeIdleTimeout = 20 * time.Second
 
+// maxStoreHeader is the maximum size of the header of a response of the store, in bytes.
+const maxStoreHeader = 64 << 10
+
 // serve is the command that serves requests on the platform, sending them
 // directly to targets, until SIGTERM or SIGINT.
 type serve struct{ file string }
@@ -80,7 +83,7 @@
 	defer stop()
 	transport := &http.Transport{
 		DialContext: outbound.StoreDialer().DialContext, MaxIdleConnsPerHost: storeConnections,
-		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
+		IdleConnTimeout: storeIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeader,
 	}
 	registry := prometheus.NewRegistry()
 	copies := new(mirror.Set)
