quota: credit of a lowered limit ends before the lower one binds

Seen from outside: a client account whose rate or burst the operator lowers may go on with what it had under the former limit, and exceed the lower one for up to 30 s. A lower limit binds one window after the time in which all hosts must have its configuration.

Cause: credit keeps the deadline that it got when it was earned. It lives for up to 30 s, for as long as the bound of its own limit allows. With a large burst under a low rate that is far longer than the window, and the lower limit's bound doesn't hold it. Credit that a host sends which learns of the lower limit later arrives with the same long life.

Ruled out: a lower rate alone under the same slack. What is left of the former credit, rate x (life - window - lag), shrinks faster than the lower limit's own credit grows.

Why it works: all credit that was earned before ends a window after this host learned of the lower limit, and all that arrives in that window too. A host learns within the time of configurations, so that none of it is left when the limit binds. Credit that a request in flight gives back keeps its deadline: that is bounded by what is in flight.

--- a/stage/quota/account.go
+++ b/stage/quota/account.go
@@ -35,6 +35,8 @@
 	hash  uint32
 	limit Limit
 	life  time.Duration // of credit
+	// formerUntil is when credit ends that was earned before the limit was last lowered.
+	formerUntil time.Time
 
 	held     balance
 	spare    balance   // credit from the collector's surplus, which isn't given back
@@ -59,6 +61,20 @@
 	allowedAt  time.Time // when the last allowance was published
 }
 
+// setLimit sets the limit. A lower one binds a window after all hosts know it: what was earned before
+// ends by then.
+func (s *state) setLimit(now time.Time, limit Limit, b Bound) {
+	lowered := limit.Rate < s.limit.Rate || limit.Burst < s.limit.Burst
+	s.limit, s.life = limit, b.life(limit)
+	if !lowered {
+		return
+	}
+	s.formerUntil = now.Add(b.window())
+	s.held.endBy(s.formerUntil)
+	s.spare.endBy(s.formerUntil)
+	s.pool.endBy(s.formerUntil)
+}
+
 // step returns the time within which credit isn't told apart.
 func (s *state) step() time.Duration { return s.life / creditSteps }
 
--- a/stage/quota/credit.go
+++ b/stage/quota/credit.go
@@ -30,6 +30,15 @@
 	(*b)[i] = c
 }
 
+// endBy makes all credit lapse by a time.
+func (b balance) endBy(until time.Time) {
+	for i := range b {
+		if b[i].until.After(until) {
+			b[i].until = until
+		}
+	}
+}
+
 // total returns the credit that is valid at the time now, and drops the rest.
 func (b *balance) total(now time.Time) float64 {
 	first := 0
--- a/stage/quota/exchange.go
+++ b/stage/quota/exchange.go
@@ -274,10 +274,15 @@
 	k.traffic.add(now, r)
 }
 
-// creditOf returns the credit in a report, which lives no longer than any.
+// creditOf returns the credit in a report, which lives no longer than any. Its sender may have earned
+// it before it learned that the limit was lowered.
 func (s *state) creditOf(now time.Time, r Report) credit {
 	ttl := min(time.Duration(min(r.TTL, uint64(maxLife.Milliseconds())))*time.Millisecond-hopLoss, s.life)
-	return credit{min(float64(r.Amount)/milli, s.most()), now.Add(ttl)}
+	until := now.Add(ttl)
+	if now.Before(s.formerUntil) && until.After(s.formerUntil) {
+		until = s.formerUntil
+	}
+	return credit{min(float64(r.Amount)/milli, s.most()), until}
 }
 
 // collect takes in credit and the need of another host.
--- a/stage/quota/keeper.go
+++ b/stage/quota/keeper.go
@@ -75,7 +75,7 @@
 			s = &state{name: name, hash: hashAccount(name, limit.Unit), earnedAt: now}
 		}
 		s.earn(now, k.roster.part(now))
-		s.limit, s.life = limit, k.Bound.life(limit)
+		s.setLimit(now, limit, k.Bound)
 		s.candidates = k.roster.candidates(s.hash)
 		k.accounts[name], k.byHash[s.hash] = s, s
 	}
