dispatch: a request that has waited isn't sent to a target that left meanwhile

Seen from outside: a request may reach a target later than drainMs (3 s) after the store took in that the target is gone. A target is picked up to 1.5 s after its entry was removed. The request then waits for an owner's answer (0.8 s), credit of its account (0.9 s) and a connection (0.3 s): 3.5 s in all.

Cause: the check before a request is sent (Attempt.Willing) asked only what the target had said in answers. What its entry said was asked once, when the target was picked: a target whose entry turned to draining, was removed past the grace period or was taken by another process still counted.

Evidence (tests): before, Willing said true for a target that was draining, drained and gone, gone, or had another process or service 4 s before, and 2.2 s after the removal of a runner whose owner had answered. Now it says false in each, and still true for a target that stays or is listed again after a gap.

Ruled out: a load on a runner of this host. Its wait ends without the adapter once the runner is deleted or released.

Why it works: the check is the one by which targets are picked, at the time of the send. A request that fails it picks again. What remains after it is credit and a connection, 1.2 s, beside the grace of 1.5 s.

--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -120,14 +120,13 @@
 	return p != nil && p.isLeaving()
 }
 
-// Willing reports whether the attempt's target still takes the request, which has waited
-// for its adapter, and may still begin it in the version that it holds.
+// Willing reports whether the attempt's target still takes the request, which may have waited since
+// the target was picked, and may still begin it in the version that it holds.
 func (a *Attempt) Willing(now time.Time) bool {
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := a.target.process
-	return !p.notice.Leaving() && !p.notice.Quiet(now) && a.fixVersion(now)
+	return d.takes(now, a.target.process, a.Target) && a.fixVersion(now)
 }
 
 // Heard records what a target said of itself in an answer to no attempt of this host, such as
@@ -146,6 +145,13 @@
 	return d.processes[idOf(of)] != nil
 }
 
+// takes reports whether a process of a target is in use and takes requests, as far as its
+// entry and its answers say.
+func (d *Dispatcher) takes(now time.Time, p *process, of catalog.Target) bool {
+	t := d.targets[of.Name]
+	return t != nil && t.process == p && t.Service == of.Service && t.listed(now) && !p.isLeaving() && !p.notice.Quiet(now)
+}
+
 // Accepts reports whether this host may send a request for another one to a target.
 func (d *Dispatcher) Accepts(now time.Time, of catalog.Target) bool {
 	d.mu.Lock()
--- /dev/null
+++ b/stage/dispatch/waited_test.go
@@ -0,0 +1,59 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthstage/stage/catalog"
+	"jacinthstage/stage/dispatch"
+)
+
+// TestWaitedRequestOfLeavingTarget guards against a request that waited for its adapter, or for credit,
+// and is sent to a target that left meanwhile according to its entry (DRAIN).
+func TestWaitedRequestOfLeavingTarget(t *testing.T) {
+	ready, other := processOf(catalog.Ready, 1, start), processOf(catalog.Ready, 2, at(1000))
+	for name, x := range map[string]struct {
+		change  func(d *dispatch.Dispatcher)
+		willing bool
+	}{
+		"stays":    {func(d *dispatch.Dispatcher) { list(d, 1000, 2, ready) }, true},
+		"draining": {func(d *dispatch.Dispatcher) { list(d, 1000, 2, processOf(catalog.Draining, 1, start)) }, false},
+		"drained and gone": {func(d *dispatch.Dispatcher) {
+			list(d, 1000, 2, processOf(catalog.Draining, 1, start))
+			list(d, 2000, 3)
+		}, false},
+		"gone":            {func(d *dispatch.Dispatcher) { list(d, 1000, 2); d.Sweep(at(3000)) }, false},
+		"another process": {func(d *dispatch.Dispatcher) { list(d, 1000, 2, other) }, false},
+		"another service": {func(d *dispatch.Dispatcher) {
+			moved := ready
+			moved.Service = service
+			list(d, 1000, 2, moved)
+		}, false},
+		"lapsed and back": {func(d *dispatch.Dispatcher) {
+			list(d, 1000, 2)
+			d.Sweep(at(3000))
+			list(d, 4000, 3, ready)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var d dispatch.Dispatcher
+			list(&d, 0, 1, ready)
+			a := newAttempt(t, &d, plainRequest(0), 0)
+			x.change(&d)
+			require.Equal(t, x.willing, a.Willing(at(5000)))
+		})
+	}
+}
+
+// TestOwnersAnswerAfterRemoval guards against a request that was picked for a runner within the grace
+// period after its removal, and is sent there once an owner has answered, past that period (DRAIN).
+func TestOwnersAnswerAfterRemoval(t *testing.T) {
+	d := newDispatcher("host-0", "north-a", 1, nil)
+	d.Apply(at(0), catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{catalog.TargetRemoved{Name: "runner-0"}}})
+	a := newAttempt(t, d, request("a7", 100, 1450), 1450)
+	require.NotEmpty(t, a.Owner.Host)
+	d.Sweep(at(2000))
+	require.True(t, a.OwnerReplied(at(2200), dispatch.Loaded{}))
+	require.False(t, a.Willing(at(2200)))
+}
