dispatch: a host sends nothing for another one to a target that it saw removed

Seen from outside: a request may reach a target at any time up to an hour after its removal was acknowledged, if it comes to a host through another one that still lists the target: that one has missed the removal, or its link to the target is lost.

Cause: the host that sends for another one asked what the target's process had said, and that record outlives the entry by an hour, but not whether the target is still in use here.

Evidence (test): before, Accepts said true 4 s after the removal; now false, true within the grace period of 1.5 s and once the entry is back.

Why it works: the check is that of own requests. The other host gets a refusal that says that nothing was sent, and picks another target.

--- a/stage/dispatch/notice.go
+++ b/stage/dispatch/notice.go
@@ -157,7 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.processes[idOf(of)]
-	return p != nil && !p.isLeaving() && !p.notice.Quiet(now)
+	return p != nil && d.takes(now, p, of)
 }
 
 // notices returns what to tell other hosts of what targets said: news, and some other
--- a/stage/dispatch/waited_test.go
+++ b/stage/dispatch/waited_test.go
@@ -7,6 +7,7 @@
 
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
+	"jacinthstage/stage/notice"
 )
 
 // TestWaitedRequestOfLeavingTarget guards against a request that waited for its adapter, or for credit,
@@ -57,3 +58,20 @@
 	require.True(t, a.OwnerReplied(at(2200), dispatch.Loaded{}))
 	require.False(t, a.Willing(at(2200)))
 }
+
+// TestAcceptsNoneForRemovedTarget guards against a host that sends requests of another one to a target
+// whose removal it has seen long ago itself (DRAIN).
+func TestAcceptsNoneForRemovedTarget(t *testing.T) {
+	var d dispatch.Dispatcher
+	entry := processOf(catalog.Ready, 1, start)
+	list(&d, 0, 1, entry)
+	require.True(t, d.Accepts(at(10), entry))
+	list(&d, 1000, 2)
+	require.True(t, d.Accepts(at(1100), entry), "the entry may be back soon")
+	d.Sweep(at(5000))
+	require.False(t, d.Accepts(at(5000), entry))
+	list(&d, 6000, 3, entry)
+	require.True(t, d.Accepts(at(6010), entry))
+	d.Heard(at(6020), at(6015), entry, notice.Notice{Leaving: true}, notice.Run)
+	require.False(t, d.Accepts(at(6030), entry))
+}
