dispatch: no request waits for a load on a runner that is leaving

Seen from outside: a request whose adapter is to be loaded on a runner that then says that it is leaving is held, until the runner is released to no owner or the request's own time ends, though no load is ordered there any more. If the runner says so in an answer only, it gets the order, and the request isn't sent there once the adapter is loaded.

Cause: the wait was begun on what was true when the request came. Runners that are draining get no orders, but nothing ended the waits for them; what a runner said in an answer wasn't asked at all.

Evidence (test): before, a request on a draining runner waits still after 5 s of Tasks, and a runner that said that it is leaving gets a load order; now the wait ends at the next Tasks (within 1 s) and nothing is ordered. In the whole system the release of a draining runner bounds the wait; how long that takes wasn't measured.

Why it works: ended waits send the requests on to other runners, as when a runner changes its owner.

--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -66,14 +66,16 @@
 }
 
 // Tasks returns the actions to carry out now on the runners that this host owns,
-// and the time of the next call.
+// and the time of the next call. Nothing is loaded on a runner that is leaving, and no
+// request waits for it.
 func (d *Dispatcher) Tasks(now time.Time) ([]Task, time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Task
 	next := now.Add(time.Second)
 	for _, t := range d.owned {
-		if t.State != catalog.Ready {
+		if t.State != catalog.Ready || t.process.isLeaving() {
+			t.residency.EndWaits()
 			continue
 		}
 		d.assignModel(now, t)
--- a/stage/dispatch/waited_test.go
+++ b/stage/dispatch/waited_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthstage/stage/call"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/dispatch"
 	"jacinthstage/stage/notice"
@@ -75,3 +76,38 @@
 	d.Heard(at(6020), at(6015), entry, notice.Notice{Leaving: true}, notice.Run)
 	require.False(t, d.Accepts(at(6030), entry))
 }
+
+// TestNoWaitForLoadOnLeavingRunner guards against requests that are held until their deadline for a load on
+// a runner which leaves before it is ordered.
+func TestNoWaitForLoadOnLeavingRunner(t *testing.T) {
+	for name, leaves := range map[string]func(d *dispatch.Dispatcher){
+		"entry": func(d *dispatch.Dispatcher) {
+			gone := runner(0, "north-a")
+			gone.State = catalog.Draining
+			d.Apply(at(11), catalog.TargetsChanged{Revision: 2, Changes: []catalog.TargetChange{catalog.TargetUpdated{Target: gone}}})
+		},
+		"answer": func(d *dispatch.Dispatcher) {
+			require.True(t, d.Heard(at(11), at(10), runner(0, "north-a"), notice.Notice{Leaving: true}, notice.Other))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher("host-0", "north-a", 1, nil)
+			d.Acquire("runner-0", 3, start, false)
+			d.Tasks(at(0))
+			d.HandleReport(at(1), "runner-0", &call.Report{Models: []call.ResidentModel{{Model: model, Version: 1}}})
+			a := newAttempt(t, d, request("a", 100, 10), 10)
+			require.NotNil(t, a.Loaded)
+			leaves(d)
+			for ms := 20; ms <= 5000; ms += 100 {
+				tasks, _ := d.Tasks(at(ms))
+				require.Empty(t, tasks, "nothing is ordered")
+			}
+			select {
+			case <-a.Loaded:
+			default:
+				t.Fatal("it waits still after 5 s")
+			}
+			require.False(t, a.Ready(at(5000)))
+		})
+	}
+}
--- a/stage/residency/manager.go
+++ b/stage/residency/manager.go
@@ -226,7 +226,7 @@
 // Close ends all waits; the host calls it when it gives up the runner.
 func (m *Manager) Close() {
 	m.lost = true
-	m.endAllWaits()
+	m.EndWaits()
 }
 
 func later(x, y time.Time) time.Time {
--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -20,7 +20,7 @@
 		m.handleAccepted(now, k, e, reply)
 	case call.Fenced:
 		m.lost = true
-		m.endAllWaits()
+		m.EndWaits()
 	case call.Unanswered:
 		if m.inFlight.Kind == call.Load {
 			e.uncertainUntil = now.Add(maxOrderDelay)
--- a/stage/residency/request.go
+++ b/stage/residency/request.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// endAllWaits ends the waits for all adapters.
-func (m *Manager) endAllWaits() {
+// EndWaits ends the waits for all adapters, because none will be loaded.
+func (m *Manager) EndWaits() {
 	for k, e := range m.entries {
 		if e.state == Requested {
 			m.setAbsent(k, e)
