dispatch: a host is behind the newest configuration that it heard of lately

Seen from outside: a caller may get 404 or 401, which it doesn't retry, for a route or key that another host has just said it knows by a newer configuration.

Cause: of what several hosts report, the last one stood for all. With 7 heard, then 6 from a host that is itself late, this one stopped counting as behind once it had 6. Hosts repeat theirs some ten times a second, so that the gap is that short.

Evidence (test): before, IsBehind said false at version 6, 110 ms after another host had reported 7; now true. It breaks no rule by itself: version 6 is in force for configDeadlineMs yet.

Why it works: an older version replaces a newer one only when that wasn't heard for 2 s, as before.

--- a/stage/dispatch/behind.go
+++ b/stage/dispatch/behind.go
@@ -21,8 +21,13 @@
 	return newer && now.Sub(d.newerHeard.heardAt) < newerConfigAge
 }
 
-// hearConfig records the version of another host's configuration.
+// hearConfig records the version of another host's configuration. One that is older than the newest
+// that was heard lately doesn't replace that.
 func (d *Dispatcher) hearConfig(now time.Time, version uint64) {
+	known := d.newerHeard
+	if version < known.version && now.Sub(known.heardAt) < newerConfigAge {
+		return
+	}
 	if d.config == nil || version > d.config.Version {
 		d.newerHeard = newerConfig{version: version, heardAt: now}
 	}
