dispatch: a second list after a restore of the store acknowledges no removal

Seen from outside: requests are refused for up to 2.5 s though a target for them lives and has written its entry again, if the list of targets was read twice after the store came back from an older copy.

Cause: of targets that are missing then, it isn't known whether they are gone; they have 2.5 s to write their entries again. Only the first list of a store era was taken so. The second one, though of the same state, counted as a removal that was acknowledged, and the entry that came after it as one that contradicts that.

Evidence (test): before, the entry 1 s after the restore wasn't used 10 ms later; now it is. A target that is still missing after the 2.5 s is taken for removed as before, and so is at once one that a list of the new era had shown (TestRemovalIsAcknowledgedSoonAfterRestore, which passed before too).

Why it works: a list within those 2.5 s acknowledges the removal only of a target that wasn't missing since the restore.

--- a/stage/dispatch/restore_test.go
+++ b/stage/dispatch/restore_test.go
@@ -44,3 +44,33 @@
 	require.Contains(t, names(again.Add(2*time.Second)), "new")
 	require.NotContains(t, names(again.Add(3*time.Second)), "new", "what is missing then is gone")
 }
+
+// TestRestoredListIsReadTwice guards against a target that lives and isn't used although it has written its
+// entry again, because the list without it was read twice after the store had come back from an older copy.
+func TestRestoredListIsReadTwice(t *testing.T) {
+	var d dispatch.Dispatcher
+	entry := processOf(catalog.Ready, 1, start)
+	list(&d, 0, store.Revision(1, 100), entry)
+	list(&d, 5000, store.Revision(2, 90))
+	list(&d, 5100, store.Revision(2, 90))
+	list(&d, 6000, store.Revision(2, 91), entry)
+	newAttempt(t, &d, plainRequest(6010), 6010)
+
+	list(&d, 60_000, store.Revision(3, 80))
+	list(&d, 60_100, store.Revision(3, 80))
+	require.Empty(t, d.Sweep(at(63_000)))
+	list(&d, 64_000, store.Revision(4, 70), entry)
+	requireRefused(t, &d, plainRequest(64_010), 64_010) // it was gone when the time to write had passed
+}
+
+// TestRemovalIsAcknowledgedSoonAfterRestore guards against requests to a target whose removal was acknowledged
+// right after the store had come back from an older copy, before it came back from another one (DRAIN).
+func TestRemovalIsAcknowledgedSoonAfterRestore(t *testing.T) {
+	var d dispatch.Dispatcher
+	entry := processOf(catalog.Ready, 1, start)
+	list(&d, 0, store.Revision(1, 100), entry)
+	list(&d, 5000, store.Revision(2, 90), entry)
+	list(&d, 5100, store.Revision(2, 91))
+	list(&d, 5500, store.Revision(3, 80), entry)
+	requireRefused(t, &d, plainRequest(5510), 5510)
+}
--- a/stage/dispatch/targets.go
+++ b/stage/dispatch/targets.go
@@ -78,6 +78,8 @@
 // replaceTargets replaces all targets by a list. One that was read after the store has come
 // back from an older copy doesn't undo what was acknowledged before: for restoreGrace, a target
 // whose removal was acknowledged isn't used, and an entry of the process before counts as missing.
+// A target that was missing from the first such list and is from a later one may not have written
+// its entry again yet: that acknowledges no removal.
 func (d *Dispatcher) replaceTargets(now time.Time, all []catalog.Target, restored bool) {
 	grace := removalGrace
 	if restored {
@@ -99,7 +101,8 @@
 		if listed[name] {
 			continue
 		}
-		t.process.removed = t.process.removed || !restored
+		unwritten := restored || now.Before(d.doubtUntil) && !t.expiresAt.IsZero()
+		t.process.removed = t.process.removed || !unwritten
 		d.removeTarget(now, name, grace)
 	}
 }
