dispatch: a reply to an order of an earlier ownership is no reply to the next one

Seen from outside: a request may be sent to a runner that doesn't hold its adapter, or a runner gets no orders for a while, after its owner gave it up and has owned it again within 0.7 s, the time that an order may take.

Cause: replies were matched by the runner's name. The reply to the order that was in progress counted as that to the first order under the new fence: its adapter as loaded, or the new ownership as lost.

Evidence (test): before, the adapter of the second order counted as loaded by the reply to the first; now by its own reply only.

Ruled out: a load beyond what the runner holds.

Why it works: each ownership has its own fencing number, which the order carries.

--- a/jacinthd/internal/ownership/client.go
+++ b/jacinthd/internal/ownership/client.go
@@ -74,7 +74,8 @@
 		report := c.report(ctx, task.Target)
 		c.Dispatcher.HandleReport(time.Now(), task.Target.Name, report)
 	case residency.SendOrder:
-		c.Dispatcher.HandleReply(time.Now(), task.Target.Name, c.order(ctx, task.Target, a.Order))
+		reply := c.order(ctx, task.Target, a.Order)
+		c.Dispatcher.HandleReply(time.Now(), a.Order, reply)
 	default:
 		panic(fmt.Sprintf("ownership: unknown action %T for a runner", a))
 	}
--- a/stage/dispatch/dispatch_test.go
+++ b/stage/dispatch/dispatch_test.go
@@ -246,7 +246,7 @@
 	require.Empty(t, reason)
 	tasks, _ = d.Tasks(at(12))
 	require.Len(t, tasks, 1)
-	d.HandleReply(at(13), "runner-0", call.Applied)
+	d.HandleReply(at(13), tasks[0].Action.(residency.SendOrder).Order, call.Applied)
 	for _, c := range []<-chan struct{}{loaded, a.Loaded} {
 		select {
 		case <-c:
@@ -579,7 +579,7 @@
 	tasks, _ := d.Tasks(at(10))
 	require.Len(t, tasks, 1)
 	two := newAttempt(t, d, request("two", 100, 11), 11)
-	d.HandleReply(at(12), "runner-0", call.Applied)
+	d.HandleReply(at(12), tasks[0].Action.(residency.SendOrder).Order, call.Applied)
 	<-one.Loaded
 	require.True(t, one.Ready(at(100)))
 	tasks, _ = d.Tasks(at(14))
@@ -622,3 +622,27 @@
 		})
 	}
 }
+
+// TestReplyToOrderOfFormerOwnership guards against a reply to an order that this host sent before it gave up the
+// runner and owned it again: it says nothing of the order that it has sent since.
+func TestReplyToOrderOfFormerOwnership(t *testing.T) {
+	d := newDispatcher("owner", "north-a", 1, nil)
+	order := func(ms int, fence uint64, adapter string) (*dispatch.Attempt, call.Order) {
+		d.Acquire("runner-0", fence, at(ms), false)
+		d.Tasks(at(ms))
+		d.HandleReport(at(ms), "runner-0", &call.Report{AcceptedOrders: 3, Models: []call.ResidentModel{{Model: model, Version: 1}}})
+		a := newAttempt(t, d, request(adapter, 100, ms), ms)
+		tasks, _ := d.Tasks(at(ms))
+		require.Len(t, tasks, 1)
+		o := tasks[0].Action.(residency.SendOrder).Order
+		require.Equal(t, adapter, o.Adapter)
+		return a, o
+	}
+	_, former := order(0, 1, "one")
+	d.Release("runner-0")
+	second, present := order(100, 2, "two")
+	d.HandleReply(at(200), former, call.Applied)
+	require.False(t, second.Ready(at(201)), "the reply was that to the order of one")
+	d.HandleReply(at(202), present, call.Applied)
+	require.True(t, second.Ready(at(203)))
+}
--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -224,11 +224,12 @@
 	return state == residency.Loading
 }
 
-// HandleReply processes a runner's reply to an order.
-func (d *Dispatcher) HandleReply(now time.Time, name string, reply call.Reply) {
+// HandleReply processes a runner's reply to an order. One to an order of an earlier ownership of
+// the runner is ignored.
+func (d *Dispatcher) HandleReply(now time.Time, o call.Order, reply call.Reply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t := d.owned[name]; t != nil {
+	if t := d.owned[o.Target]; t != nil && t.residency.Fence == o.Fence {
 		t.residency.HandleReply(now, reply)
 	}
 }
