direct: a request whose body hasn't come whole at the end of the grace is refused

Callers saw: a caller that was still sending its body at the end of the grace found its connection cut, without an answer.

Cause: reading a body ends after 5 s, which may be later than the process. (The rule doesn't count requests that the host hasn't read whole.)

Fix: reading ends with the context of the request, and the request is then refused as not run.

--- a/jacinthd/internal/direct/body.go
+++ b/jacinthd/internal/direct/body.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -69,7 +70,9 @@
 	if req.r.ContentLength == 0 {
 		return nil
 	}
-	req.held = req.Memory.Open(req.arrived, memory.Body, func() { _ = control.SetReadDeadline(time.Now()) })
+	interrupt := func() { _ = control.SetReadDeadline(time.Now()) }
+	defer context.AfterFunc(req.r.Context(), interrupt)()
+	req.held = req.Memory.Open(req.arrived, memory.Body, interrupt)
 	buffer := body.Buffer{Holding: req.held, Limit: limit + 1, OnProgress: func(now time.Time) { req.connection.Set(now, connection.Reading) }}
 	if req.r.ContentLength > 0 {
 		buffer.Limit = req.r.ContentLength
@@ -85,6 +88,10 @@
 func (req *callerRequest) refuseBody(control *http.ResponseController, limit int64, err error) {
 	req.w.Header().Set("Connection", "close")
 	req.release()
+	if req.stopped() {
+		req.refuse(http.StatusServiceUnavailable, ErrStopped.Error(), defaultRetryAfter)
+		return
+	}
 	if errors.Is(err, body.ErrNoMemory) {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(err.Error()+"\n"))) // the refusal ends before the rest is read
 		req.refuse(http.StatusServiceUnavailable, err.Error(), memoryRetryAfter)
--- a/jacinthd/internal/direct/grace_test.go
+++ b/jacinthd/internal/direct/grace_test.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// TestUnreadAtEndOfGrace guards against requests that have no answer when the process ends since their
+// bodies haven't come whole.
+func TestUnreadAtEndOfGrace(t *testing.T) {
+	const grace = 2 * time.Second
+	target := startSlowTarget(t)
+	host := startProcess(t, target.Target, grace)
+	slow := openConnection(t, host)
+	slow.write(head("/once/", "slow", 0) + "x")
+	time.Sleep(100 * time.Millisecond) // the host has read the head
+	host.stop()
+	require.NoError(t, <-host.ended)
+	require.NoError(t, slow.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	target.requireRefused(t, slow, "slow")
+}
+
 // TestShortGrace guards against requests that a process with a short grace cuts long before its end.
 func TestShortGrace(t *testing.T) {
 	const grace = time.Second
