--- a/stage/dispatch/versions_play_test.go
+++ b/stage/dispatch/versions_play_test.go
@@ -405,7 +405,7 @@
 			}
 			p.after(versionLatency, func() {
 				reply := r.execute(p, a.Order)
-				p.after(versionLatency, func() { owner.HandleReply(at(p.ms), name, a.Order, reply) })
+				p.after(versionLatency, func() { owner.HandleReply(at(p.ms), a.Order, reply) })
 			})
 		}
 	}
