peer: calls that nobody reads don't fill the connection of others

Callers got 504 for answers that came through another host, while 8 other callers didn't read theirs, which didn't end, over the same connection between the two hosts: nothing arrived on it any more until the timeout of these requests. Whatever else the two hosts say on that connection waited too.

Cause: the receive windows of quic-go's default, 512 KB of a call and 768 KB of a connection at first (6 and 15 MB at most): two calls that aren't read fill it.

Fix: 256 KiB of a call and 8 MiB of a connection, fixed. A host keeps half as much as before at most. It takes 32 unread calls to fill the connection; beyond that the fault remains (a host sends up to 192 requests for others).

The effect of the smaller window on large bodies over links with a long delay wasn't measured: 256 KiB in each round trip.

--- a/jacinthd/internal/peer/link.go
+++ b/jacinthd/internal/peer/link.go
@@ -36,6 +36,11 @@
 	maxUnused = time.Minute
 	// maxStreams limits the concurrent calls from one peer.
 	maxStreams = 16384
+	// streamWindow and connectionWindow are the numbers of bytes that a host keeps of one call and
+	// of all calls of a connection until they are read. Calls whose messages nobody reads must not
+	// fill the connection, which would hold up all others.
+	streamWindow     = 256 << 10
+	connectionWindow = 8 << 20
 )
 
 // Error codes for closing streams and connections.
@@ -105,6 +110,11 @@
 		KeepAlivePeriod:       timeout / keepAlivesPerTimeout,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: -1,
+
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
 	}
 }
 
