mirror: an object merged from another host is of unknown age

A version that the store lost in a restore and that another host still had counted as written after this host's last list, so that older ones served for longer (VERSION).

--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -232,7 +232,7 @@
 func (c *Copy) merge(p Page) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	newer := Page{Revision: c.revision, Unseen: c.currentAt}
+	newer := Page{Revision: c.revision} // written before the store lost it: when isn't known
 	for _, o := range p.Objects {
 		known, ok := c.objects[o.Name]
 		if c.order == nil || o.Removed || ok && c.order(o) <= c.order(known) {
--- a/stage/mirror/mirror_test.go
+++ b/stage/mirror/mirror_test.go
@@ -249,3 +249,22 @@
 	c.Update(list, 0, at(9000))
 	require.Equal(t, []time.Time{{}, at(500)}, unseen)
 }
+
+// TestMergedObjectIsOfUnknownAge guards against a version that the store has lost in a restore, and that another host
+// still has, being taken for one that was written since.
+func TestMergedObjectIsOfUnknownAge(t *testing.T) {
+	order := func(o mirror.Object) uint64 { return uint64(o.Body[0]) }
+	var one, two mirror.Set
+	var pages []mirror.Page
+	before := one.OpenOrdered("kind", order, func(mirror.Page) {})
+	after := two.OpenOrdered("kind", order, func(p mirror.Page) { pages = append(pages, p) })
+	before.Update(mirror.Page{Revision: 10, Full: true, Objects: []mirror.Object{{Name: "x", Revision: 10, Body: []byte{3}}}}, 0, time.Unix(1, 0))
+	after.Update(mirror.Page{Revision: 5, Full: true, Objects: []mirror.Object{{Name: "x", Revision: 5, Body: []byte{2}}}}, 0, time.Unix(5, 0))
+	page, err := one.EncodePage("kind", 0)
+	require.NoError(t, err)
+	merged, err := two.MergePage("kind", page)
+	require.NoError(t, err)
+	require.True(t, merged)
+	require.Len(t, pages, 2)
+	require.Zero(t, pages[1].Unseen)
+}
