residency: what a runner reports counts while a version is replaced or unknown here

Loads name the newest that is known or was reported, and a load counts as what it named. TestOwnerBehindNamesWhatWasListed. - An older version that another host had just been told is there was replaced, and the runner refused that host's request. TestKeptVersionIsNotReplaced. - A report during a replacement ended the waits for it, and other orders were sent, which the runner refuses. TestReportDuringReplacement.

--- a/stage/residency/entry.go
+++ b/stage/residency/entry.go
@@ -10,6 +10,8 @@
 	version int // at least
 	// named is the version that the order to load it named, or that the runner reported; 0 for the newest.
 	named int
+	// listed is the newest version that the runner has reported, which this host may not have learned of otherwise.
+	listed int
 	// replaces says that a Requested or Loading adapter takes the place of an older version of it.
 	replaces bool
 	// due is when a Loading adapter is expected to be resident, when an Unloading
--- a/stage/residency/manager.go
+++ b/stage/residency/manager.go
@@ -165,7 +165,7 @@
 		return "runner lost to another owner"
 	case now.Before(m.NotBefore):
 		return "not yet in turn"
-	case state == Resident && m.isOlder(k) && m.entries[k].isRunning(now):
+	case state == Resident && m.isOlder(k) && m.entries[k].inUse(now):
 		return OlderInUse
 	case state == Loading || state == Resident || state == Requested:
 		return ""
--- a/stage/residency/manager_test.go
+++ b/stage/residency/manager_test.go
@@ -136,6 +136,57 @@
 	require.Equal(t, 2, held)
 }
 
+// TestOwnerBehindNamesWhatWasListed guards against an owner that has not learned of a version which its runner has
+// reported: it ordered the one before, and took the runner for a holder of the later one.
+func TestOwnerBehindNamesWhatWasListed(t *testing.T) {
+	m := &residency.Manager{Target: "runner-0", Holder: "host-0", Fence: 7, Slots: 1, LoadTime: 250 * time.Millisecond}
+	m.SetNewest(key("a"), 2)
+	m.Next(at(0))
+	holds3 := call.ResidentModel{Model: model, Version: 1, Adapters: []call.AdapterVersion{{Model: model, Name: "a", Version: 3}}}
+	m.HandleReport(at(1), call.Report{AcceptedOrders: 5, Models: []call.ResidentModel{holds3}})
+	m.RequestLoad(at(10), key("b"))
+	require.Equal(t, call.Unload, nextOrder(t, m, 10).Kind)
+	m.HandleReply(at(11), call.Applied)
+	m.CancelLoadRequest(key("b"))
+	m.RequestLoad(at(20), key("a"))
+	o := nextOrder(t, m, 20)
+	require.Equal(t, 3, o.Version)
+	m.HandleReply(at(21), call.Applied)
+	_, held, _ := m.Lookup(key("a"))
+	require.Equal(t, o.Version, held)
+}
+
+// TestKeptVersionIsNotReplaced guards against the replacement of an older version that another host has just been told
+// is there: the runner would refuse its request.
+func TestKeptVersionIsNotReplaced(t *testing.T) {
+	m := newSynced(t, 4, "a")
+	m.SetNewest(key("a"), 2)
+	m.Keep(at(10), key("a"))
+	require.Equal(t, residency.OlderInUse, m.UnavailableReason(at(11), key("a")))
+	m.RequestLoad(at(11), key("a"))
+	requireIdle(t, m, 12)
+}
+
+// TestReportDuringReplacement guards against waits that end, and other orders that the runner refuses, because a report
+// shows the older version while the newest is loading.
+func TestReportDuringReplacement(t *testing.T) {
+	m := newSynced(t, 4, "a")
+	m.SetNewest(key("a"), 2)
+	done := m.RequestLoad(at(10), key("a"))
+	nextOrder(t, m, 10)
+	m.HandleReply(at(12), call.Accepted)
+	nextOrder(t, m, 300)
+	m.HandleReply(at(400), call.Unanswered)
+	action, _ := m.Next(at(900))
+	require.Equal(t, residency.PollReport{}, action)
+	older := call.ResidentModel{Model: model, Version: 1, Adapters: []call.AdapterVersion{{Model: model, Name: "a", Version: 1}}}
+	m.HandleReport(at(910), call.Report{AcceptedOrders: 6, Models: []call.ResidentModel{older}, Loading: []call.AdapterVersion{{Model: model, Name: "a", Version: 2}}})
+	require.False(t, closed(done))
+	require.Equal(t, residency.Loading, state(m, "a"))
+	m.RequestLoad(at(911), key("b"))
+	require.Equal(t, "a", nextOrder(t, m, 912).Adapter)
+}
+
 // TestMissOfOlderVersionIsNotLoadedAgain guards against an order that names the version that a newer
 // one has replaced.
 func TestMissOfOlderVersionIsNotLoadedAgain(t *testing.T) {
--- a/stage/residency/order.go
+++ b/stage/residency/order.go
@@ -119,7 +119,7 @@
 		return m.nextOrder(now)
 	}
 	if k.Adapter == "" || e.replaces || m.occupiedSlots() < m.Slots {
-		return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: m.newest[k]}, true
+		return call.Order{Kind: call.Load, Model: k.Model, Adapter: k.Adapter, Version: max(m.newest[k], e.listed)}, true
 	}
 	if victim, ok := m.victim(now); ok {
 		return call.Order{Kind: call.Unload, Model: victim.Model, Adapter: victim.Adapter}, true
--- a/stage/residency/reply.go
+++ b/stage/residency/reply.go
@@ -61,7 +61,10 @@
 	}
 	m.removeRequest(k)
 	e.replaces = e.replaces || e.state == Resident
-	e.version, e.named = max(e.version, m.inFlight.Version, 1), m.inFlight.Version
+	e.named = m.inFlight.Version
+	if e.version = e.named; e.named == 0 { // the newest: no older one than the runner has reported
+		e.version = max(e.listed, 1)
+	}
 	switch {
 	case reply == call.Applied:
 		m.orders--
--- a/stage/residency/report.go
+++ b/stage/residency/report.go
@@ -34,11 +34,11 @@
 	reported := make(map[Key]bool)
 	for _, model := range r.Models {
 		m.models[model.Model] = true
-		m.setResident(Key{Model: model.Model}, model.Version)
+		m.setResident(now, Key{Model: model.Model}, model.Version)
 		for _, a := range model.Adapters {
 			k := Key{Model: model.Model, Adapter: a.Name}
 			reported[k] = true
-			m.setResident(k, a.Version)
+			m.setResident(now, k, a.Version)
 		}
 	}
 	for name := range m.models {
@@ -70,15 +70,21 @@
 }
 
 // setResident records an adapter that a report shows as resident. One that is
-// being unloaded stays Unloading.
-func (m *Manager) setResident(k Key, version int) {
+// being unloaded stays Unloading, and one that is being replaced stays Loading.
+func (m *Manager) setResident(now time.Time, k Key, version int) {
 	e := m.entry(k)
-	if e.state == Unloading || e.state == Requested && e.replaces && version == e.version {
+	switch {
+	case e.state == Unloading:
+		return
+	case e.state == Requested && e.replaces && version == e.version:
+		return
+	case e.state == Loading && e.replaces && version < e.version && now.Sub(e.ordered) < maxOrderDelay/4:
 		return
 	}
 	m.removeRequest(k)
 	e.state = Resident
 	e.replaces = false
 	e.version, e.named = version, version
+	e.listed = max(e.listed, version)
 	e.endWait()
 }
--- a/stage/residency/request.go
+++ b/stage/residency/request.go
@@ -15,7 +15,7 @@
 	done := e.done
 	e.waiters++
 	switch {
-	case e.state == Resident && m.isOlder(k) && !e.isRunning(now):
+	case e.state == Resident && m.isOlder(k) && !e.inUse(now):
 		e.replaces = true
 		m.request(now, k, e)
 	case e.state == Resident:
