dispatch: a refusal proves no version, and Loaded means what is named

Only an answer of a run counts. TestRefusalProvesNoVersion. - An owner said that an adapter is loaded where an older version was, that still served; the other host named the newest, and the runner refused (421), up to six times a request. Other hosts aren't told the version, so the owner says so only of one that they would accept. TestOwnerSaysLoadedOfWhatIsNamed.

--- a/stage/dispatch/attempt.go
+++ b/stage/dispatch/attempt.go
@@ -195,7 +195,7 @@
 		t.setLoad(now, r.Load)
 		a.prefillDone(now, r)
 		if a.request.Call.Adapter != "" {
-			t.notePresent(now, a.request.key(), max(a.Version, a.Held))
+			t.notePresent(now, a.request.key(), a.served(r))
 		}
 		return
 	case Streamed:
--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -205,11 +205,15 @@
 	return d.serves(now, t, k)
 }
 
+// peerStartTime is the time within which a request of another host is taken to begin.
+const peerStartTime = time.Second
+
 // serves reports whether a runner that this host owns holds an adapter in a version that may serve
-// new requests.
+// new requests of other hosts. They aren't told which one it is, so they name the newest unless all
+// older ones will do.
 func (d *Dispatcher) serves(now time.Time, t *target, k residency.Key) bool {
 	state, held, _ := t.residency.Lookup(k)
-	return state == residency.Resident && d.versions.Accepts(now, now, k, held)
+	return state == residency.Resident && (d.isNewest(k, holding{version: held}) || d.versions.Accepts(now, now.Add(peerStartTime), k, 0))
 }
 
 // Loading reports whether a runner that this host owns is loading an adapter.
--- a/stage/dispatch/versions.go
+++ b/stage/dispatch/versions.go
@@ -77,6 +77,15 @@
 	t.presentAt[k] = presence{at: now, version: max(held, t.presentAt[k].version)}
 }
 
+// served returns the version that served a request at least, 0 if it is unknown: a target that refuses
+// a request may not have looked at its version.
+func (a *Attempt) served(h Head) int {
+	if !h.Worked {
+		return 0
+	}
+	return max(a.Version, a.Held)
+}
+
 // fixVersion sets the version that the attempt's target has to hold when the request is sent, if any
 // version that it may hold would not do. It returns false if the one that it is known to hold doesn't.
 func (a *Attempt) fixVersion(now time.Time) bool {
