direct: the start limit is looked at before the first 200 ms

A request that had waited for credit of its account when it was sent could begin up to 200 ms after its version's last start. Found by the review, by reading.

--- a/jacinthd/internal/direct/startlimit.go
+++ b/jacinthd/internal/direct/startlimit.go
@@ -24,20 +24,25 @@
 	l := &startLimit{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.timer = time.AfterFunc(startCheckInterval, func() { l.check(attempt, cancel) })
+	l.timer = time.AfterFunc(nextStartCheck(attempt), func() { l.check(attempt, cancel) })
 	return l
 }
 
+// nextStartCheck returns the time until the next check, 0 or less if the request must not begin any more.
+func nextStartCheck(attempt *dispatch.Attempt) time.Duration {
+	if last, ok := attempt.LastStart(); ok {
+		return min(startCheckInterval, time.Until(last))
+	}
+	return startCheckInterval
+}
+
 func (l *startLimit) check(attempt *dispatch.Attempt, cancel func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.done {
 		return
 	}
-	next := startCheckInterval
-	if last, ok := attempt.LastStart(); ok {
-		next = min(next, time.Until(last))
-	}
+	next := nextStartCheck(attempt)
 	if next <= 0 {
 		l.done = true
 		cancel()
