--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -235,8 +235,8 @@
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.fault > lowest+drawMargin || now.Add(c.latency).After(r.Deadline) })
 }
 
-// preferNewest drops the candidates with an older version that cost no less than one with the newest, so that
-// those are drawn for which the older versions are given up.
+// preferNewest drops the candidates with an older version of the adapter, unless they cost less than any with the
+// newest one.
 func preferNewest(all []candidate) []candidate {
 	lowest := math.Inf(1)
 	for _, c := range all {
