direct: the start limit is a watchdog

startLimit had the lock, timer, flag and stop of watchdog once more. One type serves both now. Requests without an adapter, which have no last start, set no timer.

--- a/jacinthd/internal/direct/attempt.go
+++ b/jacinthd/internal/direct/attempt.go
@@ -68,7 +68,7 @@
 func (req *callerRequest) sendTo(ctx context.Context, attempt *dispatch.Attempt) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	start := limitStart(attempt, cancel)
+	start := req.limitStart(attempt, cancel)
 	defer start.stop()
 	w := &watchdog{}
 	if timeout := req.headTimeout(attempt); timeout > 0 {
@@ -78,8 +78,8 @@
 	return req.roundTrip(ctx, attempt, w, start)
 }
 
-// A watchdog checks for another target while a request waits for the head of its
-// answer.
+// A watchdog checks whether to end an attempt while its request waits for the head of its
+// answer: for another target, or because the request must not begin any more.
 type watchdog struct {
 	mu    sync.Mutex
 	timer *time.Timer
@@ -132,7 +132,7 @@
 }
 
 // roundTrip sends the request and waits for the head of the answer.
-func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w *watchdog, start *startLimit) outcome {
+func (req *callerRequest) roundTrip(ctx context.Context, attempt *dispatch.Attempt, w, start *watchdog) outcome {
 	remaining := time.Until(req.deadline)
 	send := call.ForwardParams{Target: attempt.Target.Name, Priority: req.priority(), Accounts: req.accounts, Account: req.account.Name, Version: attempt.Version, LastEventID: req.events.last}
 	if req.call.Budget > 0 {
--- a/jacinthd/internal/direct/startlimit.go
+++ b/jacinthd/internal/direct/startlimit.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"sync"
 	"time"
 
 	"jacinthstage/stage/dispatch"
@@ -11,21 +10,14 @@
 // may still begin there: a newer version may have been published meanwhile.
 const startCheckInterval = 200 * time.Millisecond
 
-// A startLimit ends an attempt that has waited at its target until the version of the adapter there
-// may serve no more, because a newer one was published too long ago.
-type startLimit struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	done  bool
-}
-
-// limitStart checks an attempt from now on. It calls cancel if the request must not begin any more.
-func limitStart(attempt *dispatch.Attempt, cancel func()) *startLimit {
-	l := &startLimit{}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.timer = time.AfterFunc(nextStartCheck(attempt), func() { l.check(attempt, cancel) })
-	return l
+// limitStart returns a watchdog that calls cancel once the request must not begin at its target any
+// more, because a newer version of its adapter was published too long ago.
+func (req *callerRequest) limitStart(attempt *dispatch.Attempt, cancel func()) *watchdog {
+	w := &watchdog{}
+	if req.call.Adapter != "" {
+		w.start(nextStartCheck(attempt), func() { checkStart(w, attempt, cancel) })
+	}
+	return w
 }
 
 // nextStartCheck returns the time until the next check, 0 or less if the request must not begin any more.
@@ -36,27 +28,19 @@
 	return startCheckInterval
 }
 
-func (l *startLimit) check(attempt *dispatch.Attempt, cancel func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.done {
+// checkStart cancels the attempt if the request must not begin any more. Otherwise checkStart runs again
+// later.
+func checkStart(w *watchdog, attempt *dispatch.Attempt, cancel func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
 		return
 	}
 	next := nextStartCheck(attempt)
-	if next <= 0 {
-		l.done = true
-		cancel()
+	if next > 0 {
+		w.timer.Reset(next)
 		return
 	}
-	l.timer.Reset(next)
-}
-
-// stop ends the checks, once the request has begun. It returns false if the attempt was ended before.
-func (l *startLimit) stop() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.timer.Stop()
-	running := !l.done
-	l.done = true
-	return running
+	w.done = true
+	cancel()
 }
