--- a/stage/mirror/mirror.go
+++ b/stage/mirror/mirror.go
@@ -98,7 +98,7 @@
 	case p.Revision < c.revision:
 		return true
 	}
-	p.Unseen = later(p.Unseen, c.currentAt)
+	p.Unseen = c.currentAt
 	c.confirm(asOf, fromPeer)
 	switch {
 	case p.Full:
@@ -123,13 +123,6 @@
 	return true
 }
 
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
-
 // confirm records that the copy was the newest state at asOf.
 func (c *Copy) confirm(asOf time.Time, fromPeer bool) {
 	if asOf.After(c.currentAt) {
