dispatch: what a target holds is looked up once for each attempt

newAttempt looked up again what the evaluation of the candidate had found. isNewest takes the version; two of three callers made a holding for it.

--- a/stage/dispatch/ownership.go
+++ b/stage/dispatch/ownership.go
@@ -213,7 +213,7 @@
 // older ones will do.
 func (d *Dispatcher) serves(now time.Time, t *target, k residency.Key) bool {
 	state, held, _ := t.residency.Lookup(k)
-	return state == residency.Resident && (d.isNewest(k, holding{version: held}) || d.versions.Accepts(now, now.Add(peerStartTime), k, 0))
+	return state == residency.Resident && (d.isNewest(k, held) || d.versions.Accepts(now, now.Add(peerStartTime), k, 0))
 }
 
 // Loading reports whether a runner that this host owns is loading an adapter.
--- a/stage/dispatch/pick.go
+++ b/stage/dispatch/pick.go
@@ -130,6 +130,7 @@
 	pause    float64       // part of cost: late pauses in streams
 	latency  time.Duration // expected time to the first byte
 	load     bool          // the adapter has to be loaded first
+	held     int           // version of the adapter that the target is known to hold, 0 if that is unknown or load is set
 	older    bool          // the target holds an older version of the adapter, which will still do
 	slotWait time.Duration // wait for an adapter slot if load is set
 	refusal  Refuse        // of the admission
@@ -330,10 +331,11 @@
 func (d *Dispatcher) evaluateAdapter(now time.Time, c *candidate, k residency.Key, rank func(*target) int) bool {
 	h := d.holding(now, c.target, k)
 	switch {
-	case h.present && d.isNewest(k, h):
+	case h.present && d.isNewest(k, h.version):
+		c.held = h.version
 		return true
 	case h.present && d.versions.Accepts(now, now.Add(startFactor*c.latency), k, h.version):
-		c.older = true
+		c.held, c.older = h.version, true
 		c.cost += olderCost
 		return true
 	}
@@ -435,7 +437,7 @@
 		return attempt
 	}
 	if !c.load {
-		attempt.Held = d.holding(now, t, r.key()).version
+		attempt.Held = c.held
 		attempt.beginUse(now)
 	}
 	attempt.fixVersion(now)
--- a/stage/dispatch/versions.go
+++ b/stage/dispatch/versions.go
@@ -43,8 +43,8 @@
 
 // isNewest reports whether no version of an adapter is known that is newer than the one that a
 // target holds. An unknown version counts as the newest: the target is told which one to run.
-func (d *Dispatcher) isNewest(k residency.Key, h holding) bool {
-	return h.version == 0 || h.version >= d.versions.Newest(k).Version
+func (d *Dispatcher) isNewest(k residency.Key, held int) bool {
+	return held == 0 || held >= d.versions.Newest(k).Version
 }
 
 // holding returns what is known of a model or adapter on a target.
@@ -96,7 +96,7 @@
 	}
 	d := a.dispatcher
 	begin := now.Add(startFactor * a.Expected)
-	if !d.isNewest(k, holding{version: a.Held}) {
+	if !d.isNewest(k, a.Held) {
 		return d.versions.Accepts(now, begin, k, a.Held)
 	}
 	if !d.versions.Accepts(now, begin, k, 0) {
