--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -24,23 +24,37 @@
 	log                        *record
 	born                       int64
 	running                    atomic.Int32
+	ended                      atomic.Bool
+	server                     *http.Server
 }
 
 func startEngine(s *store, log *record, name, build, zone string) *engine {
+	return startEngineAt(s, log, name, build, zone, "127.0.0.1:0")
+}
+
+func startEngineAt(s *store, log *record, name, build, zone, address string) *engine {
 	e := &engine{name: name, build: build, zone: zone, store: s, log: log, born: time.Now().UnixMilli()}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		fail("engine", err)
 	}
 	e.address = l.Addr().String()
-	go func() { _ = (&http.Server{Handler: e}).Serve(l) }()
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(l) }()
 	go e.register()
 	return e
 }
 
+// crash ends the engine at once.
+func (e *engine) crash() {
+	e.ended.Store(true)
+	_ = e.server.Close()
+	e.log.add("engine %s of %s crashes", e.name, e.build)
+}
+
 // register writes the entry of the engine once each heartbeat.
 func (e *engine) register() {
-	for before := false; ; {
+	for before := false; !e.ended.Load(); {
 		entry := map[string]any{
 			"service": "drafts", "address": e.address, "zone": e.zone, "version": e.build, "slots": batchSlots, "state": "ready", "seq": 0, "born": e.born, "stage": "mixed",
 			"models": e.models(), "heard": time.Now().UnixMilli(),
