--- a/review/standin-2/inplace.go
+++ b/review/standin-2/inplace.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,10 @@
 		}
 	}()
 	time.Sleep(lossAt)
+	suffix := ""
+	if os.Getenv("NEWID") == "1" { // the engines come back under other ids, which shows the cause
+		suffix = "b"
+	}
 	for i := range waves {
 		crashed := engines[i*perWave : (i+1)*perWave]
 		if a.trouble {
@@ -64,7 +69,7 @@
 		time.Sleep(downTime)
 		if a.trouble {
 			for _, e := range crashed {
-				startEngineAt(s, a.log, e.name, "v2", e.zone, e.address)
+				startEngineAt(s, a.log, e.name+suffix, "v2", e.zone, e.address)
 			}
 		}
 		time.Sleep(crashGap)
