--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,7 @@
 }
 
 // cases are the cases by their names. Each reports whether the rule was broken.
-var cases = map[string]func(arena) bool{"joined": playJoined, "inplace": playInPlace}
+var cases = map[string]func(arena) bool{"joined": playJoined, "inplace": playInPlace, "leaving": playLeaving}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -170,6 +172,39 @@
 	}
 }
 
+// A gate is the store as one host meets it, which may be turned away.
+type gate struct {
+	store  *store
+	server *httptest.Server
+	closed atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.store.ServeHTTP(w, r)
+}
+
+// close turns the host away, whose waiting watches are cut off.
+func (g *gate) close() {
+	g.closed.Store(true)
+	g.server.CloseClientConnections()
+}
+
+// remove removes an object as the platform does.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	s.revision++
+	delete(s.objects[kind], name)
+	o.Metadata.Revision = s.revision
+	s.record(event{kind: kind, Object: o, Tombstone: true})
+}
+
 // nameEra names the era, which has a name once the store has come back from a copy.
 func (s *store) nameEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.Itoa(s.era)) }
 
