outbound: a body ends with its connection only after the request was read

Seen by callers: a runner answered a long upload at once with a 200 without a length or chunks, sent part of its body and reset the connection while the upload was written. The caller got the part as a complete answer (MIXED). Cause: the system reports a reset once, to the goroutine that calls first. If that is the one that writes the request, the one that reads the response finds an ordinary end, and the check that the target's process has outlived its connection (outlives) rightly says that it runs. Fix: such an end counts only if the request was written without an error, the connection wasn't reset, and the target's system had acknowledged all of the request (SO_ERROR, TCP_INFO). The result of the write is awaited before the end is reported, as long as the target may take to show that it runs. A target that has read its request has acknowledged it, so no whole answer is refused (TestReadUploadMayEnd); bodies with a length or chunks that are whole still count when the write fails beside them (TestWholeBodyBesideUpload). Ruled out: outlives and its probes (they read TCP_INFO only, which takes no error from a socket); package net/http's reader of bodies.

--- a/jacinthd/internal/outbound/ending.go
+++ b/jacinthd/internal/outbound/ending.go
@@ -23,6 +23,11 @@
 //     connection would have been sent again.
 //
 // Without either the response has been cut off, whatever the target has said of itself.
+//
+// A reset is no end either, although a process that runs may send one. The system reports a reset
+// once, to the goroutine that calls first: if that is the one that writes the request, the one that
+// reads the response finds an ordinary end. Such a response is therefore complete only if the request
+// was written without an error, and all of it had been acknowledged when the connection ended.
 
 const (
 	// outliveTimeout is how long a target may take to show that it runs: on Linux a lost end of
@@ -39,6 +44,10 @@
 // seen to run since.
 var ErrCutOff = errors.New("body may be cut off, its target has ended with it")
 
+// ErrUnread means that a response ended with its connection before its target had got the whole
+// request.
+var ErrUnread = errors.New("body may be cut off, its connection ended before the request was read")
+
 // outlives reports whether the process at address still runs.
 func (p *Pool) outlives(ctx context.Context, address netip.AddrPort) bool {
 	waiting, cancel := context.WithTimeout(ctx, outliveTimeout)
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -22,10 +22,11 @@
 	pool      *Pool
 	address   netip.AddrPort
 	conn      *poolConn
-	written   chan error  // result of writing the request
-	stopWatch func() bool // stops closing the connection at the end of the context
-	complete  bool        // the body was read to its end
-	end       error       // result of all further reads, if not nil
+	written   chan struct{} // closed when the request has been written, or writing it has failed
+	writeErr  error         // of writing the request; read it only after written is closed
+	stopWatch func() bool   // stops closing the connection at the end of the context
+	complete  bool          // the body was read to its end
+	end       error         // result of all further reads, if not nil
 }
 
 // readResponse reads responses until one belongs to the request.
@@ -77,8 +78,8 @@
 }
 
 // Read reads the response body. It returns io.EOF only after a complete body: one that
-// ends with its connection is complete if the target's process has outlived it, and
-// fails with ErrCutOff otherwise.
+// ends with its connection is complete if the target has got the whole request and its
+// process has outlived the connection. It fails with ErrUnread or ErrCutOff otherwise.
 func (x *Exchange) Read(p []byte) (int, error) {
 	if x.end != nil {
 		return 0, x.end
@@ -94,8 +95,13 @@
 
 // ended returns the error with which the end of the body is reported.
 func (x *Exchange) ended() error {
-	if x.endsWithConnection() && !x.pool.outlives(x.ctx, x.address) {
-		return ErrCutOff
+	if x.endsWithConnection() {
+		if !x.requestWritten(outliveTimeout) || !hasDelivered(x.conn.Conn) {
+			return ErrUnread
+		}
+		if !x.pool.outlives(x.ctx, x.address) {
+			return ErrCutOff
+		}
 	}
 	x.complete = true
 	return io.EOF
@@ -114,7 +120,7 @@
 		x.discard()
 		return
 	}
-	if !x.requestWritten() || !x.stopWatch() {
+	if !x.requestWritten(writeGrace) || !x.stopWatch() {
 		x.discard()
 		return
 	}
@@ -126,15 +132,22 @@
 	x.pool.put(x.address, x.conn, idleTimeout(x.Response.Header))
 }
 
-// requestWritten reports whether the request was written completely. It waits
-// for up to writeGrace, because the response may arrive shortly before the
-// writing goroutine has returned.
-func (x *Exchange) requestWritten() bool {
-	timer := time.NewTimer(writeGrace)
+// write writes the request.
+func (x *Exchange) write(r Request, request *http.Request) {
+	x.writeErr = r.write(x.conn, request)
+	close(x.written)
+}
+
+// requestWritten reports whether the request was written completely. It waits for a time, because
+// the response may arrive shortly before the writing goroutine has returned.
+func (x *Exchange) requestWritten(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case err := <-x.written:
-		return err == nil
+	case <-x.written:
+		return x.writeErr == nil
+	case <-x.ctx.Done():
+		return false
 	case <-timer.C:
 		return false
 	}
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -10,8 +10,8 @@
 // and its response was read completely, with no bytes left over. A response
 // therefore never reaches a request that it doesn't belong to.
 //
-// A response that ends with its connection is complete only if its target has outlived it
-// (ending.go).
+// A response that ends with its connection is complete only if its target has got the whole request
+// and has outlived the connection (ending.go).
 //
 // A failure is an *Error, which says whether the target may have received the
 // request.
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, DialFailed: true, Cause: errors.Wrap(err, "connect")}
 	}
-	x := &Exchange{ctx: ctx, pool: p, address: address, conn: c, written: make(chan error, 1), First: !c.used}
+	x := &Exchange{ctx: ctx, pool: p, address: address, conn: c, written: make(chan struct{}), First: !c.used}
 	c.noteCarried(time.Now(), r.ID)
 	if p.Watcher != nil {
 		p.Watcher.Sent()
@@ -124,7 +124,7 @@
 		x.discard()
 		return nil, &Error{Verdict: verdict.NotRun, Cause: err}
 	}
-	go func() { x.written <- r.write(c, request) }()
+	go x.write(r, request)
 	if err := x.readResponse(request, filter); err != nil {
 		x.discard()
 		if !c.source.heard && errors.Is(err, syscall.ECONNRESET) {
--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -106,6 +106,25 @@
 	return lost
 }
 
+// hasDelivered reports whether the remote side has acknowledged all that was written to a
+// connection, and hasn't reset it. It returns true if the system doesn't tell.
+func hasDelivered(conn net.Conn) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return true
+	}
+	delivered := true
+	_ = raw.Control(func(fd uintptr) {
+		if reset, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && reset != 0 {
+			delivered = false
+			return
+		}
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		delivered = err != nil || info.Unacked == 0 && info.Notsent_bytes == 0
+	})
+	return delivered
+}
+
 // isEstablished reports whether a connection is open and the remote side hasn't ended it,
 // also while another goroutine reads from it.
 func isEstablished(conn net.Conn) bool {
