answer: a status line that no answer has is a broken answer

Here 000, 020, 099 and +20 ended the caller's connection without any answer (panic: invalid WriteHeader code) and gave 502 with the text "peer: the link failed" through another host; 600 and 999, HTTP/0.9 and HTTP/2.0 in a status line, two blanks before the status and control bytes in its text were passed on as they came. Cause: package net/http takes any three characters that Atoi takes for a status, and any version, and nothing behind it checked them. Fix: package answer says which heads are usable. outbound.Pool, which reads all answers of targets for serve (requests of callers, orders, reports, requests of other hosts), asks it about the bytes that net/http has parsed. A head that isn't usable is a broken answer: mayhaverun, sent again only where it may run twice. 101 is no interim answer, since no host asks for another protocol. A host that gets an answer through another one checks the status too: one of an earlier build passes on any from 200. Evidence: on the code before, TestBrokenHeads failed in 10 of 17 cases at once and in 6 of 17 through another host; TestBrokenStatusFromEarlierBuild with 600 and 999. Already handled, and kept in the test: -20, 2000, 20, HTTP/1.1 alone, http/1.1, a tab, 101 (skipped, and then the connection ended).

--- /dev/null
+++ b/jacinthd/internal/answer/answer.go
@@ -0,0 +1,62 @@
+// Package answer decides which heads of HTTP/1 answers are usable. Everything that reads answers of
+// targets asks it, since package net/http is more lenient than a host may be: a target in trouble
+// sends heads that mean something else to the next reader, or that can't be passed on at all.
+//
+// A usable head is as RFC 9112 wants it, with two liberties that sound targets take: its lines may end
+// with a line feed alone, and the reason phrase may be missing with the blank before it. Everything
+// else is a broken answer, to a request that may have run.
+package answer
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+const (
+	// minFinalStatus and maxStatus limit the status of a final answer.
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// A BrokenError says why an answer's head isn't usable.
+type BrokenError struct{ reason string }
+
+// Error returns the reason.
+func (e *BrokenError) Error() string { return "broken answer: " + e.reason }
+
+// broken returns a *BrokenError. What it quotes of an answer is cut to maxQuoted.
+func broken(format string, quoted []byte) error {
+	return &BrokenError{fmt.Sprintf(format, quoted[:min(len(quoted), maxQuoted)])}
+}
+
+// maxQuoted is the largest part of an answer that an error repeats, in bytes.
+const maxQuoted = 40
+
+// CheckFinal returns an error if status isn't that of a final answer. Others than 200 to 599 have no
+// meaning, and package net/http panics when it writes one below 100.
+func CheckFinal(status int) error {
+	if status < minFinalStatus || status > maxStatus {
+		return &BrokenError{fmt.Sprintf("status %03d", status)}
+	}
+	return nil
+}
+
+// IsInterim reports whether another answer follows one of this status. None follows 101 (Switching
+// Protocols), which no host asks for.
+func IsInterim(status int) bool {
+	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
+}
+
+// CheckHead returns an error if an answer's head, from the status line to the empty line, isn't
+// usable.
+func CheckHead(head []byte) error {
+	line, _ := cutLine(head)
+	return checkStatusLine(line)
+}
+
+// cutLine returns the first line of a head, without its end, and the lines behind it.
+func cutLine(head []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(head, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
--- a/jacinthd/internal/direct/brokenanswer_test.go
+++ b/jacinthd/internal/direct/brokenanswer_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/stage/catalog"
 )
 
@@ -74,3 +76,82 @@
 		}
 	}
 }
+
+// A rawAnswer is an answer as its target sends it. %s stands for the request's id.
+type rawAnswer struct{ name, text string }
+
+// signedHead is the part of an answer's head that makes it an answer to its request.
+const signedHead = "Signed: s\r\nId: %s\r\n"
+
+// statusAnswers are answers whose status line is none of HTTP/1.1, or names a status that no final
+// answer has.
+func statusAnswers() []rawAnswer {
+	var all []rawAnswer
+	for _, line := range []string{
+		"HTTP/1.1 000 Unknown", "HTTP/1.1 020 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 099 OK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1  200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200 \x01", "HTTP/1.1",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.1\t200 OK",
+	} {
+		all = append(all, rawAnswer{line, line + "\r\n" + signedHead + "Content-Length: 6\r\n\r\nbroken"})
+	}
+	return all
+}
+
+// TestBrokenHeads guards against an answer with a head that no sound target sends. It reached the
+// caller, or ended its connection without any answer. The request may have run: it is sent again
+// only where it may run twice.
+func TestBrokenHeads(t *testing.T) {
+	for _, broken := range statusAnswers() {
+		for _, indirect := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, through another host %v", broken.name, indirect), func(t *testing.T) {
+				t.Parallel()
+				testBrokenHead(t, broken.text, indirect)
+			})
+		}
+	}
+}
+
+func testBrokenHead(t *testing.T, text string, indirect bool) {
+	s := newSystem(t, indirect, 2, func(w http.ResponseWriter, r *http.Request, count int) {
+		if count == 2 || count > 4 {
+			succeed(w, "whole")
+			return
+		}
+		sendRaw(t, w, fmt.Sprintf(text, r.Header.Get("Id")))
+	})
+	for _, c := range []struct {
+		path   string
+		status int
+	}{
+		{"/read/", http.StatusOK}, {"/once/", http.StatusBadGateway}, {"/stream/", http.StatusBadGateway}, {"/once/", http.StatusOK},
+	} {
+		response, got, err := s.sendWithin(t, waitTimeout, http.MethodPost, c.path, "body")
+		require.NoError(t, err, c.path)
+		require.Equal(t, c.status, response.StatusCode, "%s: %s", c.path, got)
+		if c.status == http.StatusOK {
+			require.Equal(t, "whole", got, c.path)
+		}
+	}
+}
+
+// An earlierProxy is that of a host whose build passes on any status from 200.
+type earlierProxy struct{ status int }
+
+// Serve implements peers.Proxy.
+func (p earlierProxy) Serve(_ context.Context, _ string, m peer.ProxyRequest, stream *peer.Stream) {
+	_ = stream.Send(peer.ProxyHead{Status: p.status, Header: fmt.Appendf(nil, signedHead, m.ID), First: true}, peer.ProxyData{Data: []byte("broken")}, peer.ProxyEnd{})
+}
+
+// TestBrokenStatusFromEarlierBuild guards against a status that no answer has, from a host of a build
+// that passes it on.
+func TestBrokenStatusFromEarlierBuild(t *testing.T) {
+	for status, want := range map[int]int{200: 200, 599: 599, 600: http.StatusBadGateway, 999: http.StatusBadGateway} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			hosts := startHostsWith(t, 2, func(_ int, h *testHost) { h.peers.Proxy = earlierProxy{status} })
+			s := cutFirst(t, hosts, 1, func(http.ResponseWriter, *http.Request, int) {})
+			response, _, err := s.sendWithin(t, waitTimeout, http.MethodPost, "/once/", "body")
+			require.NoError(t, err)
+			require.Equal(t, want, response.StatusCode)
+		})
+	}
+}
--- a/jacinthd/internal/outbound/conn.go
+++ b/jacinthd/internal/outbound/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"jacinthstage/jacinthd/internal/answer"
 )
 
 // A poolConn is one connection of a Pool.
@@ -40,15 +42,24 @@
 	return c.Conn.Close()
 }
 
-// readHead reads the status line and the header of a response.
+// readHead reads the status line and the header of a response. Package net/http parses them, and
+// package answer checks the bytes that it has parsed.
 func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
-	c.source.remaining, c.source.inHead, c.source.lines = maxHeadBytes, true, 0
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.source.remaining, c.source.inHead, c.source.lines, c.source.head = maxHeadBytes, true, 0, bytes.Clone(buffered)
 	response, err := http.ReadResponse(c.reader, request)
-	c.source.remaining, c.source.inHead = math.MaxInt64, false
-	if err == nil && headerLines(response.Header) > maxHeadLines {
+	head := c.source.head[:len(c.source.head)-c.reader.Buffered()]
+	c.source.remaining, c.source.inHead, c.source.head = math.MaxInt64, false, nil
+	switch {
+	case err != nil:
+		return nil, shorten(err)
+	case headerLines(response.Header) > maxHeadLines:
 		return nil, errTooManyLines
 	}
-	return response, shorten(err)
+	if err := answer.CheckHead(head); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // errTooManyLines means that a header has too many lines.
@@ -70,6 +81,7 @@
 	address   netip.AddrPort
 	watcher   Watcher // may be nil
 	inHead    bool    // a header is being read
+	head      []byte  // what was read while inHead, and was buffered before
 	lines     int     // of the header
 	heard     bool    // bytes have arrived
 	inBody    bool    // fails once the connection is lost, before the system does
@@ -86,6 +98,7 @@
 	n, err := r.readConn(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
 	if r.inHead {
+		r.head = append(r.head, p[:n]...)
 		// More is read only if the header hasn't ended, so that only the last read holds other lines.
 		r.lines += bytes.Count(p[:n], []byte("\n"))
 	}
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthstage/jacinthd/internal/answer"
 )
 
 // An Exchange is a request whose response header has been read. The caller must
@@ -36,7 +38,7 @@
 		if err != nil {
 			return errors.Wrap(err, "answer")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if answer.IsInterim(response.StatusCode) {
 			continue
 		}
 		if filter == nil || filter(response.Header) {
--- a/jacinthd/internal/proxy/client.go
+++ b/jacinthd/internal/proxy/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"jacinthstage/jacinthd/internal/answer"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/internal/peers"
@@ -192,6 +193,10 @@
 }
 
 func newProxyExchange(proxy string, stream *peer.Stream, head peer.ProxyHead) (*proxyExchange, error) {
+	// A host of an earlier build passes on any status from 200.
+	if err := answer.CheckFinal(head.Status); err != nil {
+		return nil, err
+	}
 	header, err := parseHeader(head.Header)
 	if err != nil {
 		return nil, err
