answer: a line of the head that names no field makes a broken answer

Seen by callers (a report of other operators): a runner in trouble sent an answer in whose head the name of a field held a blank. Here "Content-Length : 6" counted as a field of another name: the body was taken up to the close (brokenmore in place of broken); "Transfer-Encoding : chunked" gave the caller the sizes of the chunks as part of the body; "X Y: 4" was taken and left out of the answer. Cause: package net/http takes a blank in a name. Fix: package answer takes names of RFC 9110 only, and no control bytes in values; a line that begins with a blank (a fold) hides a field from one reader that the next one sees and counts as broken (RFC 9112, 5.2, lets a reader refuse it). A head without its empty line isn't usable either: net/http sees that already, so that nothing depends on it. Already handled, and kept in the test: control bytes, tab, DEL, NUL, CR, ESC, non-ASCII bytes and separators in a name, an empty name, no colon, a blank before the first name, control bytes in a value.

--- a/jacinthd/internal/answer/answer.go
+++ b/jacinthd/internal/answer/answer.go
@@ -51,12 +51,25 @@
 // CheckHead returns an error if an answer's head, from the status line to the empty line, isn't
 // usable.
 func CheckHead(head []byte) error {
-	line, _ := cutLine(head)
-	return checkStatusLine(line)
+	line, rest, ended := cutLine(head)
+	if err := checkStatusLine(line); err != nil {
+		return err
+	}
+	for ended {
+		line, rest, ended = cutLine(rest)
+		if len(line) == 0 && ended {
+			return nil
+		}
+		if err := checkField(line); err != nil {
+			return err
+		}
+	}
+	return broken("head that stops in %q", line)
 }
 
-// cutLine returns the first line of a head, without its end, and the lines behind it.
-func cutLine(head []byte) (line, rest []byte) {
-	line, rest, _ = bytes.Cut(head, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest
+// cutLine returns the first line of a head, without its end, the lines behind it, and whether the
+// line has an end.
+func cutLine(head []byte) (line, rest []byte, ended bool) {
+	line, rest, ended = bytes.Cut(head, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest, ended
 }
--- a/jacinthd/internal/answer/answer_test.go
+++ b/jacinthd/internal/answer/answer_test.go
@@ -30,3 +30,26 @@
 		require.Equal(t, status >= 100 && status <= 199 && status != 101, answer.IsInterim(status), status)
 	}
 }
+
+func TestFields(t *testing.T) {
+	for line, usable := range map[string]bool{
+		"X-Field: a": true, "X-Field:a": true, "X-Field:": true, "X-Field: \ta \xe9 ": true, "!#$%&'*+-.^_`|~09azAZ: a": true,
+		"X-Field : a": false, "X Field: a": false, " X-Field: a": false, "\tX-Field: a": false, " a": false, ": a": false, "X-Field": false,
+		"X\tField: a": false, "X\x01: a": false, "X\x7f: a": false, "X\xe9: a": false, "X(a): a": false, "X\x00: a": false, "X\r: a": false,
+		"X: \x00": false, "X: \x01": false, "X: \x7f": false, "X: a\rb": false,
+	} {
+		for _, head := range []string{"HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n", "HTTP/1.1 200 OK\n" + line + "\nA: b\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\n"} {
+			err := answer.CheckHead([]byte(head))
+			require.Equal(t, usable, err == nil, "%q: %v", head, err)
+		}
+	}
+}
+
+// TestHeadThatStops checks each beginning of a head.
+func TestHeadThatStops(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Field:\r\n\r\n"
+	require.NoError(t, answer.CheckHead([]byte(whole)))
+	for n := range len(whole) {
+		require.Error(t, answer.CheckHead([]byte(whole[:n])), "%q", whole[:n])
+	}
+}
--- a/jacinthd/internal/direct/brokenanswer_test.go
+++ b/jacinthd/internal/direct/brokenanswer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -97,11 +98,28 @@
 	return all
 }
 
+// nameAnswers are answers with a line in their head that doesn't name a field.
+func nameAnswers() []rawAnswer {
+	chunked := "6\r\nbroken\r\n0\r\n\r\n"
+	all := []rawAnswer{
+		{"Content-Length : 6", "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Length : 6\r\n\r\nbrokenmore"},
+		{"Transfer-Encoding : chunked", "HTTP/1.1 200 OK\r\n" + signedHead + "Transfer-Encoding : chunked\r\n\r\n" + chunked},
+	}
+	for _, line := range []string{
+		"X Y: 4", "X-Field : 4", "X\x01Y: 4", "X\tY: 4", "X\x7fY: 4", "X\x00Y: 4", "X\rY: 4", "X\xe9Y: 4", "X(Y): 4", "X@Y: 4", "X\x1bY: 4",
+		": 4", "X-Field", " X-Field: 4", "\tX-Field: 4", "X: \x01", "X: \x00", "X: a\rb", "X: \x7f",
+	} {
+		all = append(all, rawAnswer{line, "HTTP/1.1 200 OK\r\n" + signedHead + line + "\r\nContent-Length: 6\r\n\r\nbroken"})
+		all = append(all, rawAnswer{line + ", in the first line", "HTTP/1.1 200 OK\r\n" + line + "\r\n" + signedHead + "Content-Length: 6\r\n\r\nbroken"})
+	}
+	return all
+}
+
 // TestBrokenHeads guards against an answer with a head that no sound target sends. It reached the
 // caller, or ended its connection without any answer. The request may have run: it is sent again
 // only where it may run twice.
 func TestBrokenHeads(t *testing.T) {
-	for _, broken := range statusAnswers() {
+	for _, broken := range slices.Concat(statusAnswers(), nameAnswers()) {
 		for _, indirect := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q, through another host %v", broken.name, indirect), func(t *testing.T) {
 				t.Parallel()
