answer: a head that gives its body two ends makes a broken answer

An answer with both a length and chunks was passed on by its chunks. Cause: package net/http leaves out the Transfer-Encoding of HTTP/1.0, and the length where there are chunks. RFC 9112 calls the first faulty (6.1) and wants the second handled as an error (6.3): another reader finds another end. Fix: package answer refuses both.

--- a/jacinthd/internal/answer/answer.go
+++ b/jacinthd/internal/answer/answer.go
@@ -55,14 +55,16 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
+	body := framing{http10: bytes.HasPrefix(line, []byte("HTTP/1.0"))}
 	for ended {
 		line, rest, ended = cutLine(rest)
 		if len(line) == 0 && ended {
-			return nil
+			return body.check()
 		}
 		if err := checkField(line); err != nil {
 			return err
 		}
+		body.add(line)
 	}
 	return broken("head that stops in %q", line)
 }
--- a/jacinthd/internal/answer/answer_test.go
+++ b/jacinthd/internal/answer/answer_test.go
@@ -53,3 +53,13 @@
 		require.Error(t, answer.CheckHead([]byte(whole[:n])), "%q", whole[:n])
 	}
 }
+
+func TestFraming(t *testing.T) {
+	for head, usable := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n": true, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n": true, "HTTP/1.0 200 OK\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n": true, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n": false,
+		"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nTRANSFER-ENCODING: chunked\r\n\r\n": false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\nContent-Length: 4\r\n\r\n": false,
+	} {
+		require.Equal(t, usable, answer.CheckHead([]byte(head)) == nil, "%q", head)
+	}
+}
--- a/jacinthd/internal/direct/brokenanswer_test.go
+++ b/jacinthd/internal/direct/brokenanswer_test.go
@@ -115,11 +115,31 @@
 	return all
 }
 
+// framingAnswers are answers whose head says more than one thing of the end of the body, or nothing
+// that is known.
+func framingAnswers() []rawAnswer {
+	chunked := "6\r\nbroken\r\n0\r\n\r\n"
+	all := []rawAnswer{{"HTTP/1.0 and chunks", "HTTP/1.0 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunked}}
+	for _, fields := range []string{
+		"Content-Length: 6\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 16", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding:", "Transfer-Encoding: chunked;q=1",
+	} {
+		all = append(all, rawAnswer{fields, "HTTP/1.1 200 OK\r\n" + signedHead + fields + "\r\n\r\n" + chunked})
+	}
+	for _, fields := range []string{
+		"Content-Length: 6\r\nContent-Length: 4", "Content-Length: 6, 4", "Content-Length: 6, 6", "Content-Length: +6", "Content-Length: -6", "Content-Length: 0x6", "Content-Length: 6 6",
+		"Content-Length:", "Content-Length: 18446744073709551622", "X: y\r\n Content-Length: 6",
+	} {
+		all = append(all, rawAnswer{fields, "HTTP/1.1 200 OK\r\n" + signedHead + fields + "\r\n\r\nbroken"})
+	}
+	return all
+}
+
 // TestBrokenHeads guards against an answer with a head that no sound target sends. It reached the
 // caller, or ended its connection without any answer. The request may have run: it is sent again
 // only where it may run twice.
 func TestBrokenHeads(t *testing.T) {
-	for _, broken := range slices.Concat(statusAnswers(), nameAnswers()) {
+	for _, broken := range slices.Concat(statusAnswers(), nameAnswers(), framingAnswers()) {
 		for _, indirect := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q, through another host %v", broken.name, indirect), func(t *testing.T) {
 				t.Parallel()
