plain: answers of plain services are read as all others are

Seen by callers of jacinthd run: an answer with a broken head (status 000, 600, 101; a blank in a name; HTTP/1.0 with chunks; HTTP/2.0) was passed on and recorded as the outcome of a call that may run once, or, for a status below 100, each caller that asked for that outcome lost its connection (panic: invalid WriteHeader code). Part of an answer without a length was recorded and passed on as the whole one where its target reset the connection beside a long upload, or ended. Cause: plain read answers through package net/http's client, which believes them; what outbound checks of a head and of an end didn't hold there. Fix: plain sends through outbound.Pool. A call that may run once still has a new connection (Request.NewConnection). Handler.Run closes idle connections that have expired. Already handled, and kept in the test: heads that stop after any byte, closed or reset (TestHeadThatStops); control bytes, no colon, folded and empty names.

--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -99,6 +99,8 @@
 	Header     http.Header
 	Body       []byte
 	AtMostOnce bool // the request must not be sent twice
+	// NewConnection means that the request is the first one on its connection.
+	NewConnection bool
 }
 
 // A ResponseFilter reports whether a response with the given header belongs to
--- a/jacinthd/internal/outbound/pool.go
+++ b/jacinthd/internal/outbound/pool.go
@@ -71,11 +71,13 @@
 	return defaultIdleTimeout
 }
 
-// get returns an idle connection if there is a usable one, and otherwise opens
-// a new one.
+// get returns an idle connection if there is a usable one that the request may use, and otherwise
+// opens a new one.
 func (p *Pool) get(ctx context.Context, address netip.AddrPort, r Request) (*poolConn, error) {
-	if c := p.takeIdle(address, r); c != nil {
-		return c, nil
+	if !r.NewConnection {
+		if c := p.takeIdle(address, r); c != nil {
+			return c, nil
+		}
 	}
 	return p.dial(ctx, address)
 }
--- a/jacinthd/internal/plain/idempotent.go
+++ b/jacinthd/internal/plain/idempotent.go
@@ -19,7 +19,7 @@
 		if i > 0 && !c.takeRetry() {
 			break
 		}
-		ex, err := c.send(ctx, c.h.pooledClient, t)
+		ex, err := c.send(ctx, anyConnection, t)
 		if err == nil {
 			c.countSuccess()
 			defer ex.close()
--- a/jacinthd/internal/plain/once.go
+++ b/jacinthd/internal/plain/once.go
@@ -124,7 +124,7 @@
 // the answer's body than can be recorded.
 func (s *onceCall) sendTo(ctx context.Context, index int) ledger.Event {
 	t := s.targets[index]
-	ex, err := s.send(ctx, s.h.singleUseClient, t)
+	ex, err := s.send(ctx, newConnection, t)
 	if errors.Is(err, errNotSent) {
 		s.h.Log.Info("plain: target "+t.Name+" is unreachable", zap.Error(err))
 		return ledger.NotSent{}
--- a/jacinthd/internal/plain/plain.go
+++ b/jacinthd/internal/plain/plain.go
@@ -5,15 +5,17 @@
 // the first byte of the answer has reached the caller, within the retry budget. All
 // other calls run at most once: package ledger makes the decisions, and this package
 // carries out its actions on the object API and the targets. Such a call is sent over
-// a new connection, so that the HTTP client never retries it by itself and so that no
-// call is lost to an idle connection that has gone dead.
+// a new connection, so that no call is lost to an idle connection that has gone dead.
+//
+// Package outbound sends the calls and reads the answers: it never retries a call by
+// itself, and an answer that isn't usable, or that may be cut off, is an error.
 package plain
 
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"jacinthstage/jacinthd/internal/apierror"
+	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/caller"
 	"jacinthstage/stage/service"
 	"jacinthstage/stage/store"
@@ -37,10 +40,10 @@
 
 	// maxKeyBytes is the length of the longest idempotency key.
 	maxKeyBytes = 256
-	// dialTimeout limits the time to open a connection to a target.
-	dialTimeout = 2 * time.Second
 	// maxIdlePerTarget is the number of idle connections kept to each target.
 	maxIdlePerTarget = 32
+	// pruneInterval is the time between two looks for idle connections that have expired.
+	pruneInterval = time.Second
 )
 
 // A RetryBudget limits the retries of calls to a service.
@@ -70,11 +73,10 @@
 	// default 500 ms.
 	RecordTimeout time.Duration
 
-	once            sync.Once
-	pooledClient    *http.Client
-	singleUseClient *http.Client
-	next            atomic.Uint64
-	writes          sync.WaitGroup
+	once   sync.Once
+	pool   outbound.Pool
+	next   atomic.Uint64
+	writes sync.WaitGroup
 }
 
 func (h *Handler) setup() {
@@ -87,7 +89,8 @@
 		if h.Log == nil {
 			h.Log = zap.NewNop()
 		}
-		h.pooledClient, h.singleUseClient = newClient(false), newClient(true)
+		h.pool.Dial = outbound.Dialer(netip.Addr{}).DialContext
+		h.pool.SetMaxIdle(maxIdlePerTarget)
 	})
 }
 
@@ -97,19 +100,18 @@
 	}
 }
 
-// newClient returns an HTTP client that returns answers unchanged, without following
-// redirects or decompressing bodies. If singleUse is set, each call has a new
-// connection.
-func newClient(singleUse bool) *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			DisableKeepAlives:   singleUse,
-			MaxIdleConnsPerHost: maxIdlePerTarget,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+// Run closes idle connections that have expired until ctx ends, and then all of them.
+func (h *Handler) Run(ctx context.Context) {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.pool.Prune(func(netip.AddrPort) bool { return true })
+		case <-ctx.Done():
+			h.pool.Prune(func(netip.AddrPort) bool { return false })
+			return
+		}
 	}
 }
 
--- a/jacinthd/internal/plain/send.go
+++ b/jacinthd/internal/plain/send.go
@@ -1,10 +1,8 @@
 package plain
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -12,7 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/target"
+	"jacinthstage/stage/verdict"
 )
 
 // errNotSent means that the target received no byte of the call.
@@ -29,51 +29,54 @@
 // arrived.
 type exchange struct {
 	*http.Response
+	body        *outbound.Exchange
 	idleTimer   *time.Timer
 	idleTimeout time.Duration
 	cancel      context.CancelFunc
 }
 
+// A connectionUse says which connections a call may use.
+type connectionUse bool
+
+const (
+	anyConnection connectionUse = false
+	newConnection connectionUse = true
+)
+
 // send sends the call to t. It returns errNotSent if t received no byte of it. If t
 // sends nothing for IdleTimeout, the exchange ends with an error.
-func (c *call) send(ctx context.Context, client *http.Client, t target.Target) (*exchange, error) {
+func (c *call) send(ctx context.Context, use connectionUse, t target.Target) (*exchange, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	targetURL := url.URL{Scheme: "http", Host: t.Address.String(), Path: c.path, RawQuery: c.r.URL.RawQuery}
-	// The body is a plain reader, so that the HTTP client can't retry the call by itself.
-	r, err := http.NewRequestWithContext(ctx, c.r.Method, targetURL.String(), io.NopCloser(bytes.NewReader(c.body)))
-	if err != nil {
-		cancel()
-		return nil, errors.WithMessage(errNotSent, err.Error())
-	}
-	r.ContentLength = int64(len(c.body))
-	if len(c.body) == 0 {
-		r.Body = http.NoBody
-	}
-	r.Header = endToEndHeaders(c.r.Header)
+	uri := url.URL{Path: c.path, RawQuery: c.r.URL.RawQuery}
 	e := &exchange{idleTimeout: c.h.IdleTimeout, cancel: cancel, idleTimer: time.AfterFunc(c.h.IdleTimeout, cancel)}
-	if e.Response, err = client.Do(r); err != nil {
+	body, err := c.h.pool.Do(ctx, t.Address, outbound.Request{
+		Method: c.r.Method, RequestURI: uri.RequestURI(), Host: t.Address.String(), Header: endToEndHeaders(c.r.Header),
+		Body: c.body, NewConnection: bool(use),
+	}, nil)
+	if err != nil {
 		e.close()
-		var opErr *net.OpError
-		if errors.As(err, &opErr) && opErr.Op == "dial" {
+		var fault *outbound.Error
+		if errors.As(err, &fault) && fault.Verdict == verdict.NotRun {
 			return nil, errors.WithMessage(errNotSent, err.Error())
 		}
 		return nil, errors.Wrap(err, "plain: send")
 	}
+	e.body, e.Response = body, body.Response
 	return e, nil
 }
 
 // Read reads the answer's body. It restarts the idle timeout.
 func (e *exchange) Read(p []byte) (int, error) {
 	e.idleTimer.Reset(e.idleTimeout)
-	return e.Body.Read(p)
+	return e.body.Read(p)
 }
 
 func (e *exchange) close() {
 	e.idleTimer.Stop()
-	e.cancel()
-	if e.Response != nil {
-		_ = e.Body.Close()
+	if e.body != nil {
+		e.body.Close()
 	}
+	e.cancel()
 }
 
 // endToEndHeaders returns the headers that are forwarded: all but hopHeaders and those
