--- a/jacinthd/internal/direct/brokenanswer_test.go
+++ b/jacinthd/internal/direct/brokenanswer_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthstage/jacinthd/internal/peer"
+	"jacinthstage/stage/answer/answertest"
 	"jacinthstage/stage/catalog"
 )
 
@@ -63,7 +63,7 @@
 		for _, path := range []string{"/once/", "/stream/"} {
 			t.Run(fmt.Sprint(path, ", through another host ", indirect), func(t *testing.T) {
 				s := newSystem(t, indirect, 1, func(w http.ResponseWriter, r *http.Request, _ int) {
-					sendRawAndReset(t, w, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: "+r.Header.Get("Id")+"\r\n\r\n")
+					sendRawAndReset(t, w, "HTTP/1.1 200 OK\r\n"+signedHead(r.Header.Get("Id"))+"\r\n")
 				})
 				s.acceptUploads()
 				upload := strings.Repeat("x", longUpload)
@@ -78,84 +78,30 @@
 	}
 }
 
-// A rawAnswer is an answer as its target sends it. %s stands for the request's id.
-type rawAnswer struct{ name, text string }
-
-// signedHead is the part of an answer's head that makes it an answer to its request.
-const signedHead = "Signed: s\r\nId: %s\r\n"
-
-// statusAnswers are answers whose status line is none of HTTP/1.1, or names a status that no final
-// answer has.
-func statusAnswers() []rawAnswer {
-	var all []rawAnswer
-	for _, line := range []string{
-		"HTTP/1.1 000 Unknown", "HTTP/1.1 020 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 099 OK",
-		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1  200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200 \x01", "HTTP/1.1",
-		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.1\t200 OK",
-	} {
-		all = append(all, rawAnswer{line, line + "\r\n" + signedHead + "Content-Length: 6\r\n\r\nbroken"})
-	}
-	return all
-}
-
-// nameAnswers are answers with a line in their head that doesn't name a field.
-func nameAnswers() []rawAnswer {
-	chunked := "6\r\nbroken\r\n0\r\n\r\n"
-	all := []rawAnswer{
-		{"Content-Length : 6", "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Length : 6\r\n\r\nbrokenmore"},
-		{"Transfer-Encoding : chunked", "HTTP/1.1 200 OK\r\n" + signedHead + "Transfer-Encoding : chunked\r\n\r\n" + chunked},
-	}
-	for _, line := range []string{
-		"X Y: 4", "X-Field : 4", "X\x01Y: 4", "X\tY: 4", "X\x7fY: 4", "X\x00Y: 4", "X\rY: 4", "X\xe9Y: 4", "X(Y): 4", "X@Y: 4", "X\x1bY: 4",
-		": 4", "X-Field", " X-Field: 4", "\tX-Field: 4", "X: \x01", "X: \x00", "X: a\rb", "X: \x7f",
-	} {
-		all = append(all, rawAnswer{line, "HTTP/1.1 200 OK\r\n" + signedHead + line + "\r\nContent-Length: 6\r\n\r\nbroken"})
-		all = append(all, rawAnswer{line + ", in the first line", "HTTP/1.1 200 OK\r\n" + line + "\r\n" + signedHead + "Content-Length: 6\r\n\r\nbroken"})
-	}
-	return all
-}
-
-// framingAnswers are answers whose head says more than one thing of the end of the body, or nothing
-// that is known.
-func framingAnswers() []rawAnswer {
-	chunked := "6\r\nbroken\r\n0\r\n\r\n"
-	all := []rawAnswer{{"HTTP/1.0 and chunks", "HTTP/1.0 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunked}}
-	for _, fields := range []string{
-		"Content-Length: 6\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 16", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
-		"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding:", "Transfer-Encoding: chunked;q=1",
-	} {
-		all = append(all, rawAnswer{fields, "HTTP/1.1 200 OK\r\n" + signedHead + fields + "\r\n\r\n" + chunked})
-	}
-	for _, fields := range []string{
-		"Content-Length: 6\r\nContent-Length: 4", "Content-Length: 6, 4", "Content-Length: 6, 6", "Content-Length: +6", "Content-Length: -6", "Content-Length: 0x6", "Content-Length: 6 6",
-		"Content-Length:", "Content-Length: 18446744073709551622", "X: y\r\n Content-Length: 6",
-	} {
-		all = append(all, rawAnswer{fields, "HTTP/1.1 200 OK\r\n" + signedHead + fields + "\r\n\r\nbroken"})
-	}
-	return all
-}
+// signedHead returns the lines that make an answer one to the request with an id.
+func signedHead(id string) string { return "Signed: s\r\nId: " + id + "\r\n" }
 
 // TestBrokenHeads guards against an answer with a head that no sound target sends. It reached the
 // caller, or ended its connection without any answer. The request may have run: it is sent again
 // only where it may run twice.
 func TestBrokenHeads(t *testing.T) {
-	for _, broken := range slices.Concat(statusAnswers(), nameAnswers(), framingAnswers()) {
+	for _, broken := range answertest.Broken() {
 		for _, indirect := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%q, through another host %v", broken.name, indirect), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%q, through another host %v", broken.Name, indirect), func(t *testing.T) {
 				t.Parallel()
-				testBrokenHead(t, broken.text, indirect)
+				testBrokenHead(t, broken, indirect)
 			})
 		}
 	}
 }
 
-func testBrokenHead(t *testing.T, text string, indirect bool) {
+func testBrokenHead(t *testing.T, broken answertest.Answer, indirect bool) {
 	s := newSystem(t, indirect, 2, func(w http.ResponseWriter, r *http.Request, count int) {
 		if count == 2 || count > 4 {
 			succeed(w, "whole")
 			return
 		}
-		sendRaw(t, w, fmt.Sprintf(text, r.Header.Get("Id")))
+		sendRaw(t, w, broken.With(signedHead(r.Header.Get("Id"))))
 	})
 	for _, c := range []struct {
 		path   string
@@ -177,7 +123,7 @@
 
 // Serve implements peers.Proxy.
 func (p earlierProxy) Serve(_ context.Context, _ string, m peer.ProxyRequest, stream *peer.Stream) {
-	_ = stream.Send(peer.ProxyHead{Status: p.status, Header: fmt.Appendf(nil, signedHead, m.ID), First: true}, peer.ProxyData{Data: []byte("broken")}, peer.ProxyEnd{})
+	_ = stream.Send(peer.ProxyHead{Status: p.status, Header: []byte(signedHead(m.ID)), First: true}, peer.ProxyData{Data: []byte("broken")}, peer.ProxyEnd{})
 }
 
 // TestBrokenStatusFromEarlierBuild guards against a status that no answer has, from a host of a build
--- a/jacinthd/internal/outbound/conn.go
+++ b/jacinthd/internal/outbound/conn.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/internal/answer"
+	"jacinthstage/stage/answer"
 )
 
 // A poolConn is one connection of a Pool.
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthstage/jacinthd/internal/answer"
+	"jacinthstage/stage/answer"
 )
 
 // An Exchange is a request whose response header has been read. The caller must
--- a/jacinthd/internal/plain/broken_test.go
+++ b/jacinthd/internal/plain/broken_test.go
@@ -16,6 +16,7 @@
 
 	"jacinthstage/jacinthd/internal/plain"
 	"jacinthstage/jacinthd/store/memory"
+	"jacinthstage/stage/answer/answertest"
 	"jacinthstage/stage/target"
 )
 
@@ -64,22 +65,6 @@
 	}
 }
 
-// brokenHeads are answers with a head that no sound target sends.
-func brokenHeads() []string {
-	const chunked = "6\r\nbroken\r\n0\r\n\r\n"
-	all := []string{
-		"HTTP/1.1 200 OK\r\nContent-Length : 6\r\n\r\nbrokenmore", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + chunked,
-		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
-	}
-	for _, line := range []string{"HTTP/1.1 000 Unknown", "HTTP/1.1 020 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/2.0 200 OK", "HTTP/1.1 101 Other", "HTTP/1.1 xyz"} {
-		all = append(all, line+"\r\nContent-Length: 6\r\n\r\nbroken")
-	}
-	for _, line := range []string{"X Y: 4", "X\x01Y: 4", "X-Field", " X: 4", ": 4", "X: \x01"} {
-		all = append(all, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 6\r\n\r\nbroken")
-	}
-	return all
-}
-
 // requireBroken calls a target once, and checks that its answer counts as lost, also when the caller
 // asks for it again.
 func requireBroken(t *testing.T, r *rawTarget, text, body string) {
@@ -96,9 +81,10 @@
 // TestBrokenHeads guards against an answer with a head that no sound target sends. It reached the
 // caller and was recorded as the outcome of its call, or each caller that asked for it got none.
 func TestBrokenHeads(t *testing.T) {
-	for _, text := range brokenHeads() {
-		t.Run(fmt.Sprintf("%.60q", text), func(t *testing.T) {
+	for _, broken := range answertest.Broken() {
+		t.Run(fmt.Sprintf("%q", broken.Name), func(t *testing.T) {
 			t.Parallel()
+			text := broken.With("")
 			requireBroken(t, &rawTarget{}, text, "fee")
 			faulty, healthy := startRawTarget(t, &rawTarget{}, text), newBackend(t, nil)
 			// The handler rotates its targets, and its first call begins with the second.
--- a/jacinthd/internal/proxy/client.go
+++ b/jacinthd/internal/proxy/client.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"jacinthstage/jacinthd/internal/answer"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/jacinthd/internal/peer"
 	"jacinthstage/jacinthd/internal/peers"
+	"jacinthstage/stage/answer"
 	"jacinthstage/stage/catalog"
 	"jacinthstage/stage/verdict"
 )
--- a/jacinthd/internal/answer/answer.go
+++ b/stage/answer/answer.go
@@ -10,13 +10,16 @@
 import (
 	"bytes"
 	"fmt"
-	"net/http"
 )
 
 const (
-	// minFinalStatus and maxStatus limit the status of a final answer.
-	minFinalStatus = 200
-	maxStatus      = 599
+	// minInterimStatus and minFinalStatus are the lowest statuses of an answer that another one
+	// follows and of a final one; maxStatus is the highest.
+	minInterimStatus = 100
+	minFinalStatus   = 200
+	maxStatus        = 599
+	// switchingProtocols is the status behind which no HTTP follows.
+	switchingProtocols = 101
 )
 
 // A BrokenError says why an answer's head isn't usable.
@@ -42,10 +45,10 @@
 	return nil
 }
 
-// IsInterim reports whether another answer follows one of this status. None follows 101 (Switching
-// Protocols), which no host asks for.
+// IsInterim reports whether another answer follows one of this status. None follows
+// switchingProtocols, for which no host asks.
 func IsInterim(status int) bool {
-	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
+	return status >= minInterimStatus && status < minFinalStatus && status != switchingProtocols
 }
 
 // CheckHead returns an error if an answer's head, from the status line to the empty line, isn't
--- a/jacinthd/internal/answer/answer_test.go
+++ b/stage/answer/answer_test.go
@@ -1,11 +1,15 @@
 package answer_test
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"jacinthstage/jacinthd/internal/answer"
+	"jacinthstage/stage/answer"
+	"jacinthstage/stage/answer/answertest"
 )
 
 func TestStatusLine(t *testing.T) {
@@ -63,3 +67,18 @@
 		require.Equal(t, usable, answer.CheckHead([]byte(head)) == nil, "%q", head)
 	}
 }
+
+// TestBrokenAnswers checks the answers of package answertest that package net/http takes.
+func TestBrokenAnswers(t *testing.T) {
+	for _, broken := range answertest.Broken() {
+		text := []byte(broken.With("X-Field: a\r\n"))
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, response.Body.Close())
+		head, _, found := bytes.Cut(text, []byte("\r\n\r\n"))
+		require.True(t, found)
+		require.Error(t, answer.CheckHead(append(head, "\r\n\r\n"...)), "%q", broken.Name)
+	}
+}
