engine: answers of engines are read as all others are

Cause: engine read answers through package net/http's client, which believes them. Fix: engine sends through outbound.Pool, as plain does. Request.SendBefore limits the time in which a request may be written; where it has passed, the request fails at once. Pool.Run closes idle connections that have expired, for plain as well. Already handled, and kept in the test: statuses other than 200 (they need a known code in the body), heads that stop after any byte, closed or reset; a stream without its closing events. A reset beside an upload shows as one of these: all bodies of engines say where they end. What changes besides: an engine has 300 ms in place of 2 s to accept a connection; 64 in place of 256 idle connections are kept for each, for 4 s unless it says otherwise.

--- a/jacinthd/internal/engine/client.go
+++ b/jacinthd/internal/engine/client.go
@@ -1,7 +1,7 @@
 // Package engine is the client for the model engines that run adapters.
 //
 // A Client sends completions, orders, cancellations and report requests to engines
-// over HTTP; no other package depends on that protocol. Every call is limited by
+// over HTTP, by package outbound; no other package depends on that protocol. Every call is limited by
 // the deadline of its context. Calls other than orders also have a progress
 // deadline, which a stream moves forward with each event. An error is a *Refusal
 // from the engine or a *CallError; both carry a verdict that verdict.Of finds.
@@ -11,30 +11,24 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthstage/jacinthd/internal/outbound"
+	"jacinthstage/stage/verdict"
 )
 
 const (
 	// defaultProgressTimeout is the progress timeout of a Client that sets none.
 	defaultProgressTimeout = 5 * time.Second
-	// dialTimeout limits the time to open a connection.
-	dialTimeout = 2 * time.Second
-	// idleTimeout is how long an idle connection is kept open.
-	idleTimeout = 30 * time.Second
-	// idleConns is the maximum number of idle connections kept for each engine.
-	idleConns = 256
 	// maxReply limits the size of a reply other than a stream, in bytes.
 	maxReply = 4 << 20
 )
@@ -46,24 +40,16 @@
 	// before the call fails. 0 means 5 s.
 	ProgressTimeout time.Duration
 
-	once      sync.Once
-	transport *http.Transport
+	once sync.Once
+	pool outbound.Pool
 	// incarnations maps the address of an engine to its last known incarnation.
 	incarnations sync.Map
 }
 
-// httpTransport returns the HTTP transport, and creates it on first use.
-func (c *Client) httpTransport() *http.Transport {
-	c.once.Do(func() {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		c.transport = &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     idleTimeout,
-		}
-	})
-	return c.transport
+// connections returns the connections to engines. The first call sets them up.
+func (c *Client) connections() *outbound.Pool {
+	c.once.Do(func() { c.pool.Dial = outbound.Dialer(netip.Addr{}).DialContext })
+	return &c.pool
 }
 
 func (c *Client) progressTimeout() time.Duration {
@@ -74,7 +60,10 @@
 }
 
 // Close closes all idle connections.
-func (c *Client) Close() { c.httpTransport().CloseIdleConnections() }
+func (c *Client) Close() { c.connections().CloseAllIdle() }
+
+// Run closes idle connections that have expired until ctx ends, and then all of them.
+func (c *Client) Run(ctx context.Context) { c.connections().Run(ctx) }
 
 // An exchange is one request and its reply. It is cancelled when its progress
 // deadline passes.
@@ -84,8 +73,8 @@
 	cancel  context.CancelFunc
 	timer   *time.Timer
 	stalled atomic.Bool
-	sent    atomic.Bool
-	reply   *http.Response
+	sent    bool // the engine may have received the request
+	reply   *outbound.Exchange
 }
 
 // A call describes a request for send.
@@ -108,23 +97,16 @@
 	if err != nil {
 		return nil, &CallError{Kind: Unreachable, cause: err}
 	}
-	traced, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			x.sent.Store(true)
-			_ = info.Conn.SetWriteDeadline(a.sendBefore)
-		},
-	}))
-	x.cancel = cancel
-	request, err := http.NewRequestWithContext(traced, a.method, "http://"+addr.String()+a.path, text)
-	if err != nil {
-		cancel()
-		return nil, &CallError{Kind: Unreachable, cause: err}
-	}
-	request.Header.Set("Content-Type", "application/json")
+	ctx, x.cancel = context.WithCancel(ctx)
 	if a.progressTimeout > 0 {
 		x.timer = time.AfterFunc(a.progressTimeout, x.stall)
 	}
-	x.reply, err = c.httpTransport().RoundTrip(request)
+	x.reply, err = c.connections().Do(ctx, addr, outbound.Request{
+		Method: a.method, RequestURI: a.path, Host: addr.String(), Header: http.Header{"Content-Type": {"application/json"}},
+		Body: text, SendBefore: a.sendBefore,
+	}, nil)
+	var fault *outbound.Error
+	x.sent = !errors.As(err, &fault) || fault.Verdict != verdict.NotRun
 	if err != nil {
 		callErr := x.callError(err)
 		x.close()
@@ -133,15 +115,13 @@
 	return x, nil
 }
 
-func encode(body any) (io.Reader, error) {
+// encode returns a body as JSON, or nothing for nil.
+func encode(body any) ([]byte, error) {
 	if body == nil {
-		return http.NoBody, nil
+		return nil, nil
 	}
 	text, err := json.Marshal(body)
-	if err != nil {
-		return nil, errors.Wrap(err, "engine: encode")
-	}
-	return bytes.NewReader(text), nil
+	return text, errors.Wrap(err, "engine: encode")
 }
 
 // stall cancels an exchange whose progress deadline has passed. Before that it closes
@@ -149,7 +129,7 @@
 // the failure must not reuse them.
 func (x *exchange) stall() {
 	x.stalled.Store(true)
-	x.client.httpTransport().CloseIdleConnections()
+	x.client.connections().CloseAllIdle()
 	x.cancel()
 }
 
@@ -163,7 +143,7 @@
 // callError classifies an error of the connection.
 func (x *exchange) callError(cause error) *CallError {
 	switch {
-	case !x.sent.Load():
+	case !x.sent:
 		return &CallError{Kind: Unreachable, cause: cause}
 	case x.parent.Err() != nil:
 		return &CallError{Kind: Cancelled, cause: x.parent.Err()}
@@ -178,25 +158,25 @@
 	if x.timer != nil {
 		x.timer.Stop()
 	}
-	x.cancel()
 	if x.reply != nil {
-		_ = x.reply.Body.Close()
+		x.reply.Close()
 	}
+	x.cancel()
 }
 
 // finish reads the complete reply and decodes it into out. A reply with a status
 // other than 200 becomes an error.
 func (x *exchange) finish(out any) error {
 	defer x.close()
-	text, err := io.ReadAll(io.LimitReader(x.reply.Body, maxReply+1))
+	text, err := io.ReadAll(io.LimitReader(x.reply, maxReply+1))
 	if err != nil {
 		return x.callError(err)
 	}
 	if len(text) > maxReply {
 		return &CallError{Kind: InvalidReply, cause: errors.Errorf("reply over %d bytes", maxReply)}
 	}
-	if x.reply.StatusCode != http.StatusOK {
-		return parseRefusal(x.reply.StatusCode, text)
+	if x.reply.Response.StatusCode != http.StatusOK {
+		return parseRefusal(x.reply.Response.StatusCode, text)
 	}
 	if err := json.Unmarshal(text, out); err != nil {
 		return &CallError{Kind: InvalidReply, cause: err}
--- a/jacinthd/internal/engine/stream.go
+++ b/jacinthd/internal/engine/stream.go
@@ -90,11 +90,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if x.reply.StatusCode != http.StatusOK {
+	if x.reply.Response.StatusCode != http.StatusOK {
 		return nil, x.finish(nil)
 	}
 	x.resetProgress()
-	return &Stream{exchange: x, reader: bufio.NewReaderSize(x.reply.Body, 4<<10), id: request.ID, ref: body.Model, nextIndex: request.Offset}, nil
+	return &Stream{exchange: x, reader: bufio.NewReaderSize(x.reply, 4<<10), id: request.ID, ref: body.Model, nextIndex: request.Offset}, nil
 }
 
 // Close closes the stream. If its End has been read, the connection is kept for
--- a/jacinthd/internal/outbound/exchange.go
+++ b/jacinthd/internal/outbound/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -134,9 +135,13 @@
 	x.pool.put(x.address, x.conn, idleTimeout(x.Response.Header))
 }
 
-// write writes the request.
+// write writes the request. If it may not be written any more, write closes the connection, since no
+// response will come.
 func (x *Exchange) write(r Request, request *http.Request) {
 	x.writeErr = r.write(x.conn, request)
+	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) {
+		_ = x.conn.Close()
+	}
 	close(x.written)
 }
 
--- a/jacinthd/internal/outbound/outbound.go
+++ b/jacinthd/internal/outbound/outbound.go
@@ -69,6 +69,8 @@
 	bodySilence = 2500 * time.Millisecond
 	// probeMargin is the time by which the last acknowledgement may be younger than that.
 	probeMargin = 100 * time.Millisecond
+	// pruneInterval is the time between two looks for idle connections that have expired.
+	pruneInterval = time.Second
 	// settleTime is how long Open watches a new connection: a process that is ending
 	// may still accept it and reset it at once.
 	settleTime = 10 * time.Millisecond
@@ -101,6 +103,8 @@
 	AtMostOnce bool // the request must not be sent twice
 	// NewConnection means that the request is the first one on its connection.
 	NewConnection bool
+	// SendBefore is the time after which no part of the request may be written; zero for no limit.
+	SendBefore time.Time
 }
 
 // A ResponseFilter reports whether a response with the given header belongs to
@@ -126,6 +130,10 @@
 		x.discard()
 		return nil, &Error{Verdict: verdict.NotRun, Cause: err}
 	}
+	if err := c.SetWriteDeadline(r.SendBefore); err != nil {
+		x.discard()
+		return nil, &Error{Verdict: verdict.NotRun, Cause: errors.WithStack(err)}
+	}
 	go x.write(r, request)
 	if err := x.readResponse(request, filter); err != nil {
 		x.discard()
--- a/jacinthd/internal/outbound/pool.go
+++ b/jacinthd/internal/outbound/pool.go
@@ -205,6 +205,24 @@
 	}
 }
 
+// Run closes idle connections that have expired until ctx ends, and then all of them.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.Prune(func(netip.AddrPort) bool { return true })
+		case <-ctx.Done():
+			p.CloseAllIdle()
+			return
+		}
+	}
+}
+
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() { p.Prune(func(netip.AddrPort) bool { return false }) }
+
 // CloseIdle closes the idle connections to address.
 func (p *Pool) CloseIdle(address netip.AddrPort) {
 	p.Prune(func(a netip.AddrPort) bool { return a != address })
--- a/jacinthd/internal/plain/plain.go
+++ b/jacinthd/internal/plain/plain.go
@@ -42,8 +42,6 @@
 	maxKeyBytes = 256
 	// maxIdlePerTarget is the number of idle connections kept to each target.
 	maxIdlePerTarget = 32
-	// pruneInterval is the time between two looks for idle connections that have expired.
-	pruneInterval = time.Second
 )
 
 // A RetryBudget limits the retries of calls to a service.
@@ -101,19 +99,7 @@
 }
 
 // Run closes idle connections that have expired until ctx ends, and then all of them.
-func (h *Handler) Run(ctx context.Context) {
-	ticker := time.NewTicker(pruneInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			h.pool.Prune(func(netip.AddrPort) bool { return true })
-		case <-ctx.Done():
-			h.pool.Prune(func(netip.AddrPort) bool { return false })
-			return
-		}
-	}
-}
+func (h *Handler) Run(ctx context.Context) { h.pool.Run(ctx) }
 
 // Wait returns once the records of all calls that have ended are written or have
 // failed to be written in time.
--- a/jacinthd/internal/process/process.go
+++ b/jacinthd/internal/process/process.go
@@ -196,6 +196,7 @@
 	group.Go(func() error { return ignoreCanceled(p.follower.Run(run)) })
 	group.Go(func() error { p.sweeper.Run(run); return nil })
 	group.Go(func() error { p.plain.Run(run); return nil })
+	group.Go(func() error { p.engines.Run(run); return nil })
 	group.Go(func() error { return ignoreCanceled(p.guard.Run(run)) })
 	group.Go(func() error { return p.link.Serve(run, p.servePeer) })
 	group.Go(func() error { return p.traffic.Serve(p.caller) })
