--- a/jacinthd/internal/direct/brokenanswer_test.go
+++ b/jacinthd/internal/direct/brokenanswer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +140,31 @@
 		})
 	}
 }
+
+// TestHeadThatStops cuts answers in their heads (a report of other operators): none looks whole to the
+// caller.
+func TestHeadThatStops(t *testing.T) {
+	const step = 3 // bytes
+	for _, indirect := range []bool{false, true} {
+		for _, framing := range []string{"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", "X: y\r\n", eventType} {
+			t.Run(fmt.Sprintf("%q, through another host %v", framing, indirect), func(t *testing.T) {
+				t.Parallel()
+				var longest atomic.Int32 // part of a head that was sent
+				s := newSystem(t, indirect, 1, func(w http.ResponseWriter, r *http.Request, count int) {
+					head := "HTTP/1.1 200 OK\r\n" + signedHead(r.Header.Get("Id")) + framing + "\r\n"
+					cut := min(step*(count-1), len(head)-1)
+					longest.Store(int32(cut))
+					sendRaw(t, w, head[:cut])
+				})
+				for range len("HTTP/1.1 200 OK\r\n"+signedHead("x10")+framing) / step {
+					for _, path := range []string{"/once/", "/stream/"} {
+						response, text, err := s.sendWithin(t, waitTimeout, http.MethodPost, path, "body")
+						require.NoError(t, err)
+						require.NotEqual(t, http.StatusOK, response.StatusCode, text)
+					}
+				}
+				require.GreaterOrEqual(t, int(longest.Load()), len("HTTP/1.1 200 OK\r\n"+signedHead("x1")+framing), "all of the head was cut")
+			})
+		}
+	}
+}
