plain: an answer that breaks off looks broken to callers of HTTP/1.0 too

Cause: jacinthd serve resets such a connection, plain only aborted the answer. Fix: what serve does stands in package callers (BreakOff) and serves both.

--- a/jacinthd/internal/direct/handler.go
+++ b/jacinthd/internal/direct/handler.go
@@ -12,7 +12,6 @@
 package direct
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -222,28 +221,8 @@
 	}
 }
 
-// breakOff ends the answer without its last chunk. HTTP/1.0 has no chunks, so that an orderly end
-// of the connection would complete the answer: breakOff resets the connection.
-func (req *callerRequest) breakOff() {
-	if !req.r.ProtoAtLeast(1, 1) {
-		if err := resetConnection(req.w); err != nil {
-			req.log.Warn("request: connection of a broken answer not reset", zap.Error(err))
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// resetConnection closes the connection of an answer with a reset.
-func resetConnection(w http.ResponseWriter) error {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return err
-	}
-	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		err = c.SetLinger(0)
-	}
-	return cmp.Or(err, conn.Close())
-}
+// breakOff ends the answer so that it looks incomplete.
+func (req *callerRequest) breakOff() { callers.BreakOff(req.w, req.r, req.log) }
 
 // finish logs the end of the request and records it in the metrics.
 func (req *callerRequest) finish(message string, status int, fields ...zap.Field) {
--- a/jacinthd/internal/plain/send.go
+++ b/jacinthd/internal/plain/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthstage/jacinthd/internal/callers"
 	"jacinthstage/jacinthd/internal/outbound"
 	"jacinthstage/stage/target"
 	"jacinthstage/stage/verdict"
@@ -102,8 +103,8 @@
 	c.w.WriteHeader(status)
 }
 
-// copyBody streams the rest of an answer to the caller. If either side fails, it aborts
-// the caller's connection, so that the answer doesn't look complete.
+// copyBody streams the rest of an answer to the caller. If either side fails, it breaks the
+// answer off.
 func (c *call) copyBody(e *exchange) {
 	buffer := make([]byte, 32<<10)
 	control := http.NewResponseController(c.w)
@@ -111,13 +112,13 @@
 		n, err := e.Read(buffer)
 		_ = control.SetWriteDeadline(time.Now().Add(c.h.IdleTimeout))
 		if _, writeErr := c.w.Write(buffer[:n]); writeErr != nil {
-			panic(http.ErrAbortHandler)
+			callers.BreakOff(c.w, c.r, c.h.Log)
 		}
 		if err == io.EOF {
 			return
 		}
 		if err != nil || control.Flush() != nil {
-			panic(http.ErrAbortHandler)
+			callers.BreakOff(c.w, c.r, c.h.Log)
 		}
 	}
 }
