--- a/jacinthd/internal/ownership/client_test.go
+++ b/jacinthd/internal/ownership/client_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -33,17 +33,21 @@
 	return call.Conflict
 }
 
-// TestLateAnswerIsNoReply guards against an order that counts as carried out because of
-// a late answer to a caller's request on the same connection.
-func TestLateAnswerIsNoReply(t *testing.T) {
+// replyTo returns what counts as the reply to an order whose runner sends text and closes or resets
+// the connection.
+func replyTo(t *testing.T, text string, reset bool) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
+		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			t.Error(err)
 			return
 		}
 		defer conn.Close()
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\n\r\na"+"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+		_, _ = buffered.WriteString(text)
+		_ = buffered.Flush()
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
 	}))
 	defer server.Close()
 	replies := make(chan string, 1)
@@ -55,5 +59,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	client.Execute(ctx, dispatch.Task{Target: catalog.Target{Name: "r", Address: address}, Action: residency.SendOrder{Order: call.Order{Kind: call.Load}}})
-	require.Equal(t, "conflict", <-replies)
+	return <-replies
+}
+
+// TestLateAnswerIsNoReply guards against an order that counts as carried out because of
+// a late answer to a caller's request on the same connection.
+func TestLateAnswerIsNoReply(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\n\r\na"
+	require.Equal(t, "conflict", replyTo(t, late+"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", false))
 }
