--- a/jacinthd/internal/outbound/socket.go
+++ b/jacinthd/internal/outbound/socket.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/netip"
 	"syscall"
@@ -87,57 +86,58 @@
 	return raw, err == nil
 }
 
-// isLost reports whether nothing has arrived on a connection for a time, not even the
-// acknowledgement of a keep-alive probe. It returns false if the system doesn't tell.
-func isLost(conn net.Conn, after time.Duration) bool {
+// tcpInfo returns what the system says of a connection, nil if it doesn't tell.
+func tcpInfo(conn net.Conn) *unix.TCPInfo {
 	raw, ok := rawConn(conn)
 	if !ok {
-		return false
+		return nil
 	}
-	lost := false
+	var info *unix.TCPInfo
 	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		last := time.Duration(math.MaxInt64)
-		if err == nil {
-			last = time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = got
 		}
-		lost = err == nil && last >= after
 	})
-	return lost
+	return info
+}
+
+// isLost reports whether nothing has arrived on a connection for a time, not even the
+// acknowledgement of a keep-alive probe. It returns false if the system doesn't tell.
+func isLost(conn net.Conn, after time.Duration) bool {
+	info := tcpInfo(conn)
+	return info != nil && time.Duration(min(info.Last_ack_recv, info.Last_data_recv))*time.Millisecond >= after
 }
 
 // hasDelivered reports whether the remote side has acknowledged all that was written to a
 // connection, and hasn't reset it. It returns true if the system doesn't tell.
 func hasDelivered(conn net.Conn) bool {
+	if hasError(conn) {
+		return false
+	}
+	info := tcpInfo(conn)
+	return info == nil || info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
+// hasError reports whether the system holds an error of a connection, such as a reset, that no read or
+// write has returned yet, and takes it from the system.
+func hasError(conn net.Conn) bool {
 	raw, ok := rawConn(conn)
 	if !ok {
-		return true
+		return false
 	}
-	delivered := true
+	failed := false
 	_ = raw.Control(func(fd uintptr) {
-		if reset, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && reset != 0 {
-			delivered = false
-			return
-		}
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		delivered = err != nil || info.Unacked == 0 && info.Notsent_bytes == 0
+		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		failed = err == nil && code != 0
 	})
-	return delivered
+	return failed
 }
 
 // isEstablished reports whether a connection is open and the remote side hasn't ended it,
 // also while another goroutine reads from it.
 func isEstablished(conn net.Conn) bool {
-	raw, ok := rawConn(conn)
-	if !ok {
-		return false
-	}
-	established := false
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		established = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
-	})
-	return established
+	info := tcpInfo(conn)
+	return info != nil && info.State == unix.BPF_TCP_ESTABLISHED
 }
 
 // reusable reports whether an idle connection is still open and has received no
--- a/stage/answer/status.go
+++ b/stage/answer/status.go
@@ -1,6 +1,9 @@
 package answer
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // statusDigits is the number of digits of a status.
 const statusDigits = 3
@@ -25,12 +28,9 @@
 	if len(reason) > 0 && reason[0] != ' ' || !allOf(reason, isText) {
 		return broken("reason phrase in %q", line)
 	}
-	code := 0
-	for _, digit := range status {
-		code = 10*code + int(digit-'0')
-	}
-	if IsInterim(code) {
-		return nil
+	code, err := strconv.Atoi(string(status))
+	if err != nil || IsInterim(code) {
+		return err
 	}
 	return CheckFinal(code)
 }
