--- a/jacinthd/internal/engine/broken_test.go
+++ b/jacinthd/internal/engine/broken_test.go
@@ -70,7 +70,7 @@
 
 // TestHeadThatStops cuts an engine's answer after each byte of its head.
 func TestHeadThatStops(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\r\n"} {
+	for _, head := range answertest.SoundHeads {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q, reset %v", head, reset), func(t *testing.T) {
 				t.Parallel()
--- a/jacinthd/internal/outbound/anyanswer_test.go
+++ b/jacinthd/internal/outbound/anyanswer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"strings"
@@ -115,10 +116,9 @@
 // TestHeadThatStops cuts answers after each byte of their heads, on a new connection and on one that
 // carried an answer before, which is closed or reset.
 func TestHeadThatStops(t *testing.T) {
-	for name, head := range map[string]string{
-		"length": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "neither": "HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
-		"interim": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-	} {
+	heads := maps.Clone(answertest.SoundHeads)
+	heads["interim"] = "HTTP/1.1 102 Processing\r\n\r\n" + heads["length"]
+	for name, head := range heads {
 		for _, reset := range []bool{false, true} {
 			for _, kept := range []bool{false, true} {
 				t.Run(fmt.Sprint(name, ", reset ", reset, ", kept ", kept), func(t *testing.T) {
--- a/jacinthd/internal/outbound/outbound_test.go
+++ b/jacinthd/internal/outbound/outbound_test.go
@@ -35,24 +35,32 @@
 
 // startTarget starts a target and returns its address and connection counts.
 func startTarget(t *testing.T, respond responder) (netip.AddrPort, *connCounts) {
+	var counts connCounts
+	address := listen(t, func(conn net.Conn) {
+		counts.Add(1)
+		go func() {
+			defer counts.ended.Add(1)
+			serveConn(conn, respond)
+		}()
+	})
+	return address, &counts
+}
+
+// listen accepts connections until the test ends, and calls accepted for one after the other.
+func listen(t *testing.T, accepted func(net.Conn)) netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	var counts connCounts
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			counts.Add(1)
-			go func() {
-				defer counts.ended.Add(1)
-				serveConn(conn, respond)
-			}()
+			accepted(conn)
 		}
 	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), &counts
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 func serveConn(conn net.Conn, respond responder) {
@@ -320,23 +328,13 @@
 // TestRequestLine checks that method, path and query are sent unchanged.
 func TestRequestLine(t *testing.T) {
 	lines := make(chan string, 8)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			reader := bufio.NewReader(conn)
-			line, _ := reader.ReadString('\n')
-			lines <- strings.TrimSpace(line)
-			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-			_ = conn.Close()
-		}
-	}()
-	address := netip.MustParseAddrPort(listener.Addr().String())
+	address := listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		line, _ := reader.ReadString('\n')
+		lines <- strings.TrimSpace(line)
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_ = conn.Close()
+	})
 	for _, path := range []string{"/a/b?x=1&y=%2F", "/%41/b//c", "/a;b=c", "/a?", "//x/y", "/ü"} {
 		x, err := newPool().Do(context.Background(), address, outbound.Request{Method: http.MethodGet, RequestURI: path, Host: "h", Header: http.Header{}}, nil)
 		require.NoError(t, err, path)
--- a/jacinthd/internal/outbound/upload_test.go
+++ b/jacinthd/internal/outbound/upload_test.go
@@ -42,26 +42,16 @@
 // startUploadTarget starts a target that reads a part of a request, sends answer and ends the
 // connection.
 func startUploadTarget(t *testing.T, answer string, end uploadEnd) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
+	return listen(t, func(conn net.Conn) {
+		go func() {
+			defer conn.Close()
+			if _, err := io.CopyN(io.Discard, conn, readOfUpload); err != nil {
+				return // not the connection of a request
 			}
-			go func() {
-				defer conn.Close()
-				if _, err := io.CopyN(io.Discard, conn, readOfUpload); err != nil {
-					return // not the connection of a request
-				}
-				write(conn, answer)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+			write(conn, answer)
+			end(conn.(*net.TCPConn))
+		}()
+	})
 }
 
 // A failingWriteConn is a connection whose reader sees the end only after a write has failed: the
--- a/jacinthd/internal/ownership/brokenreply_test.go
+++ b/jacinthd/internal/ownership/brokenreply_test.go
@@ -24,7 +24,7 @@
 // TestReplyThatStops cuts the answer to an order after each byte of its head.
 func TestReplyThatStops(t *testing.T) {
 	unanswered := replyTo(t, "", false)
-	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\r\n"} {
+	for _, head := range answertest.SoundHeads {
 		for _, reset := range []bool{false, true} {
 			for n := range len(head) {
 				require.Equal(t, unanswered, replyTo(t, head[:n], reset), "%q, reset %v", head[:n], reset)
--- a/jacinthd/internal/plain/broken_test.go
+++ b/jacinthd/internal/plain/broken_test.go
@@ -96,9 +96,7 @@
 
 // TestHeadThatStops cuts answers after each byte of their heads.
 func TestHeadThatStops(t *testing.T) {
-	for name, head := range map[string]string{
-		"length": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "neither": "HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
-	} {
+	for name, head := range answertest.SoundHeads {
 		for end, close := range map[string]func(*net.TCPConn){"closed": nil, "reset": func(c *net.TCPConn) { _ = c.SetLinger(0) }} {
 			t.Run(name+", "+end, func(t *testing.T) {
 				t.Parallel()
--- a/stage/answer/answer_test.go
+++ b/stage/answer/answer_test.go
@@ -36,16 +36,35 @@
 }
 
 func TestFields(t *testing.T) {
-	for line, usable := range map[string]bool{
-		"X-Field: a": true, "X-Field:a": true, "X-Field:": true, "X-Field: \ta \xe9 ": true, "!#$%&'*+-.^_`|~09azAZ: a": true,
-		"X-Field : a": false, "X Field: a": false, " X-Field: a": false, "\tX-Field: a": false, " a": false, ": a": false, "X-Field": false,
-		"X\tField: a": false, "X\x01: a": false, "X\x7f: a": false, "X\xe9: a": false, "X(a): a": false, "X\x00: a": false, "X\r: a": false,
-		"X: \x00": false, "X: \x01": false, "X: \x7f": false, "X: a\rb": false,
+	for _, c := range []struct {
+		name   string
+		lines  []string
+		usable bool
+	}{
+		{"value", []string{"X-Field: a", "X-Field:a", "X-Field:", "X-Field: \ta \xe9 "}, true},
+		{"any byte that a name may hold", []string{"!#$%&'*+-.^_`|~09azAZ: a"}, true},
+		{"blank in a name", []string{"X Field: a"}, false},
+		{"blank behind a name", []string{"X-Field : a"}, false},
+		{"blank before a name (a folded line)", []string{" X-Field: a", "\tX-Field: a", " a"}, false},
+		{"control byte in a name", []string{"X\tField: a", "X\x00: a", "X\x01: a", "X\x7f: a", "X\r: a"}, false},
+		{"other byte that no name holds", []string{"X\xe9: a", "X(a): a"}, false},
+		{"no name", []string{": a"}, false},
+		{"no colon", []string{"X-Field"}, false},
+		{"control byte in a value", []string{"X: \x00", "X: \x01", "X: \x7f", "X: a\rb"}, false},
 	} {
-		for _, head := range []string{"HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n", "HTTP/1.1 200 OK\n" + line + "\nA: b\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\n"} {
-			err := answer.CheckHead([]byte(head))
-			require.Equal(t, usable, err == nil, "%q: %v", head, err)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			for _, line := range c.lines {
+				requireField(t, line, c.usable)
+			}
+		})
+	}
+}
+
+// requireField checks whether heads with a line are usable.
+func requireField(t *testing.T, line string, usable bool) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n", "HTTP/1.1 200 OK\n" + line + "\nA: b\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\n"} {
+		err := answer.CheckHead([]byte(head))
+		require.Equal(t, usable, err == nil, "%q: %v", head, err)
 	}
 }
 
--- a/stage/answer/answertest/answertest.go
+++ b/stage/answer/answertest/answertest.go
@@ -17,6 +17,12 @@
 // With returns the bytes of the answer. fields are whole lines of its head.
 func (a Answer) With(fields string) string { return a.before + fields + a.after }
 
+// SoundHeads are the heads of sound answers, by what they say of the end of the body, for tests that cut
+// them.
+var SoundHeads = map[string]string{
+	"length": ok + "Content-Length: 0\r\n\r\n", "chunks": ok + "Transfer-Encoding: chunked\r\n\r\n", "neither": ok + "X: y\r\n\r\n",
+}
+
 // Broken returns answers with heads that aren't usable: their status line, the name or the value of a
 // field, or what they say of the end of the body.
 func Broken() []Answer {
