--- a/review/standin-3/restart.go
+++ b/review/standin-3/restart.go
@@ -60,12 +60,12 @@
 		time.Sleep(100 * time.Millisecond)
 		runners[1].start("v2", false)
 	}
-	load(3.9, 50)
+	load(3.9, 90)
 	if trouble {
 		runners[0].crash()
 		time.AfterFunc(2*time.Second, func() { runners[0].start("v1", false) })
 	}
-	load(0.4, 50)
+	load(0.4, 90)
 	if trouble {
 		log.line("the store is back")
 		d.store.setMode(storeServes)
