--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -31,58 +30,28 @@
 	_, _ = fmt.Fprintf(r.file, "%7.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// A streamAnswer is what a client got of a stream.
-type streamAnswer struct {
-	status   int
-	versions []string // of the software that wrote its events, without repetitions in a row
-	events   int
-	complete bool
-}
-
-// stream sends one client attempt for a stream and reads its answer.
-func stream(log *record, h *host, id, path string, header map[string]string) streamAnswer {
-	log.line("client sends %s to %s", id, h.name)
-	a := readStream(h, id, path, header)
-	log.line("client of %s got status %d, %d events, complete %v, by software %s", id, a.status, a.events, a.complete, strings.Join(a.versions, " then "))
-	return a
-}
-
-func readStream(h *host, id, path string, header map[string]string) (a streamAnswer) {
-	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+// ask sends one request of a client to a host on a new channel, and returns the status of its answer,
+// 0 if there was none.
+func ask(log *record, h *host, id string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.caller+path, strings.NewReader("prompt"))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.caller+"/issue/x", strings.NewReader("certificate"))
 	check(err)
-	r.Host = "service.example"
 	r.GetBody = nil
+	r.Host = "service.example"
 	r.Header.Set(wire("id"), id)
-	r.Header.Set(wire("budget"), "8000")
-	for name, value := range header {
-		r.Header.Set(name, value)
-	}
+	r.Header.Set(wire("budget"), "3000")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	log.line("client sends %s to %s", id, h.name)
 	reply, err := client.Do(r)
 	if err != nil {
-		return a
+		log.line("client of %s: %v", id, err)
+		return 0
 	}
 	defer reply.Body.Close()
-	a.status = reply.StatusCode
-	if a.status != http.StatusOK || reply.Header.Get(wire("signature")) == "" {
-		_, _ = io.Copy(io.Discard, reply.Body)
-		return a
-	}
-	lines := bufio.NewScanner(reply.Body)
-	for lines.Scan() {
-		_, version, ok := strings.Cut(lines.Text(), "by software ")
-		if !ok {
-			continue
-		}
-		a.events++
-		if n := len(a.versions); n == 0 || a.versions[n-1] != version {
-			a.versions = append(a.versions, version)
-		}
-	}
-	a.complete = lines.Err() == nil && a.events == eventsOfStream
-	return a
+	text, _ := io.ReadAll(reply.Body)
+	log.line("client of %s got %d %q", id, reply.StatusCode, text)
+	return reply.StatusCode
 }
 
 func check(err error) {
--- a/review/standin-3/headers.go
+++ b/review/standin-3/headers.go
@@ -51,8 +51,8 @@
 
 // manyHeaders has a crowd of callers send headers of legal size in many short lines.
 func manyHeaders(d *deployment, log *record, trouble bool) int {
-	r := &runner{id: "i-0", service: "records", zone: "north-a", store: d.store, log: log, slots: 6, work: 30 * time.Millisecond}
-	r.start("v1", false)
+	r := &runner{id: "i-0", zone: "north-a", store: d.store, log: log, slots: 6, work: 30 * time.Millisecond}
+	r.start()
 	d.store.put("config", "main", config("records"))
 	h := d.newHost("front-1", "north-a")
 	h.start()
--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -69,25 +71,38 @@
 `
 
 func (d *deployment) newHost(name, zone string) *host {
+	d.store.far.Store(name, strings.HasPrefix(zone, "south"))
 	h := &host{name: name, zone: zone, binary: d.binary, caller: freeAddress("tcp"), ready: freeAddress("tcp"), admin: freeAddress("tcp"), peer: freeAddress("udp")}
 	h.settings = filepath.Join(d.dir, name+".ini")
 	h.logAt = filepath.Join(d.dir, name+".log")
-	text := fmt.Sprintf(settingsText, name, zone, d.zones, h.caller, h.ready, h.peer, h.admin, d.store.address)
+	text := fmt.Sprintf(settingsText, name, zone, d.zones, h.caller, h.ready, h.peer, h.admin, d.store.serveHost(name))
 	check(os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
 
-// freeAddress returns a loopback address with a port that is free.
+// given are the ports that freeAddress has returned.
+var given sync.Map
+
+// freeAddress returns a loopback address with a port that is free. It is below those that the system
+// gives to connections, which would take it until it is used.
 func freeAddress(network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		check(err)
-		defer c.Close()
-		return c.LocalAddr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if _, taken := given.LoadOrStore(address, true); taken {
+			continue
+		}
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp", address); err == nil {
+				_ = c.Close()
+				return address
+			}
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	l := listen("127.0.0.1:0")
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func (h *host) start() {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,8 +15,8 @@
 type scenario func(d *deployment, log *record, trouble bool) int
 
 var scenarios = map[string]scenario{
-	"restart": restartUnderSameID,
 	"headers": manyHeaders,
+	"gone":    removedServers,
 }
 
 func main() {
@@ -51,7 +51,7 @@
 	}
 	binary, err := filepath.Abs(os.Args[2])
 	check(err)
-	d := &deployment{dir: temporary, binary: binary, store: startStore(), zones: "north-a=north,north-b=north"}
+	d := &deployment{dir: temporary, binary: binary, store: newStore(), zones: "north-a=north,north-b=north,south-a=south,south-b=south"}
 	log := openRecord(filepath.Join(os.Args[3], "record.txt"))
 	return scenarios[os.Args[1]](d, log, os.Getenv("TROUBLE") != "0")
 }
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -13,15 +13,6 @@
 	"time"
 )
 
-// A storeMode says how the store treats calls.
-type storeMode int
-
-const (
-	storeServes storeMode = iota
-	storeBusy             // 503: nothing was done
-	storeSilent           // no answer
-)
-
 // An object is one object of the store.
 type object struct {
 	Metadata metadata        `json:"metadata"`
@@ -50,55 +41,54 @@
 }
 
 // A store is the platform's metadata store: linearizable, with one revision counter.
+//
+// Each host calls it at an address of its own, so that the store knows from which region it calls.
 type store struct {
-	address netip.AddrPort
+	far sync.Map // whether each host is in another region than the store, by its name
 
 	mu      sync.Mutex
-	mode    storeMode
 	rev     uint64
 	kinds   map[string]map[string]object
 	history []change
 	changed chan struct{} // closed at the next change
 }
 
-func startStore() *store {
-	s := &store{rev: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
+func newStore() *store {
+	return &store{rev: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
+}
+
+// serveHost serves one host, and returns the address at which it does.
+func (s *store) serveHost(name string) netip.AddrPort {
 	l := listen("127.0.0.1:0")
-	s.address = netip.MustParseAddrPort(l.Addr().String())
 	mux := http.NewServeMux()
-	mux.HandleFunc(wire("objects")+"{kind}", s.serve)
-	mux.HandleFunc(wire("objects")+"{kind}/{name}", s.serve)
-	mux.HandleFunc(wire("objects")+"{kind}/{name}/status", s.serve)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(s.delay(name))
+		s.serve(w, r)
+	}
+	mux.HandleFunc(wire("objects")+"{kind}", serve)
+	mux.HandleFunc(wire("objects")+"{kind}/{name}", serve)
+	mux.HandleFunc(wire("objects")+"{kind}/{name}/status", serve)
 	go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
-	return s
-}
-
-func (s *store) setMode(m storeMode) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.mode = m
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-func (s *store) serves() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mode == storeServes
+// delay returns how long a call of a host takes beyond its work.
+func (s *store) delay(name string) time.Duration {
+	if far, _ := s.far.Load(name); far == true {
+		return 64 * time.Millisecond
+	}
+	return 4 * time.Millisecond
 }
 
-// put writes an object as the operator or a runner does. It returns false if the store doesn't serve.
-func (s *store) put(kind, name string, spec any) bool {
+// put writes an object as the operator or a runner does.
+func (s *store) put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
 	check(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mode != storeServes {
-		return false
-	}
-	if known, ok := s.kinds[kind][name]; ok && string(known.Spec) == string(text) {
-		return true
+	if known, ok := s.kinds[kind][name]; !ok || string(known.Spec) != string(text) {
+		s.write(kind, object{Metadata: metadata{Name: name}, Spec: text})
 	}
-	s.write(kind, object{Metadata: metadata{Name: name}, Spec: text})
-	return true
 }
 
 func (s *store) remove(kind, name string) {
@@ -138,17 +128,6 @@
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	s.mu.Lock()
-	mode := s.mode
-	s.mu.Unlock()
-	switch mode {
-	case storeBusy:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case storeSilent:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	kind, name := r.PathValue("kind"), r.PathValue("name")
 	switch {
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
@@ -191,11 +170,8 @@
 				events = append(events, c)
 			}
 		}
-		rev, changed, mode := s.rev, s.changed, s.mode
+		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
-		if mode != storeServes {
-			panic(http.ErrAbortHandler) // a watch that is waiting is cut off
-		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, wire("revision"): rev})
 			return
