review: headers of many short lines end the processes of two hosts three times (Fault)

Cause: as before, the memory that a request's header takes once it is parsed is neither counted nor limited.

--- a/review/standin-3/headers.go
+++ b/review/standin-3/headers.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,22 +15,47 @@
 	memoryMB = 284
 	// headerBytes is what the crowd sends of each header, below the configuration's maxHeaderBytes of 16,384.
 	headerBytes = 15000
-	crowd       = 1200
+	crowd       = 1200 // clients that come to each host at once
+	crowds      = 3    // times that they come
+	// restartDelay is how long the platform waits until it starts a process again.
+	restartDelay = 500 * time.Millisecond
 )
 
-// residentMB returns the memory of a process in MB.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
+// manyHeaders has crowds of callers send headers of legal size in many short lines to two hosts.
+func manyHeaders(d *deployment, log *record, trouble bool) int {
+	r := &runner{id: "i-0", zone: "north-a", store: d.store, log: log, slots: 6, work: 30 * time.Millisecond}
+	r.start()
+	d.store.put("config", "main", config("records"))
+	hosts := []*host{d.newHost("front-1", "north-a"), d.newHost("front-2", "north-b")}
+	guards := make([]*guard, len(hosts))
+	for i, h := range hosts {
+		h.start()
+		guards[i] = &guard{host: h, log: log}
+		go guards[i].run()
 	}
-	for line := range strings.Lines(string(text)) {
-		var kb int
-		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
-			return kb / 1024
+	head := crowdHeader(trouble)
+	for range crowds {
+		if !awaitReady(hosts, 15*time.Second) {
+			return couldNotRun(log, "hosts not ready")
 		}
+		time.Sleep(2 * time.Second)
+		log.line("%d callers a host send a header of %d bytes in %d lines", crowd, len(head), strings.Count(head, "\n"))
+		var wait sync.WaitGroup
+		for range crowd {
+			for _, h := range hosts {
+				wait.Go(func() { sendHeader(h, head) })
+			}
+		}
+		wait.Wait()
 	}
-	return 0
+	time.Sleep(time.Second)
+	broken, what := true, ""
+	for _, g := range guards {
+		ends, highest := g.result()
+		broken = broken && ends >= crowds
+		what += fmt.Sprintf("the process of %s took %d MB of %d at most and ended %d times; ", g.host.name, highest, memoryMB, ends)
+	}
+	return verdict(log, broken, strings.TrimSuffix(what, "; "))
 }
 
 // crowdHeader returns the head of a request of headerBytes bytes, in short lines or in one long line.
@@ -49,65 +72,77 @@
 	return b.String()
 }
 
-// manyHeaders has a crowd of callers send headers of legal size in many short lines.
-func manyHeaders(d *deployment, log *record, trouble bool) int {
-	r := &runner{id: "i-0", zone: "north-a", store: d.store, log: log, slots: 6, work: 30 * time.Millisecond}
-	r.start()
-	d.store.put("config", "main", config("records"))
-	h := d.newHost("front-1", "north-a")
-	h.start()
-	if !awaitReady([]*host{h}, 15*time.Second) {
-		return couldNotRun(log, "host not ready")
-	}
-	time.Sleep(time.Second)
-	highest, killed, stop := watchMemory(h, log)
-	defer close(stop)
-	head := crowdHeader(trouble)
-	log.line("%d callers send a header of %d bytes in %d lines", crowd, len(head), strings.Count(head, "\n"))
-	var wait sync.WaitGroup
-	for range crowd {
-		wait.Go(func() {
-			conn, err := net.Dial("tcp", h.caller)
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			_, _ = conn.Write([]byte(head))
-			time.Sleep(2500 * time.Millisecond) // below the configuration's headerTimeoutMs of 3,000
-			_, _ = conn.Write([]byte(wire("id") + ": " + conn.LocalAddr().String() + "\r\n\r\n"))
-			_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
-			_, _ = conn.Read(make([]byte, 4096))
-		})
+// sendHeader sends a request whose header is complete after 2.5 s, below the configuration's headerTimeoutMs of
+// 3,000, and reads the answer.
+func sendHeader(h *host, head string) {
+	conn, err := net.Dial("tcp", h.caller)
+	if err != nil {
+		return
 	}
-	wait.Wait()
-	log.line("%s took %d MB at most", h.name, highest.Load())
-	if killed.Load() || h.ended() {
-		return verdict(log, true, fmt.Sprintf("the process of %s ended: it took %d MB of %d", h.name, highest.Load(), memoryMB))
+	defer conn.Close()
+	_, _ = conn.Write([]byte(head))
+	time.Sleep(2500 * time.Millisecond)
+	_, _ = conn.Write([]byte(wire("id") + ": " + conn.LocalAddr().String() + "\r\n\r\n"))
+	_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+	_, _ = conn.Read(make([]byte, 4096))
+}
+
+// A guard does what the platform does for the process of a host: it kills it once it takes more than the
+// machine has, and starts it again after its end.
+type guard struct {
+	host *host
+	log  *record
+
+	mu      sync.Mutex
+	highest int // MB
+	ends    int // of processes
+}
+
+func (g *guard) run() {
+	for {
+		time.Sleep(10 * time.Millisecond)
+		if mb := residentMB(g.host.pid()); mb > 0 {
+			g.observe(mb)
+		}
+		if !g.host.ended() {
+			continue
+		}
+		g.mu.Lock()
+		g.ends++
+		g.mu.Unlock()
+		g.log.line("the process of %s has ended", g.host.name)
+		time.Sleep(restartDelay)
+		g.host.start()
 	}
-	reply, err := http.Get("http://" + h.ready + wire("ready"))
-	if err != nil || reply.StatusCode != http.StatusOK {
-		return verdict(log, true, h.name+" is not ready afterwards")
+}
+
+func (g *guard) observe(mb int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.highest = max(g.highest, mb)
+	if mb > memoryMB {
+		g.log.line("the platform kills %s: %d MB", g.host.name, mb)
+		g.host.signal(syscall.SIGKILL)
 	}
-	return verdict(log, false, fmt.Sprintf("the process of %s lives, it took %d MB of %d at most", h.name, highest.Load(), memoryMB))
 }
 
-// watchMemory kills the process of a host once it takes more than the machine has, as the platform does.
-func watchMemory(h *host, log *record) (highest *atomic.Int64, killed *atomic.Bool, stop chan struct{}) {
-	highest, killed, stop = new(atomic.Int64), new(atomic.Bool), make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-			mb := int64(residentMB(h.cmd.Process.Pid))
-			highest.Store(max(highest.Load(), mb))
-			if mb > memoryMB && !killed.Swap(true) {
-				log.line("the platform kills %s: %d MB", h.name, mb)
-				h.signal(syscall.SIGKILL)
-			}
+func (g *guard) result() (ends, highest int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ends, g.highest
+}
+
+// residentMB returns the memory of a process in MB.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+			return kb / 1024
 		}
-	}()
-	return highest, killed, stop
+	}
+	return 0
 }
--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -130,6 +130,12 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Pid
+}
+
 // ended reports whether the process has ended.
 func (h *host) ended() bool {
 	h.mu.Lock()
@@ -176,8 +182,9 @@
 
 // A startedHosts is all hosts whose processes this program started.
 type startedHosts struct {
-	mu  sync.Mutex
-	all []*host
+	mu    sync.Mutex
+	all   []*host
+	final bool // no process may be started any more
 }
 
 var started startedHosts
@@ -186,12 +193,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all = append(s.all, h)
+	if s.final {
+		h.signal(syscall.SIGKILL)
+	}
 }
 
 // killAll ends the processes of all hosts.
 func (s *startedHosts) killAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.final = true
 	for _, h := range s.all {
 		h.kill()
 	}
