--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,7 +30,7 @@
 	os.Exit(run())
 }
 
-// run runs the case NAME with the program BINARY, and writes the record into the folder DIR.
+// run runs the case NAME with the program BINARY, and writes what was sent, answered and run into the file RECORD.
 func run() (code int) {
 	defer started.killAll()
 	defer func() {
@@ -40,7 +40,7 @@
 		}
 	}()
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 CASE BINARY DIR")
+		fmt.Fprintln(os.Stderr, "usage: standin3 CASE BINARY RECORD")
 		return 2
 	}
 	temporary, err := os.MkdirTemp("", "review")
@@ -52,7 +52,7 @@
 	binary, err := filepath.Abs(os.Args[2])
 	check(err)
 	d := &deployment{dir: temporary, binary: binary, store: newStore(), zones: "north-a=north,north-b=north,south-a=south,south-b=south"}
-	log := openRecord(filepath.Join(os.Args[3], "record.txt"))
+	log := openRecord(os.Args[3])
 	return scenarios[os.Args[1]](d, log, os.Getenv("TROUBLE") != "0")
 }
 
